--- /dev/null
+++ b/Source/UnitTests/Main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/include/currantfall/Common/BoundedRing.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <utility>
+
+#include <absl/synchronization/mutex.h>
+#include <absl/time/time.h>
+#include <boost/circular_buffer.hpp>
+
+namespace Currantfall::Common {
+
+/// A bounded FIFO between threads. Producers never block: a full ring refuses, so that overload
+/// shows at the sender. Any number of producers and consumers may use it at the same time.
+template<typename Value>
+class BoundedRing
+{
+public:
+    explicit BoundedRing(std::size_t capacity) : values(capacity) { }
+
+    /// Returns false, without taking the value, if the ring is full or closed.
+    [[nodiscard]] bool tryPush(Value &&value)
+    {
+        const absl::MutexLock lock(&this->mutex);
+        if (this->closed || this->values.full()) {
+            return false;
+        }
+        this->values.push_back(std::move(value));
+        return true;
+    }
+
+    /// Waits up to `timeout` for a value. Returns nothing on timeout or once the ring is closed and
+    /// empty.
+    std::optional<Value> popWithin(absl::Duration timeout)
+    {
+        const absl::MutexLock lock(&this->mutex);
+        this->mutex.AwaitWithTimeout(absl::Condition(this, &BoundedRing::readable), timeout);
+        if (this->values.empty()) {
+            return std::nullopt;
+        }
+        std::optional<Value> value(std::move(this->values.front()));
+        this->values.pop_front();
+        return value;
+    }
+
+    /// Refuses further values and wakes consumers; values already queued can still be taken.
+    void close()
+    {
+        const absl::MutexLock lock(&this->mutex);
+        this->closed = true;
+    }
+
+    std::size_t size() const
+    {
+        const absl::MutexLock lock(&this->mutex);
+        return this->values.size();
+    }
+
+private:
+    bool readable() const { return this->closed || !this->values.empty(); }
+
+    mutable absl::Mutex mutex;
+    boost::circular_buffer<Value> values;
+    bool closed = false;
+};
+
+} // namespace Currantfall::Common
