--- a/Source/Core/Peering/Messages_generated.h
+++ b/include/currantfall/Peering/Messages_generated.h
@@ -725,6 +725,8 @@
   std::string region{};
   uint64_t incarnation = 0;
   uint8_t link_class = 0;
+  std::string address{};
+  uint16_t port_base = 0;
 };
 
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -736,7 +738,9 @@
     VT_ZONE = 8,
     VT_REGION = 10,
     VT_INCARNATION = 12,
-    VT_LINK_CLASS = 14
+    VT_LINK_CLASS = 14,
+    VT_ADDRESS = 16,
+    VT_PORT_BASE = 18
   };
   const flatbuffers::String *environment() const {
     return GetPointer<const flatbuffers::String *>(VT_ENVIRONMENT);
@@ -756,6 +760,12 @@
   uint8_t link_class() const {
     return GetField<uint8_t>(VT_LINK_CLASS, 0);
   }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  uint16_t port_base() const {
+    return GetField<uint16_t>(VT_PORT_BASE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ENVIRONMENT) &&
@@ -768,6 +778,9 @@
            verifier.VerifyString(region()) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint8_t>(verifier, VT_LINK_CLASS, 1) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<uint16_t>(verifier, VT_PORT_BASE, 2) &&
            verifier.EndTable();
   }
   HelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -797,6 +810,12 @@
   void add_link_class(uint8_t link_class) {
     fbb_.AddElement<uint8_t>(Hello::VT_LINK_CLASS, link_class, 0);
   }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(Hello::VT_ADDRESS, address);
+  }
+  void add_port_base(uint16_t port_base) {
+    fbb_.AddElement<uint16_t>(Hello::VT_PORT_BASE, port_base, 0);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -815,13 +834,17 @@
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     flatbuffers::Offset<flatbuffers::String> region = 0,
     uint64_t incarnation = 0,
-    uint8_t link_class = 0) {
+    uint8_t link_class = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    uint16_t port_base = 0) {
   HelloBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
+  builder_.add_address(address);
   builder_.add_region(region);
   builder_.add_zone(zone);
   builder_.add_vm(vm);
   builder_.add_environment(environment);
+  builder_.add_port_base(port_base);
   builder_.add_link_class(link_class);
   return builder_.Finish();
 }
@@ -833,11 +856,14 @@
     const char *zone = nullptr,
     const char *region = nullptr,
     uint64_t incarnation = 0,
-    uint8_t link_class = 0) {
+    uint8_t link_class = 0,
+    const char *address = nullptr,
+    uint16_t port_base = 0) {
   auto environment__ = environment ? _fbb.CreateString(environment) : 0;
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
   return Currantfall::Peering::Wire::CreateHello(
       _fbb,
       environment__,
@@ -845,7 +871,9 @@
       zone__,
       region__,
       incarnation,
-      link_class);
+      link_class,
+      address__,
+      port_base);
 }
 
 flatbuffers::Offset<Hello> CreateHello(flatbuffers::FlatBufferBuilder &_fbb, const HelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -960,6 +988,7 @@
   Currantfall::Peering::Wire::MemberState state = Currantfall::Peering::Wire::MemberState::Live;
   std::string key_prefix{};
   std::vector<std::unique_ptr<Currantfall::Peering::Wire::ServiceLoadT>> loads{};
+  uint64_t sent_ms = 0;
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -976,7 +1005,8 @@
     VT_REVISION = 10,
     VT_STATE = 12,
     VT_KEY_PREFIX = 14,
-    VT_LOADS = 16
+    VT_LOADS = 16,
+    VT_SENT_MS = 18
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -999,6 +1029,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::ServiceLoad>> *loads() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::ServiceLoad>> *>(VT_LOADS);
   }
+  uint64_t sent_ms() const {
+    return GetField<uint64_t>(VT_SENT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VM) &&
@@ -1012,6 +1045,7 @@
            VerifyOffset(verifier, VT_LOADS) &&
            verifier.VerifyVector(loads()) &&
            verifier.VerifyVectorOfTables(loads()) &&
+           VerifyField<uint64_t>(verifier, VT_SENT_MS, 8) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1044,6 +1078,9 @@
   void add_loads(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::ServiceLoad>>> loads) {
     fbb_.AddOffset(Heartbeat::VT_LOADS, loads);
   }
+  void add_sent_ms(uint64_t sent_ms) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_SENT_MS, sent_ms, 0);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1063,8 +1100,10 @@
     uint64_t revision = 0,
     Currantfall::Peering::Wire::MemberState state = Currantfall::Peering::Wire::MemberState::Live,
     flatbuffers::Offset<flatbuffers::String> key_prefix = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::ServiceLoad>>> loads = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::ServiceLoad>>> loads = 0,
+    uint64_t sent_ms = 0) {
   HeartbeatBuilder builder_(_fbb);
+  builder_.add_sent_ms(sent_ms);
   builder_.add_revision(revision);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
@@ -1083,7 +1122,8 @@
     uint64_t revision = 0,
     Currantfall::Peering::Wire::MemberState state = Currantfall::Peering::Wire::MemberState::Live,
     const char *key_prefix = nullptr,
-    const std::vector<flatbuffers::Offset<Currantfall::Peering::Wire::ServiceLoad>> *loads = nullptr) {
+    const std::vector<flatbuffers::Offset<Currantfall::Peering::Wire::ServiceLoad>> *loads = nullptr,
+    uint64_t sent_ms = 0) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto key_prefix__ = key_prefix ? _fbb.CreateString(key_prefix) : 0;
   auto loads__ = loads ? _fbb.CreateVector<flatbuffers::Offset<Currantfall::Peering::Wire::ServiceLoad>>(*loads) : 0;
@@ -1095,7 +1135,8 @@
       revision,
       state,
       key_prefix__,
-      loads__);
+      loads__,
+      sent_ms);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1310,6 +1351,8 @@
 struct MemberDigestT : public flatbuffers::NativeTable {
   typedef MemberDigest TableType;
   std::vector<std::unique_ptr<Currantfall::Peering::Wire::MemberEntryT>> entries{};
+  uint64_t sent_ms = 0;
+  uint32_t interval_ms = 0;
   MemberDigestT() = default;
   MemberDigestT(const MemberDigestT &o);
   MemberDigestT(MemberDigestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1320,16 +1363,26 @@
   typedef MemberDigestT NativeTableType;
   typedef MemberDigestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ENTRIES = 4
+    VT_ENTRIES = 4,
+    VT_SENT_MS = 6,
+    VT_INTERVAL_MS = 8
   };
   const flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::MemberEntry>> *entries() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::MemberEntry>> *>(VT_ENTRIES);
   }
+  uint64_t sent_ms() const {
+    return GetField<uint64_t>(VT_SENT_MS, 0);
+  }
+  uint32_t interval_ms() const {
+    return GetField<uint32_t>(VT_INTERVAL_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ENTRIES) &&
            verifier.VerifyVector(entries()) &&
            verifier.VerifyVectorOfTables(entries()) &&
+           VerifyField<uint64_t>(verifier, VT_SENT_MS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_INTERVAL_MS, 4) &&
            verifier.EndTable();
   }
   MemberDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1344,6 +1397,12 @@
   void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::MemberEntry>>> entries) {
     fbb_.AddOffset(MemberDigest::VT_ENTRIES, entries);
   }
+  void add_sent_ms(uint64_t sent_ms) {
+    fbb_.AddElement<uint64_t>(MemberDigest::VT_SENT_MS, sent_ms, 0);
+  }
+  void add_interval_ms(uint32_t interval_ms) {
+    fbb_.AddElement<uint32_t>(MemberDigest::VT_INTERVAL_MS, interval_ms, 0);
+  }
   explicit MemberDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1357,19 +1416,27 @@
 
 inline flatbuffers::Offset<MemberDigest> CreateMemberDigest(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::MemberEntry>>> entries = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::MemberEntry>>> entries = 0,
+    uint64_t sent_ms = 0,
+    uint32_t interval_ms = 0) {
   MemberDigestBuilder builder_(_fbb);
+  builder_.add_sent_ms(sent_ms);
+  builder_.add_interval_ms(interval_ms);
   builder_.add_entries(entries);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<MemberDigest> CreateMemberDigestDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<Currantfall::Peering::Wire::MemberEntry>> *entries = nullptr) {
+    const std::vector<flatbuffers::Offset<Currantfall::Peering::Wire::MemberEntry>> *entries = nullptr,
+    uint64_t sent_ms = 0,
+    uint32_t interval_ms = 0) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<Currantfall::Peering::Wire::MemberEntry>>(*entries) : 0;
   return Currantfall::Peering::Wire::CreateMemberDigest(
       _fbb,
-      entries__);
+      entries__,
+      sent_ms,
+      interval_ms);
 }
 
 flatbuffers::Offset<MemberDigest> CreateMemberDigest(flatbuffers::FlatBufferBuilder &_fbb, const MemberDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3280,6 +3347,8 @@
   { auto _e = region(); if (_e) _o->region = _e->str(); }
   { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = link_class(); _o->link_class = _e; }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = port_base(); _o->port_base = _e; }
 }
 
 inline flatbuffers::Offset<Hello> Hello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3296,6 +3365,8 @@
   auto _region = _o->region.empty() ? 0 : _fbb.CreateString(_o->region);
   auto _incarnation = _o->incarnation;
   auto _link_class = _o->link_class;
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _port_base = _o->port_base;
   return Currantfall::Peering::Wire::CreateHello(
       _fbb,
       _environment,
@@ -3303,7 +3374,9 @@
       _zone,
       _region,
       _incarnation,
-      _link_class);
+      _link_class,
+      _address,
+      _port_base);
 }
 
 inline ServiceLoadT *ServiceLoad::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3347,7 +3420,8 @@
         sequence(o.sequence),
         revision(o.revision),
         state(o.state),
-        key_prefix(o.key_prefix) {
+        key_prefix(o.key_prefix),
+        sent_ms(o.sent_ms) {
   loads.reserve(o.loads.size());
   for (const auto &loads_ : o.loads) { loads.emplace_back((loads_) ? new Currantfall::Peering::Wire::ServiceLoadT(*loads_) : nullptr); }
 }
@@ -3360,6 +3434,7 @@
   std::swap(state, o.state);
   std::swap(key_prefix, o.key_prefix);
   std::swap(loads, o.loads);
+  std::swap(sent_ms, o.sent_ms);
   return *this;
 }
 
@@ -3379,6 +3454,7 @@
   { auto _e = state(); _o->state = _e; }
   { auto _e = key_prefix(); if (_e) _o->key_prefix = _e->str(); }
   { auto _e = loads(); if (_e) { _o->loads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loads[_i] = std::unique_ptr<Currantfall::Peering::Wire::ServiceLoadT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = sent_ms(); _o->sent_ms = _e; }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3396,6 +3472,7 @@
   auto _state = _o->state;
   auto _key_prefix = _o->key_prefix.empty() ? 0 : _fbb.CreateString(_o->key_prefix);
   auto _loads = _o->loads.size() ? _fbb.CreateVector<flatbuffers::Offset<Currantfall::Peering::Wire::ServiceLoad>> (_o->loads.size(), [](size_t i, _VectorArgs *__va) { return CreateServiceLoad(*__va->__fbb, __va->__o->loads[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _sent_ms = _o->sent_ms;
   return Currantfall::Peering::Wire::CreateHeartbeat(
       _fbb,
       _vm,
@@ -3404,7 +3481,8 @@
       _revision,
       _state,
       _key_prefix,
-      _loads);
+      _loads,
+      _sent_ms);
 }
 
 inline MemberEntryT::MemberEntryT(const MemberEntryT &o)
@@ -3493,13 +3571,17 @@
       _loads);
 }
 
-inline MemberDigestT::MemberDigestT(const MemberDigestT &o) {
+inline MemberDigestT::MemberDigestT(const MemberDigestT &o)
+      : sent_ms(o.sent_ms),
+        interval_ms(o.interval_ms) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new Currantfall::Peering::Wire::MemberEntryT(*entries_) : nullptr); }
 }
 
 inline MemberDigestT &MemberDigestT::operator=(MemberDigestT o) FLATBUFFERS_NOEXCEPT {
   std::swap(entries, o.entries);
+  std::swap(sent_ms, o.sent_ms);
+  std::swap(interval_ms, o.interval_ms);
   return *this;
 }
 
@@ -3513,6 +3595,8 @@
   (void)_o;
   (void)_resolver;
   { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<Currantfall::Peering::Wire::MemberEntryT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = sent_ms(); _o->sent_ms = _e; }
+  { auto _e = interval_ms(); _o->interval_ms = _e; }
 }
 
 inline flatbuffers::Offset<MemberDigest> MemberDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3524,9 +3608,13 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const MemberDigestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<Currantfall::Peering::Wire::MemberEntry>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return CreateMemberEntry(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _sent_ms = _o->sent_ms;
+  auto _interval_ms = _o->interval_ms;
   return Currantfall::Peering::Wire::CreateMemberDigest(
       _fbb,
-      _entries);
+      _entries,
+      _sent_ms,
+      _interval_ms);
 }
 
 inline RevisionNoticeT *RevisionNotice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
