--- /dev/null
+++ b/include/currantfall/Placement/LookupPlanner.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "currantfall/Configuration/Environment.h"
+#include "currantfall/Placement/PlacementMember.h"
+
+namespace Currantfall::Placement {
+
+/// Chooses the entry VMs that a lookup returns.
+class LookupPlanner
+{
+public:
+    /// More entries than this lengthen a caller's failover; fewer leave it without an alternative.
+    static constexpr std::size_t mostEntries = 4;
+
+    /// Entry VMs for a caller in `clientZone`, best first: at most four and, if so many are usable,
+    /// at least two. Members that are leaving are never returned, suspect ones only if there is no
+    /// other. Within a distance, VMs that own slots of the service come first, in an order drawn by
+    /// free slots from `seed`: equal seeds give equal orders, different seeds spread the callers.
+    static std::vector<Common::VmName> plan(const Configuration::Environment &environment,
+                                            const std::vector<PlacementMember> &members,
+                                            const Common::ServiceName &service,
+                                            const Common::ZoneName &clientZone, std::uint64_t seed);
+};
+
+} // namespace Currantfall::Placement
