--- /dev/null
+++ b/Source/Daemon/BackendConnection.cpp
@@ -0,0 +1,169 @@
+#include "BackendConnection.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "HttpHeaders.h"
+
+namespace Currantfall::Daemon {
+
+namespace {
+
+using Common::Outcome;
+using Common::Reason;
+
+constexpr auto connectTimeout = std::chrono::milliseconds(500);
+constexpr auto cancelTimeout = std::chrono::milliseconds(200);
+// The backend server gets its deadline with the request; the connection waits a little longer, so
+// that an answer sent at the deadline still arrives.
+constexpr absl::Duration answerGrace = absl::Milliseconds(50);
+constexpr int statusNoContent = 204;
+constexpr int statusNotModified = 304;
+
+/// False if the end of the answer can't be told from a lost connection.
+bool hasVerifiableEnd(const httplib::Request &request, const httplib::Response &response)
+{
+    return response.has_header("Content-Length") || response.has_header("Transfer-Encoding")
+           || response.status == statusNoContent || response.status == statusNotModified
+           || request.method == "HEAD";
+}
+
+httplib::Request makeRequest(const std::string &attempt, const Request &request,
+                             absl::Duration remaining)
+{
+    httplib::Request out;
+    out.method = request.method;
+    out.path = request.path;
+    out.body = request.body;
+    for (const Common::Header &header : request.headers) {
+        out.headers.emplace(header.name, header.value);
+    }
+    out.headers.emplace("Currantfall-Attempt", attempt);
+    out.headers.emplace("Currantfall-Deadline-Ms",
+                        std::to_string(absl::ToInt64Milliseconds(remaining)));
+    if (!request.key.empty()) {
+        out.headers.emplace("Idempotency-Key", request.key);
+    }
+    return out;
+}
+
+BackendResult failedResult(httplib::Error error, const std::string &address, bool cancelled)
+{
+    BackendResult result;
+    const std::string message = address + ": " + httplib::to_string(error);
+    if (error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout
+        || error == httplib::Error::BindIPAddress) {
+        result.connectFailed = true;
+        result.answer = Common::notRun(Reason::BackendServerFailed, message);
+        return result;
+    }
+    const Reason reason = cancelled ? Reason::Cancelled : Reason::BackendServerFailed;
+    result.answer = Common::outcomeUnknown(reason, message);
+    return result;
+}
+
+BackendResult answeredResult(httplib::Response &response)
+{
+    BackendResult result;
+    if (response.get_header_value("Currantfall-Shed") == "not-run") {
+        result.shed = true;
+        result.answer
+                = Common::notRun(Reason::BackendServerShed, "the backend server shed the request");
+        return result;
+    }
+    result.answer.outcome = Outcome::Answered;
+    result.answer.status = response.status;
+    result.answer.headers = endToEndHeaders(response.headers);
+    result.answer.body = std::move(response.body);
+    return result;
+}
+
+} // namespace
+
+BackendConnection::BackendConnection(const std::string &address)
+    : address(address), client("http://" + address)
+{
+    this->client.set_keep_alive(true);
+    this->client.set_tcp_nodelay(true);
+    this->client.set_url_encode(false);
+    this->client.set_decompress(false);
+    this->client.set_follow_location(false);
+    this->client.set_connection_timeout(connectTimeout);
+}
+
+BackendResult BackendConnection::execute(const std::string &attempt, const Request &request)
+{
+    const Common::Instant start = Common::monotonicNow();
+    const absl::Duration remaining = request.deadline - start;
+    if (remaining <= absl::ZeroDuration()) {
+        BackendResult result;
+        result.answer = Common::notRun(Reason::TimedOut, "the deadline passed before the start");
+        return result;
+    }
+    {
+        const absl::MutexLock lock(&this->mutex);
+        this->current = attempt;
+        this->cancelled = false;
+    }
+    BackendResult result = this->exchange(attempt, request, remaining);
+    result.serviceTime = Common::monotonicNow() - start;
+    const bool abandoned = result.answer.reason == Reason::Cancelled
+                           || result.answer.reason == Reason::BackendServerFailed;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        this->current.clear();
+    }
+    if (abandoned && !result.connectFailed) {
+        this->requestCancellation(attempt);
+    }
+    return result;
+}
+
+void BackendConnection::cancel(const std::string &attempt)
+{
+    const absl::MutexLock lock(&this->mutex);
+    if (this->current != attempt) {
+        return;
+    }
+    this->cancelled = true;
+    this->client.stop();
+}
+
+BackendResult BackendConnection::exchange(const std::string &attempt, const Request &request,
+                                          absl::Duration remaining)
+{
+    this->client.set_read_timeout(absl::ToChronoMicroseconds(remaining + answerGrace));
+    this->client.set_write_timeout(absl::ToChronoMicroseconds(remaining + answerGrace));
+    httplib::Request out = makeRequest(attempt, request, remaining);
+    httplib::Response response;
+    auto error = httplib::Error::Success;
+    if (!this->client.send(out, response, error)) {
+        return failedResult(error, this->address, this->wasCancelled());
+    }
+    if (!hasVerifiableEnd(out, response)) {
+        BackendResult result;
+        result.answer = Common::outcomeUnknown(
+                Reason::BackendServerFailed,
+                this->address + ": the answer has neither a length nor chunked encoding");
+        return result;
+    }
+    return answeredResult(response);
+}
+
+void BackendConnection::requestCancellation(const std::string &attempt)
+{
+    // Frees the slot at the backend server early. Its failure is harmless, because the backend
+    // server ends the request at its deadline.
+    this->client.stop();
+    this->client.set_read_timeout(cancelTimeout);
+    this->client.Post("/_control/cancel?attempt=" + attempt);
+}
+
+bool BackendConnection::wasCancelled() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    return this->cancelled;
+}
+
+} // namespace Currantfall::Daemon
--- /dev/null
+++ b/Source/Daemon/BackendConnection.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+#include <absl/synchronization/mutex.h>
+#include <httplib.h>
+
+#include "Request.h"
+
+namespace Currantfall::Daemon {
+
+/// What one attempt at a backend server came to.
+struct BackendResult
+{
+    Common::Answer answer;
+    bool connectFailed = false; ///< No connection; no byte was sent.
+    bool shed = false;          ///< The backend server says that it did not run the request.
+    absl::Duration serviceTime = absl::ZeroDuration();
+};
+
+/// One warm HTTP connection to a backend server, for one request at a time. execute() belongs to
+/// one thread; cancel() may be called from any.
+class BackendConnection
+{
+public:
+    /// `address` is "IP:PORT".
+    explicit BackendConnection(const std::string &address);
+
+    /// Sends the request once and reads the whole answer. Never sends it a second time.
+    BackendResult execute(const std::string &attempt, const Request &request);
+
+    /// Aborts the execution of `attempt`, if it is the one in progress.
+    void cancel(const std::string &attempt);
+
+private:
+    BackendResult exchange(const std::string &attempt, const Request &request,
+                           absl::Duration remaining);
+    void requestCancellation(const std::string &attempt);
+    bool wasCancelled() const;
+
+    std::string address;
+    httplib::Client client;
+    mutable absl::Mutex mutex;
+    std::string current; // Attempt in progress.
+    bool cancelled = false;
+};
+
+} // namespace Currantfall::Daemon
--- /dev/null
+++ b/Source/Daemon/CreditFlow.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <utility>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include "currantfall/Credits/CreditGranter.h"
+#include "currantfall/Credits/CreditHolder.h"
+#include "currantfall/Placement/RequestRouter.h"
+
+#include "ClusterFlow.h"
+#include "OwnerScheduler.h"
+#include "SteeringContext.h"
+
+namespace Currantfall::Daemon {
+
+/// Credits for traffic between regions: asks owners of other regions while this region lacks
+/// capacity, and grants from the slots that this VM owns.
+class CreditFlow
+{
+public:
+    CreditFlow(SteeringContext &context, ClusterFlow &cluster, const OwnerScheduler &scheduler);
+
+    void onConfigurationChanged();
+    void onCreditRequest(const Common::VmName &from, const Common::ServiceName &service,
+                         const Credits::CreditRequest &request);
+    void onCreditGrant(const Common::VmName &from, const Common::ServiceName &service,
+                       const Credits::CreditGrant &grant);
+    /// This process was paused for longer than credits are valid.
+    void onPause();
+
+    /// Holder's side. usableVms() lists the VMs of other regions for which a credit is at hand.
+    absl::flat_hash_set<Common::VmName> usableVms(const Common::ServiceName &service);
+    std::optional<Credits::CreditId> take(const Common::VmName &granter, const Request &request);
+    void giveBack(const Common::VmName &granter, const Common::ServiceName &service,
+                  Credits::CreditId credit);
+    /// Notes demand if the request finds no free slot in its own region.
+    void onRouted(const Request &request, const std::vector<Placement::RouteTarget> &targets);
+
+    /// Granter's side. Requests of the own region need no credit.
+    [[nodiscard]] bool begin(const Common::VmName &holder, const Request &request,
+                             Credits::CreditId credit);
+    void end(const Common::VmName &holder, const Common::ServiceName &service,
+             Credits::CreditId credit);
+
+private:
+    using HolderKey = std::pair<Common::VmName, Common::ServiceName>;
+
+    struct Demand
+    {
+        std::size_t requests = 0;
+        std::size_t bytes = 0;
+    };
+
+    void tick();
+    void askForCredits(const Common::ServiceName &service, const Demand &demand);
+    void updateGranters();
+    bool regionHasFreeSlots(const Common::ServiceName &service,
+                            const std::vector<Placement::RouteTarget> &targets) const;
+    Credits::CreditGranterSettings granterSettings() const;
+    const Membership::Member *member(const Common::VmName &vm) const;
+
+    SteeringContext &context;
+    ClusterFlow &cluster;
+    const OwnerScheduler &scheduler;
+    absl::flat_hash_map<HolderKey, Credits::CreditHolder> holders;
+    absl::flat_hash_map<Common::ServiceName, Credits::CreditGranter> granters;
+    absl::flat_hash_map<Common::ServiceName, Demand> demands;
+};
+
+} // namespace Currantfall::Daemon
--- /dev/null
+++ b/Source/Daemon/Dispatcher.cpp
@@ -0,0 +1,349 @@
+#include "Dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "WireConversion.h"
+
+namespace Currantfall::Daemon {
+
+namespace {
+
+using Common::Outcome;
+using Common::Reason;
+using Placement::RouteTarget;
+using Placement::TargetKind;
+
+constexpr std::size_t maxOpenAttempts = 100'000;
+// VMs asked for one request, the first included.
+constexpr std::size_t maxTargets = 4;
+// The owner answers at the deadline at the latest; its reply needs time to arrive.
+constexpr absl::Duration replyGrace = absl::Milliseconds(150);
+
+// While slots change owners no VM may start work on them: a crash takes the suspicion time of 1 s
+// and a lease of 2 s. Requests wait that long for the new owner instead of failing.
+constexpr absl::Duration longestParking = absl::Milliseconds(3500);
+constexpr absl::Duration parkingInterval = absl::Milliseconds(50);
+constexpr std::size_t maxParked = 1000;
+
+std::string forwardedKey(const Common::VmName &from, const std::string &attempt)
+{
+    return from.value() + "/" + attempt;
+}
+
+/// The VM that was asked does not have the capacity that this VM's view promised. Nothing was sent
+/// to a backend server, so that asking another VM is not a retry.
+bool isRoutingCorrection(const Common::Answer &answer)
+{
+    return answer.outcome == Outcome::NotRun
+           && (answer.reason == Reason::NoCapacity || answer.reason == Reason::ShuttingDown);
+}
+
+} // namespace
+
+Peering::LinkClass linkClassOf(Common::RankIndex rank)
+{
+    return rank == 0 ? Peering::LinkClass::Control : Peering::LinkClass::Bulk;
+}
+
+Dispatcher::Dispatcher(SteeringContext &context, ClusterFlow &cluster, OwnerScheduler &scheduler,
+                       CreditFlow &credits)
+    : context(context), cluster(cluster), scheduler(scheduler), credits(credits),
+      attempts(context.self, maxOpenAttempts)
+{ }
+
+void Dispatcher::dispatch(SharedRequest request, AnswerHandler done)
+{
+    const FlightId id = ++this->lastFlight;
+    Flight flight;
+    flight.done = std::move(done);
+    flight.timer = this->context.timers.subscribeOnce(
+            request->deadline + replyGrace, [this, id](Common::Instant) { this->onTimeout(id); });
+    this->budgets[request->service].onFirstAttempt();
+    flight.request = std::move(request);
+    this->flights.emplace(id, std::move(flight));
+    this->tryNext(id, Common::notRun(Reason::NoCapacity, "no owner of the service is reachable",
+                                     absl::Seconds(1)));
+}
+
+void Dispatcher::onForwardRequest(const Common::VmName &from, SharedRequest request,
+                                  const std::string &attempt, Credits::CreditId credit)
+{
+    const Peering::LinkClass linkClass = linkClassOf(request->rank);
+    if (!this->credits.begin(from, *request, credit)) {
+        this->reply(from, linkClass, attempt,
+                    Common::notRun(Reason::NoCapacity, "the credit has expired or is used up"));
+        return;
+    }
+    const std::string key = forwardedKey(from, attempt);
+    const Common::ServiceName service = request->service;
+    this->forwarded.emplace(key, Forwarded());
+    const auto done = [this, key, from, linkClass, attempt, service, credit](OwnerResult result) {
+        this->forwarded.erase(key);
+        this->credits.end(from, service, credit);
+        this->reply(from, linkClass, attempt, result.answer);
+    };
+    const OwnerScheduler::Ticket ticket = this->scheduler.offer(std::move(request), {}, done);
+    const auto entry = this->forwarded.find(key);
+    if (entry != this->forwarded.end()) {
+        entry->second.ticket = ticket;
+    }
+}
+
+void Dispatcher::onCancelAttempt(const Common::VmName &from, const std::string &attempt)
+{
+    const auto found = this->forwarded.find(forwardedKey(from, attempt));
+    if (found != this->forwarded.end()) {
+        this->scheduler.cancel(found->second.ticket);
+    }
+}
+
+void Dispatcher::onForwardReply(const Common::VmName &from, const std::string &attempt,
+                                Common::Answer answer)
+{
+    const auto decision = this->attempts.onAnswer(attempt, from.value(), answer.outcome);
+    if (const auto *settled = std::get_if<Execution::Settled>(&decision)) {
+        this->onResult(settled->request, from, {}, std::move(answer));
+    } else if (const auto *failed = std::get_if<Execution::AttemptFailed>(&decision)) {
+        this->onResult(failed->request, from, {}, std::move(answer));
+    } else {
+        this->context.metrics.addToCounter("currantfall_dropped_answers_total");
+    }
+}
+
+void Dispatcher::onLinkDown(const Common::VmName &peer, Peering::LinkClass linkClass)
+{
+    std::vector<Execution::AttemptId> lost;
+    for (const auto &entry : this->flights) {
+        const Flight &flight = entry.second;
+        if (flight.remote == peer && linkClassOf(flight.request->rank) == linkClass) {
+            lost.push_back(flight.attempt);
+        }
+    }
+    for (const Execution::AttemptId &attempt : lost) {
+        this->onForwardReply(peer, attempt,
+                             Common::outcomeUnknown(Reason::PeerFailed,
+                                                    "the link to " + peer.value() + " was lost"));
+    }
+}
+
+void Dispatcher::tryNext(FlightId id, Common::Answer lastAnswer)
+{
+    const auto found = this->flights.find(id);
+    if (found == this->flights.end()) {
+        return;
+    }
+    for (const RouteTarget &target : this->targetsFor(found->second)) {
+        if (this->tryTarget(id, target)) {
+            return;
+        }
+    }
+    if (!this->park(id, lastAnswer)) {
+        this->finish(id, std::move(lastAnswer));
+    }
+}
+
+bool Dispatcher::park(FlightId id, const Common::Answer &answer)
+{
+    Flight &flight = this->flights.at(id);
+    if (!isRoutingCorrection(answer) || this->parkedFlights >= maxParked) {
+        return false;
+    }
+    if (flight.parkedUntil == Common::Instant()) {
+        flight.parkedUntil = std::min(this->context.now + longestParking, flight.request->deadline);
+    }
+    if (this->context.now + parkingInterval >= flight.parkedUntil) {
+        return false;
+    }
+    flight.parked = true;
+    ++this->parkedFlights;
+    this->context.timers.subscribeOnce(this->context.now + parkingInterval,
+                                       [this, id, answer](Common::Instant) {
+                                           --this->parkedFlights;
+                                           const auto found = this->flights.find(id);
+                                           if (found == this->flights.end()) {
+                                               return;
+                                           }
+                                           found->second.parked = false;
+                                           found->second.targets = 0;
+                                           found->second.triedVms.clear();
+                                           this->tryNext(id, answer);
+                                       });
+    return true;
+}
+
+std::vector<RouteTarget> Dispatcher::targetsFor(const Flight &flight)
+{
+    if (this->context.environment == nullptr || flight.targets >= maxTargets) {
+        return {};
+    }
+    Placement::RouteQuery query;
+    query.self = this->context.self.vm;
+    query.service = flight.request->service;
+    query.excluded.insert(flight.triedVms.begin(), flight.triedVms.end());
+    query.withCredit = this->credits.usableVms(flight.request->service);
+    query.random = this->context.random();
+    const auto &members
+            = this->cluster.placementMembers(this->scheduler.loadOf(flight.request->service));
+    auto targets = Placement::RequestRouter::route(*this->context.environment, members, query);
+    this->credits.onRouted(*flight.request, targets);
+    return targets;
+}
+
+bool Dispatcher::tryTarget(FlightId id, const RouteTarget &target)
+{
+    if (target.kind == TargetKind::Self) {
+        this->runHere(id);
+        return true;
+    }
+    return this->forward(id, target);
+}
+
+void Dispatcher::runHere(FlightId id)
+{
+    Flight &flight = this->flights.at(id);
+    ++flight.targets;
+    flight.remote = {};
+    const SharedRequest request = flight.request;
+    const auto avoid = flight.triedServers;
+    this->scheduler.offer(request, avoid, [this, id](OwnerResult result) {
+        this->onResult(id, this->context.self.vm, result.server, std::move(result.answer));
+    });
+}
+
+bool Dispatcher::forward(FlightId id, const RouteTarget &target)
+{
+    Flight &flight = this->flights.at(id);
+    Credits::CreditId credit = 0;
+    if (target.kind == TargetKind::OtherRegion) {
+        const auto taken = this->credits.take(target.vm, *flight.request);
+        if (!taken) {
+            return false;
+        }
+        credit = *taken;
+    }
+    const auto attempt = this->attempts.start(this->context.now, id, target.vm.value());
+    if (!attempt) {
+        this->credits.giveBack(target.vm, flight.request->service, credit);
+        return false;
+    }
+    const bool sent = this->context.sendOn(
+            target.vm, linkClassOf(flight.request->rank),
+            toWire(*attempt, *flight.request, false, credit, this->context.now));
+    if (!sent) {
+        this->attempts.onAnswer(*attempt, target.vm.value(), Outcome::NotRun);
+        this->credits.giveBack(target.vm, flight.request->service, credit);
+        this->cluster.requestPeer(target.vm);
+        return false;
+    }
+    ++flight.targets;
+    flight.attempt = *attempt;
+    flight.remote = target.vm;
+    flight.credit = credit;
+    this->context.metrics.addToCounter("currantfall_forwards_total",
+                                       { { "service", flight.request->service.value() } });
+    return true;
+}
+
+void Dispatcher::onResult(FlightId id, const Common::VmName &vm,
+                          const Common::BackendServerName &server, Common::Answer answer)
+{
+    const auto found = this->flights.find(id);
+    if (found == this->flights.end()) {
+        return;
+    }
+    Flight &flight = found->second;
+    this->endAttempt(flight);
+    if (answer.outcome == Outcome::Answered) {
+        this->finish(id, std::move(answer));
+        return;
+    }
+    const bool otherServerHere = !server.empty()
+                                 && this->scheduler.loadOf(flight.request->service).totalSlots > 0
+                                 && flight.triedServers.empty();
+    if (!server.empty()) {
+        flight.triedServers.push_back(server);
+    }
+    if (!otherServerHere) {
+        flight.triedVms.push_back(vm);
+    }
+    if (!this->mayTryAgain(flight, answer)) {
+        this->finish(id, std::move(answer));
+        return;
+    }
+    this->tryNext(id, std::move(answer));
+}
+
+bool Dispatcher::mayTryAgain(const Flight &flight, const Common::Answer &answer)
+{
+    if (isRoutingCorrection(answer)) {
+        return true;
+    }
+    const auto targets = this->targetsFor(flight);
+    Execution::RetryQuestion question;
+    question.idempotent = flight.request->idempotent;
+    question.keyed = !flight.request->key.empty();
+    question.lastOutcome = answer.outcome;
+    question.remainingDeadline = flight.request->deadline - this->context.now;
+    for (const Common::VmName &tried : flight.triedVms) {
+        question.triedServers.push_back(tried.value());
+    }
+    for (const RouteTarget &target : targets) {
+        question.candidateServers.push_back(target.vm.value());
+    }
+    Execution::RetryBudget &budget = this->budgets[flight.request->service];
+    if (Execution::mayRetry(question, budget) != Execution::RetryVerdict::Retry) {
+        return false;
+    }
+    this->context.metrics.addToCounter("currantfall_retries_total",
+                                       { { "service", flight.request->service.value() } });
+    return budget.tryTake();
+}
+
+void Dispatcher::onTimeout(FlightId id)
+{
+    const auto found = this->flights.find(id);
+    if (found == this->flights.end()) {
+        return;
+    }
+    Flight &flight = found->second;
+    if (!flight.remote.empty()) {
+        Peering::Wire::CancelAttemptT cancel;
+        cancel.attempt = flight.attempt;
+        this->context.sendOn(flight.remote, linkClassOf(flight.request->rank), std::move(cancel));
+    }
+    this->endAttempt(flight);
+    this->finish(id, Common::outcomeUnknown(Reason::TimedOut, "no answer before the deadline"));
+}
+
+void Dispatcher::endAttempt(Flight &flight)
+{
+    if (!flight.remote.empty()) {
+        this->credits.giveBack(flight.remote, flight.request->service, flight.credit);
+    }
+    flight.remote = {};
+    flight.credit = 0;
+}
+
+void Dispatcher::finish(FlightId id, Common::Answer answer)
+{
+    const auto found = this->flights.find(id);
+    if (found == this->flights.end()) {
+        return;
+    }
+    const AnswerHandler done = std::move(found->second.done);
+    this->context.timers.unsubscribe(found->second.timer);
+    this->attempts.abandon(id);
+    this->flights.erase(found);
+    done(std::move(answer));
+}
+
+void Dispatcher::reply(const Common::VmName &to, Peering::LinkClass linkClass,
+                       const std::string &attempt, const Common::Answer &answer)
+{
+    if (!this->context.sendOn(to, linkClass, toWire(attempt, answer))) {
+        this->context.log.warn("a reply could not be sent; the link is down", to.value(), attempt);
+    }
+}
+
+} // namespace Currantfall::Daemon
--- /dev/null
+++ b/Source/Daemon/Dispatcher.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "currantfall/Execution/AttemptTable.h"
+#include "currantfall/Execution/RetryPolicy.h"
+#include "currantfall/Placement/RequestRouter.h"
+
+#include "ClusterFlow.h"
+#include "CreditFlow.h"
+#include "OwnerScheduler.h"
+#include "SteeringContext.h"
+
+namespace Currantfall::Daemon {
+
+/// Takes requests to the owners of backend servers, on this VM or over peer links, and decides
+/// about retries. Also serves the requests that other VMs forward to this owner.
+class Dispatcher
+{
+public:
+    Dispatcher(SteeringContext &context, ClusterFlow &cluster, OwnerScheduler &scheduler,
+               CreditFlow &credits);
+
+    /// `done` is called exactly once, perhaps before the return.
+    void dispatch(SharedRequest request, AnswerHandler done);
+
+    void onForwardRequest(const Common::VmName &from, SharedRequest request,
+                          const std::string &attempt, Credits::CreditId credit);
+    void onCancelAttempt(const Common::VmName &from, const std::string &attempt);
+    void onForwardReply(const Common::VmName &from, const std::string &attempt,
+                        Common::Answer answer);
+    void onLinkDown(const Common::VmName &peer, Peering::LinkClass linkClass);
+
+    std::size_t inProgress() const { return this->flights.size() + this->forwarded.size(); }
+    const Execution::DroppedAnswers &droppedAnswers() const { return this->attempts.dropped(); }
+
+private:
+    using FlightId = Execution::RequestId;
+
+    /// A request on its way from this VM.
+    struct Flight
+    {
+        SharedRequest request;
+        AnswerHandler done;
+        std::vector<Common::VmName> triedVms;
+        std::vector<Common::BackendServerName> triedServers;
+        std::size_t targets = 0;
+        Execution::AttemptId attempt;
+        Common::VmName remote; // Empty while the attempt is on this VM.
+        Credits::CreditId credit = 0;
+        Common::TimerService::SubscriptionId timer = 0;
+        bool parked = false;
+        Common::Instant parkedUntil; // Set when the request is parked for the first time.
+    };
+
+    struct Forwarded
+    {
+        OwnerScheduler::Ticket ticket = 0;
+    };
+
+    void tryNext(FlightId id, Common::Answer lastAnswer);
+    std::vector<Placement::RouteTarget> targetsFor(const Flight &flight);
+    bool tryTarget(FlightId id, const Placement::RouteTarget &target);
+    void runHere(FlightId id);
+    bool forward(FlightId id, const Placement::RouteTarget &target);
+    void onResult(FlightId id, const Common::VmName &vm, const Common::BackendServerName &server,
+                  Common::Answer answer);
+    bool park(FlightId id, const Common::Answer &answer);
+    bool mayTryAgain(const Flight &flight, const Common::Answer &answer);
+    void onTimeout(FlightId id);
+    void endAttempt(Flight &flight);
+    void finish(FlightId id, Common::Answer answer);
+    void reply(const Common::VmName &to, Peering::LinkClass linkClass, const std::string &attempt,
+               const Common::Answer &answer);
+
+    SteeringContext &context;
+    ClusterFlow &cluster;
+    OwnerScheduler &scheduler;
+    CreditFlow &credits;
+    Execution::AttemptTable attempts;
+    absl::flat_hash_map<FlightId, Flight> flights;
+    absl::flat_hash_map<std::string, Forwarded> forwarded; // By sender and attempt.
+    absl::flat_hash_map<Common::ServiceName, Execution::RetryBudget> budgets;
+    FlightId lastFlight = 0;
+    std::size_t parkedFlights = 0;
+};
+
+/// The link class for requests of a rank: the first one shares the link of control messages.
+Peering::LinkClass linkClassOf(Common::RankIndex rank);
+
+} // namespace Currantfall::Daemon
--- /dev/null
+++ b/Source/Daemon/ElasticThreadPool.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <list>
+#include <thread>
+
+#include <absl/synchronization/mutex.h>
+#include <httplib.h>
+
+namespace Currantfall::Daemon {
+
+/// Task queue for cpp-httplib that starts threads as connections arrive, up to a limit, and ends
+/// them when idle. cpp-httplib's own pool would start all threads of every rank at once.
+class ElasticThreadPool : public httplib::TaskQueue
+{
+public:
+    explicit ElasticThreadPool(std::size_t mostThreads);
+    ~ElasticThreadPool() override;
+
+    void enqueue(std::function<void()> task) override;
+    /// Runs the queued tasks, then joins all threads.
+    void shutdown() override;
+
+private:
+    using Threads = std::list<std::thread>;
+
+    void startThread();
+    void run(Threads::iterator self);
+    bool wakeUp() const { return this->stopping || !this->tasks.empty(); }
+    void joinFinished();
+
+    const std::size_t mostThreads;
+    absl::Mutex mutex;
+    std::deque<std::function<void()>> tasks;
+    Threads threads;
+    Threads finished;
+    std::size_t idle = 0;
+    bool stopping = false;
+};
+
+} // namespace Currantfall::Daemon
--- /dev/null
+++ b/Source/Daemon/Main.cpp
@@ -0,0 +1,47 @@
+#include <csignal>
+#include <cstdio>
+
+#include "Daemon.h"
+
+namespace {
+
+using namespace Currantfall;
+
+constexpr int exitFailed = 1;
+constexpr int exitInvalidInput = 2;
+
+} // namespace
+
+int main(int argumentCount, char **arguments)
+{
+    const auto invocation = Daemon::readInvocation(argumentCount, arguments);
+    if (!invocation) {
+        std::fprintf(stderr, "currantfalld: %s\n", invocation.error().toString().c_str());
+        return exitInvalidInput;
+    }
+    if (!invocation->settings) {
+        std::fputs(invocation->text.c_str(), stdout);
+        return 0;
+    }
+    if (const auto level = Common::Log::setLevel(invocation->settings->logLevel); !level) {
+        std::fprintf(stderr, "currantfalld: %s\n", level.error().toString().c_str());
+        return exitInvalidInput;
+    }
+    // Blocked before any thread starts, so that all threads inherit it and sigwait() gets them.
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+
+    const auto daemon = Daemon::Daemon::start(*invocation->settings);
+    if (!daemon) {
+        Common::Log::forComponent("daemon").error(daemon.error().toString());
+        return exitFailed;
+    }
+    int received = 0;
+    sigwait(&signals, &received);
+    (*daemon)->stop();
+    return 0;
+}
--- /dev/null
+++ b/Source/Daemon/OwnerScheduler.cpp
@@ -0,0 +1,400 @@
+#include "OwnerScheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Currantfall::Daemon {
+
+namespace {
+
+using Common::Reason;
+using Placement::OwnershipState;
+
+// Interval for queue expiries, breakers that may probe again, and limits that regrow.
+constexpr absl::Duration tickInterval = absl::Milliseconds(20);
+// Queue length per slot. Longer queues only hold requests that the deadline check refuses anyway.
+constexpr std::size_t queuedPerSlot = 64;
+constexpr std::size_t maxQueuedBytes = std::size_t { 64 } * 1024 * 1024;
+
+} // namespace
+
+OwnerScheduler::OwnerScheduler(SteeringContext &context, const Placement::OwnershipTable &ownership,
+                               BackendPool::CompletionHandler completions)
+    : context(context), ownership(ownership), pool(std::move(completions))
+{
+    this->context.timers.subscribeEvery(this->context.now, tickInterval,
+                                        [this](Common::Instant) { this->tick(); });
+}
+
+void OwnerScheduler::reconfigure()
+{
+    this->updateServers();
+    this->updateQueues();
+}
+
+OwnerScheduler::Ticket OwnerScheduler::offer(SharedRequest request,
+                                             std::vector<Common::BackendServerName> avoid,
+                                             ResultHandler done)
+{
+    const Ticket ticket = ++this->lastTicket;
+    const auto found = this->queues.find(request->service);
+    if (found == this->queues.end() || found->second.queue->slots() == 0) {
+        this->finish(done,
+                     Common::notRun(Reason::NoCapacity, "this VM owns no usable backend server",
+                                    absl::Seconds(1)));
+        return ticket;
+    }
+    const Common::ServiceName service = request->service;
+    const Admission::QueuedRequest queued {
+        ticket, request->rank, { request->tenant, service }, request->deadline, request->body.size()
+    };
+    const auto admitted = found->second.queue->offer(this->context.now, queued);
+    if (!admitted) {
+        this->finish(done, Common::notRun(admitted.error().reason, "refused by the owner's queue",
+                                          admitted.error().retryAfter));
+        return ticket;
+    }
+    this->waiting.emplace(ticket,
+                          Waiting { std::move(request), std::move(avoid), std::move(done) });
+    this->startReady(service);
+    return ticket;
+}
+
+void OwnerScheduler::cancel(Ticket ticket)
+{
+    const auto queued = this->waiting.find(ticket);
+    if (queued != this->waiting.end()) {
+        const ServiceQueue &queue = this->queues.at(queued->second.request->service);
+        queue.queue->cancel(ticket);
+        const ResultHandler done = std::move(queued->second.done);
+        this->waiting.erase(queued);
+        this->finish(done, Common::notRun(Reason::Cancelled, "cancelled in the queue"));
+        return;
+    }
+    const auto attempt = this->attemptOf.find(ticket);
+    if (attempt != this->attemptOf.end()) {
+        this->pool.cancel(attempt->second);
+    }
+}
+
+void OwnerScheduler::onCompletion(const BackendCompletion &completion)
+{
+    this->pool.release(completion.attempt);
+    const auto found = this->running.find(completion.attempt);
+    if (found == this->running.end()) {
+        return;
+    }
+    const Running ended = std::move(found->second);
+    this->running.erase(found);
+    this->attemptOf.erase(ended.ticket);
+    const BackendResult &result = completion.result;
+    const auto server = this->servers.find(ended.server);
+    if (server != this->servers.end()) {
+        Server &state = server->second;
+        if (result.connectFailed) {
+            state.breaker.connectFailed(this->context.now);
+        } else {
+            state.breaker.connectSucceeded();
+        }
+        if (result.shed) {
+            state.limit.shed(this->context.now, state.inUse);
+            this->context.metrics.addToCounter("currantfall_backend_sheds_total");
+        }
+        --state.inUse;
+    }
+    const auto queue = this->queues.find(ended.service);
+    if (queue != this->queues.end()) {
+        const bool measured = result.answer.outcome == Common::Outcome::Answered;
+        if (measured) {
+            queue->second.queue->finished(this->context.now, ended.ticket, result.serviceTime);
+        } else {
+            queue->second.queue->abandoned(this->context.now, ended.ticket);
+        }
+        queue->second.queue->setSlots(this->context.now, this->usableSlots(queue->second));
+    }
+    this->finish(ended.done, result.answer, ended.server);
+    this->startReady(ended.service);
+}
+
+std::vector<Membership::ServiceLoad> OwnerScheduler::loads() const
+{
+    std::vector<Membership::ServiceLoad> result;
+    for (const auto &entry : this->queues) {
+        const Membership::ServiceLoad load = this->loadOf(entry.first);
+        if (load.totalSlots > 0 || load.queued > 0) {
+            result.push_back(load);
+        }
+    }
+    return result;
+}
+
+Membership::ServiceLoad OwnerScheduler::loadOf(const Common::ServiceName &service) const
+{
+    Membership::ServiceLoad load;
+    load.service = service;
+    const auto found = this->queues.find(service);
+    if (found == this->queues.end()) {
+        return load;
+    }
+    const Admission::AdmissionQueue &queue = *found->second.queue;
+    load.freeSlots = static_cast<std::uint32_t>(queue.freeSlots());
+    load.totalSlots = static_cast<std::uint32_t>(queue.slots());
+    load.queued = static_cast<std::uint32_t>(queue.queued());
+    return load;
+}
+
+Drain::HeldWork OwnerScheduler::held(const Drain::DrainTarget &target) const
+{
+    Drain::HeldWork work;
+    const std::vector<Drain::DrainTarget> only { target };
+    for (const auto &[name, server] : this->servers) {
+        if (this->context.environment != nullptr
+            && Drain::isBackendServerDrained(*this->context.environment, only, server.settings)) {
+            work.inFlight += server.inUse;
+        }
+    }
+    return work;
+}
+
+std::size_t OwnerScheduler::inFlight(const Common::BackendServerName &server) const
+{
+    const auto found = this->servers.find(server);
+    return found == this->servers.end() ? 0 : found->second.inUse;
+}
+
+void OwnerScheduler::tick()
+{
+    std::vector<Common::ServiceName> services;
+    for (auto &[service, queue] : this->queues) {
+        queue.queue->setSlots(this->context.now, this->usableSlots(queue));
+        services.push_back(service);
+    }
+    for (const Common::ServiceName &service : services) {
+        this->startReady(service);
+    }
+}
+
+void OwnerScheduler::updateServers()
+{
+    std::vector<Configuration::BackendServer> wanted;
+    for (auto &entry : this->servers) {
+        entry.second.startable = false;
+    }
+    if (this->context.environment != nullptr) {
+        for (const Configuration::Service &service : this->context.environment->services) {
+            for (const Configuration::BackendServer &settings : service.backendServers) {
+                const OwnershipState state = this->ownership.state(settings.name);
+                if (state == OwnershipState::NotOwned) {
+                    continue;
+                }
+                auto &server = this->servers.try_emplace(settings.name, settings).first->second;
+                if (server.settings != settings) {
+                    server.limit.setSlots(settings.slots);
+                    server.settings = settings;
+                }
+                server.service = service.name;
+                server.startable
+                        = state == OwnershipState::Owned
+                          && !Drain::isBackendServerDrained(*this->context.environment,
+                                                            this->context.drains, settings);
+                if (state == OwnershipState::Owned || server.inUse > 0) {
+                    wanted.push_back(settings);
+                }
+            }
+        }
+    }
+    absl::erase_if(this->servers, [this](const auto &entry) {
+        return entry.second.inUse == 0
+               && this->ownership.state(entry.first) == OwnershipState::NotOwned;
+    });
+    this->pool.setServers(wanted);
+}
+
+void OwnerScheduler::updateQueues()
+{
+    if (this->context.environment == nullptr) {
+        return;
+    }
+    for (auto &entry : this->queues) {
+        entry.second.servers.clear();
+    }
+    for (const Configuration::Service &service : this->context.environment->services) {
+        ServiceQueue &queue = this->queues[service.name];
+        for (const Configuration::BackendServer &settings : service.backendServers) {
+            const auto server = this->servers.find(settings.name);
+            if (server != this->servers.end() && server->second.startable) {
+                queue.servers.push_back(settings.name);
+            }
+        }
+    }
+    std::vector<Common::ServiceName> services;
+    for (auto &[service, queue] : this->queues) {
+        if (queue.queue == nullptr) {
+            queue.queue = std::make_unique<Admission::AdmissionQueue>(this->queueSettings(queue));
+        } else {
+            queue.queue->reconfigure(this->context.now, this->queueSettings(queue));
+            queue.queue->setSlots(this->context.now, this->usableSlots(queue));
+        }
+        services.push_back(service);
+    }
+    for (const Common::ServiceName &service : services) {
+        this->refuseStranded(service, this->queues.at(service));
+        this->startReady(service);
+    }
+}
+
+void OwnerScheduler::refuseStranded(const Common::ServiceName &service, ServiceQueue &queue)
+{
+    if (!queue.servers.empty() || queue.queue->queued() == 0) {
+        return;
+    }
+    // Another VM owns the servers now; the VMs that took the calls route their requests there.
+    std::vector<Ticket> stranded;
+    for (const auto &[ticket, entry] : this->waiting) {
+        if (entry.request->service == service) {
+            stranded.push_back(ticket);
+        }
+    }
+    for (const Ticket ticket : stranded) {
+        const auto found = this->waiting.find(ticket);
+        if (found == this->waiting.end()) {
+            continue;
+        }
+        queue.queue->cancel(ticket);
+        const ResultHandler done = std::move(found->second.done);
+        this->waiting.erase(found);
+        this->finish(done, Common::notRun(Reason::NoCapacity, "the backend servers have moved"));
+    }
+}
+
+void OwnerScheduler::startReady(const Common::ServiceName &service)
+{
+    while (true) {
+        const auto found = this->queues.find(service);
+        if (found == this->queues.end()) {
+            return;
+        }
+        const Admission::Selection selection = found->second.queue->next(this->context.now);
+        for (const Admission::DroppedRequest &dropped : selection.dropped) {
+            const auto entry = this->waiting.find(dropped.request.id);
+            if (entry == this->waiting.end()) {
+                continue;
+            }
+            const ResultHandler done = std::move(entry->second.done);
+            this->waiting.erase(entry);
+            this->finish(done,
+                         Common::notRun(dropped.refusal.reason, "dropped from the owner's queue",
+                                        dropped.refusal.retryAfter));
+        }
+        if (!selection.start) {
+            return;
+        }
+        this->start(found->second, selection.start->id);
+    }
+}
+
+void OwnerScheduler::start(ServiceQueue &queue, Admission::RequestId id)
+{
+    const auto entry = this->waiting.find(id);
+    if (entry == this->waiting.end()) {
+        queue.queue->abandoned(this->context.now, id);
+        return;
+    }
+    Waiting ready = std::move(entry->second);
+    this->waiting.erase(entry);
+    Server *const server = this->chooseServer(queue, ready.avoid);
+    const std::string attempt = this->context.self.vm.value() + "."
+                                + std::to_string(this->context.self.incarnation) + ".b"
+                                + std::to_string(id);
+    if (server == nullptr || !this->pool.start({ attempt, server->settings.name, ready.request })) {
+        if (server != nullptr) {
+            server->breaker.attemptNotMade();
+        }
+        queue.queue->abandoned(this->context.now, id);
+        queue.queue->setSlots(this->context.now, this->usableSlots(queue));
+        this->finish(ready.done, Common::notRun(Reason::NoCapacity, "no backend server is usable"));
+        return;
+    }
+    ++server->inUse;
+    if (server->inUse > server->settings.slots) {
+        ++this->overruns;
+    }
+    this->context.metrics.addToCounter("currantfall_backend_attempts_total",
+                                       { { "service", ready.request->service.value() } });
+    this->running.emplace(attempt, Running { id, server->settings.name, ready.request->service,
+                                             std::move(ready.done) });
+    this->attemptOf.emplace(id, attempt);
+}
+
+OwnerScheduler::Server *
+OwnerScheduler::chooseServer(const ServiceQueue &queue,
+                             const std::vector<Common::BackendServerName> &avoid)
+{
+    std::vector<Server *> usable;
+    for (const Common::BackendServerName &name : queue.servers) {
+        Server &server = this->servers.at(name);
+        if (server.inUse < this->usableSlots(server)) {
+            usable.push_back(&server);
+        }
+    }
+    const auto avoided = [&avoid](const Server *server) {
+        return std::find(avoid.begin(), avoid.end(), server->settings.name) != avoid.end();
+    };
+    std::stable_sort(usable.begin(), usable.end(), [&](const Server *left, const Server *right) {
+        if (avoided(left) != avoided(right)) {
+            return avoided(right);
+        }
+        return left->inUse < right->inUse;
+    });
+    for (Server *server : usable) {
+        if (server->breaker.tryAttempt(this->context.now)) {
+            return server;
+        }
+    }
+    return nullptr;
+}
+
+std::size_t OwnerScheduler::usableSlots(const Server &server) const
+{
+    switch (server.breaker.state(this->context.now)) {
+    case Admission::CircuitBreaker::State::Open:
+        return 0;
+    case Admission::CircuitBreaker::State::HalfOpen:
+        return 1;
+    case Admission::CircuitBreaker::State::Closed:
+        break;
+    }
+    return std::min(server.settings.slots, server.limit.limit(this->context.now));
+}
+
+std::size_t OwnerScheduler::usableSlots(const ServiceQueue &queue) const
+{
+    std::size_t slots = 0;
+    for (const Common::BackendServerName &name : queue.servers) {
+        slots += this->usableSlots(this->servers.at(name));
+    }
+    return slots;
+}
+
+Admission::QueueSettings OwnerScheduler::queueSettings(const ServiceQueue &queue) const
+{
+    Admission::QueueSettings settings;
+    settings.slots = this->usableSlots(queue);
+    settings.maxQueued = std::max<std::size_t>(1, settings.slots) * queuedPerSlot;
+    settings.maxQueuedBytes = maxQueuedBytes;
+    for (const Configuration::Rank &rank : this->context.environment->ranks) {
+        settings.discipline.floors.push_back(rank.floor);
+    }
+    for (const Configuration::Tenant &tenant : this->context.environment->tenants) {
+        settings.discipline.tenants.push_back({ tenant.name, tenant.weight });
+    }
+    return settings;
+}
+
+void OwnerScheduler::finish(const ResultHandler &done, Common::Answer answer,
+                            const Common::BackendServerName &server)
+{
+    done({ std::move(answer), server });
+}
+
+} // namespace Currantfall::Daemon
--- /dev/null
+++ b/Source/Daemon/Request.cpp
@@ -0,0 +1,28 @@
+#include "Request.h"
+
+#include <utility>
+
+namespace Currantfall::Daemon {
+
+void Completion::complete(Common::Answer result)
+{
+    const absl::MutexLock lock(&this->mutex);
+    if (this->done) {
+        return;
+    }
+    this->answer = std::move(result);
+    this->done = true;
+}
+
+Common::Answer Completion::await(absl::Duration timeout)
+{
+    const absl::MutexLock lock(&this->mutex);
+    if (!this->mutex.AwaitWithTimeout(absl::Condition(&this->done), timeout)) {
+        this->done = true;
+        return Common::outcomeUnknown(Common::Reason::TimedOut,
+                                      "no answer before the deadline of the request");
+    }
+    return std::move(this->answer);
+}
+
+} // namespace Currantfall::Daemon
--- a/include/currantfall/Common/BoundedRing.h
+++ b/include/currantfall/Common/BoundedRing.h
@@ -22,7 +22,7 @@
     [[nodiscard]] bool tryPush(Value &&value)
     {
         const absl::MutexLock lock(&this->mutex);
-        if (this->closed || this->values.full()) {
+        if (this->isClosed || this->values.full()) {
             return false;
         }
         this->values.push_back(std::move(value));
@@ -47,7 +47,13 @@
     void close()
     {
         const absl::MutexLock lock(&this->mutex);
-        this->closed = true;
+        this->isClosed = true;
+    }
+
+    bool closed() const
+    {
+        const absl::MutexLock lock(&this->mutex);
+        return this->isClosed;
     }
 
     std::size_t size() const
@@ -57,11 +63,11 @@
     }
 
 private:
-    bool readable() const { return this->closed || !this->values.empty(); }
+    bool readable() const { return this->isClosed || !this->values.empty(); }
 
     mutable absl::Mutex mutex;
     boost::circular_buffer<Value> values;
-    bool closed = false;
+    bool isClosed = false;
 };
 
 } // namespace Currantfall::Common
--- a/include/currantfall/Common/RendezvousHash.h
+++ b/include/currantfall/Common/RendezvousHash.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <utility>
 #include <vector>
+
 #include <xxhash.h>
 
 namespace Currantfall::Common {
--- a/include/currantfall/Peering/Messages_generated.h
+++ b/include/currantfall/Peering/Messages_generated.h
@@ -2896,6 +2896,7 @@
   std::string service{};
   uint64_t sequence = 0;
   uint32_t wanted = 0;
+  uint64_t bytes_per_second = 0;
 };
 
 struct CreditRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2904,7 +2905,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SERVICE = 4,
     VT_SEQUENCE = 6,
-    VT_WANTED = 8
+    VT_WANTED = 8,
+    VT_BYTES_PER_SECOND = 10
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -2915,12 +2917,16 @@
   uint32_t wanted() const {
     return GetField<uint32_t>(VT_WANTED, 0);
   }
+  uint64_t bytes_per_second() const {
+    return GetField<uint64_t>(VT_BYTES_PER_SECOND, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
            verifier.VerifyString(service()) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyField<uint32_t>(verifier, VT_WANTED, 4) &&
+           VerifyField<uint64_t>(verifier, VT_BYTES_PER_SECOND, 8) &&
            verifier.EndTable();
   }
   CreditRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2941,6 +2947,9 @@
   void add_wanted(uint32_t wanted) {
     fbb_.AddElement<uint32_t>(CreditRequest::VT_WANTED, wanted, 0);
   }
+  void add_bytes_per_second(uint64_t bytes_per_second) {
+    fbb_.AddElement<uint64_t>(CreditRequest::VT_BYTES_PER_SECOND, bytes_per_second, 0);
+  }
   explicit CreditRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2956,8 +2965,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> service = 0,
     uint64_t sequence = 0,
-    uint32_t wanted = 0) {
+    uint32_t wanted = 0,
+    uint64_t bytes_per_second = 0) {
   CreditRequestBuilder builder_(_fbb);
+  builder_.add_bytes_per_second(bytes_per_second);
   builder_.add_sequence(sequence);
   builder_.add_wanted(wanted);
   builder_.add_service(service);
@@ -2968,13 +2979,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *service = nullptr,
     uint64_t sequence = 0,
-    uint32_t wanted = 0) {
+    uint32_t wanted = 0,
+    uint64_t bytes_per_second = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   return Currantfall::Peering::Wire::CreateCreditRequest(
       _fbb,
       service__,
       sequence,
-      wanted);
+      wanted,
+      bytes_per_second);
 }
 
 flatbuffers::Offset<CreditRequest> CreateCreditRequest(flatbuffers::FlatBufferBuilder &_fbb, const CreditRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4236,6 +4249,7 @@
   { auto _e = service(); if (_e) _o->service = _e->str(); }
   { auto _e = sequence(); _o->sequence = _e; }
   { auto _e = wanted(); _o->wanted = _e; }
+  { auto _e = bytes_per_second(); _o->bytes_per_second = _e; }
 }
 
 inline flatbuffers::Offset<CreditRequest> CreditRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CreditRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4249,11 +4263,13 @@
   auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
   auto _sequence = _o->sequence;
   auto _wanted = _o->wanted;
+  auto _bytes_per_second = _o->bytes_per_second;
   return Currantfall::Peering::Wire::CreateCreditRequest(
       _fbb,
       _service,
       _sequence,
-      _wanted);
+      _wanted,
+      _bytes_per_second);
 }
 
 inline CreditGrantT *CreditGrant::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
