--- a/Source/Core/Configuration/Cursor.cpp
+++ b/Source/Core/Configuration/Cursor.cpp
@@ -51,7 +51,8 @@
 
 void Cursor::fail(std::string expected) const
 {
-    this->diagnostics->add(*this->node, this->location, std::move(expected));
+    const std::string path = this->location.empty() ? "document" : this->location;
+    this->diagnostics->add(*this->node, path, std::move(expected));
 }
 
 bool Cursor::isPlainScalar() const
--- a/Source/Core/Configuration/DocumentReader.cpp
+++ b/Source/Core/Configuration/DocumentReader.cpp
@@ -3,7 +3,6 @@
 #include <xxhash.h>
 
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_format.h>
 
 #include "DocumentTree.h"
 #include "EnvironmentReader.h"
@@ -33,7 +32,8 @@
 std::string contentHash(const std::string &text)
 {
     const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
-    return absl::StrFormat("%016x%016x", hash.high64, hash.low64);
+    return absl::StrCat(absl::Hex(hash.high64, absl::kZeroPad16),
+                        absl::Hex(hash.low64, absl::kZeroPad16));
 }
 
 } // namespace Currantfall::Configuration
--- a/Source/Core/Configuration/NameTable.cpp
+++ b/Source/Core/Configuration/NameTable.cpp
@@ -26,7 +26,7 @@
     }
     const auto found = this->positions.find(key);
     if (found == this->positions.end()) {
-        cursor.fail(absl::StrCat("the name of a ", this->kind, " of this document"));
+        cursor.fail("the name of an existing " + this->kind);
         return std::nullopt;
     }
     return found->second;
