--- a/include/currantfall/Platform/EnvironmentRow.h
+++ b/include/currantfall/Platform/EnvironmentRow.h
@@ -103,7 +103,6 @@
 
 private:
     EnvironmentRow() = default;
-    EnvironmentRow next(std::string operation, std::string operatorName) const;
     void remember(std::string operation, std::string operatorName);
 
     Common::Revision currentRevision = 0;
--- a/include/currantfall/Platform/RevisionStore.h
+++ b/include/currantfall/Platform/RevisionStore.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <algorithm>
 #include <concepts>
 #include <functional>
 #include <optional>
 #include <string>
+#include <system_error>
 #include <utility>
 
 #include <absl/time/clock.h>
