--- a/include/currantfall/Execution/Deputy.h
+++ b/include/currantfall/Execution/Deputy.h
@@ -3,8 +3,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
+#include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
@@ -68,9 +69,9 @@
 
     struct EpochNotes
     {
-        Common::Instant firstSeen;
         /// False if a record that shows an execution could not be stored.
         bool complete = true;
+        /// By the unique part of the key.
         absl::flat_hash_map<std::string, Note> notes;
     };
 
@@ -81,21 +82,37 @@
         std::map<Epoch, EpochNotes> epochs;
     };
 
+    struct Expiry
+    {
+        absl::Duration due;
+        VmRun issuer;
+        Epoch epoch = 0;
+
+        friend bool operator<(const Expiry &left, const Expiry &right)
+        {
+            return std::tie(left.due, left.issuer, left.epoch)
+                   < std::tie(right.due, right.issuer, right.epoch);
+        }
+    };
+
     EpochNotes *establish(Common::Instant now, const KeyPrefix &prefix);
     EpochNotes *findEpoch(const KeyPrefix &prefix);
-    bool makeRoomForRun();
+    IssuerRun *findOrAddRun(const VmRun &issuer);
+    bool evictRun();
     bool namesSelf(const KeyPrefix &prefix) const;
-    Common::Instant expiryOf(const EpochNotes &epoch) const;
-    Note *insert(EpochNotes &epoch, const std::string &unique);
+    Note *insert(EpochNotes &epoch, const std::string &unique, State state);
     void finish(Note &note, const Common::Answer &answer);
+    void take(EpochNotes &epoch, const KeyRecord &record);
+    void expire(IssuerRun &run, Epoch upTo);
 
     VmRun self;
     ExecutionSettings settings;
     std::map<VmRun, IssuerRun> runs;
+    std::set<Expiry> expiries;
     /// Runs up to this incarnation may have been evicted together with their expiry marks.
     Common::Incarnation evictedUpTo = 0;
     std::size_t records = 0;
-    std::size_t answerBytesKept = 0;
+    std::size_t bytesKept = 0;
 };
 
 } // namespace Currantfall::Execution
--- a/include/currantfall/Execution/IdempotencyKey.h
+++ b/include/currantfall/Execution/IdempotencyKey.h
@@ -17,7 +17,12 @@
     Common::VmName vm;
     Common::Incarnation incarnation = 0;
 
-    friend auto operator<=>(const VmRun &left, const VmRun &right) = default;
+    friend bool operator==(const VmRun &left, const VmRun &right) = default;
+    friend bool operator<(const VmRun &left, const VmRun &right)
+    {
+        return std::tie(left.vm.value(), left.incarnation)
+               < std::tie(right.vm.value(), right.incarnation);
+    }
 };
 
 using Epoch = std::uint64_t;
--- a/include/currantfall/Execution/Issuer.h
+++ b/include/currantfall/Execution/Issuer.h
@@ -4,7 +4,9 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -80,6 +82,13 @@
     Common::Incarnation deputyIncarnation = 0;
 };
 
+/// All records of an issuer that stops. Send each record to the deputy that its key names.
+struct Handover
+{
+    std::vector<KeyRecord> records;
+    std::vector<Completion> completions;
+};
+
 /// Ignored, execute the key now, or a refusal for all waiters.
 using IntentDecision = std::variant<std::monostate, Run, Completion>;
 
@@ -88,14 +97,14 @@
 class Issuer
 {
 public:
-    Issuer(Common::Instant now, VmRun self, ExecutionSettings settings);
+    Issuer(VmRun self, ExecutionSettings settings);
 
     /// The prefix for lookups and heartbeats. Opens a new one when the epoch has ended, the deputy
     /// has changed, or the record table has been full.
     KeyPrefix currentPrefix(Common::Instant now);
 
     /// Sets the deputy of prefixes issued from now on; nullopt if the zone has no other member.
-    void setDeputy(Common::Instant now, std::optional<VmRun> deputy);
+    void setDeputy(std::optional<VmRun> newDeputy);
 
     /// Decides about a keyed request. `waiter` is kept for RecordIntent, Run and Join.
     BeginDecision begin(Common::Instant now, const IdempotencyKey &key, Fingerprint fingerprint,
@@ -124,10 +133,10 @@
     /// For a planned stop: no key starts from now on. Keys without a record get not-run.
     void close();
 
-    /// Closes the issuer and returns all records. Send each to the deputy that its key names.
-    std::vector<KeyRecord> handover();
+    /// Closes the issuer, seals keys that wait for their deputy, and returns all records.
+    Handover handover();
 
-    std::size_t recordCount() const { return this->records.size(); }
+    std::size_t recordCount() const { return this->records; }
     /// Keys whose execution has begun and not ended.
     std::size_t runningCount() const { return this->running; }
 
@@ -141,7 +150,6 @@
 
     struct Record
     {
-        IdempotencyKey key;
         Fingerprint fingerprint = 0;
         State state = State::IntentPending;
         std::vector<WaiterId> waiters;
@@ -152,32 +160,50 @@
     struct IssuedPrefix
     {
         KeyPrefix prefix;
-        Common::Instant opened;
+        Common::Instant expiry;
         /// New keys are refused because the record table was full when one of them arrived.
         bool full = false;
-        std::vector<std::string> keys;
+        /// Expired; only running keys are left.
+        bool forgotten = false;
+        /// By the unique part of the key. After the expiry only running keys remain.
+        absl::flat_hash_map<std::string, Record> records;
     };
 
-    void openPrefix(Common::Instant now);
-    Common::Instant expiryOf(const IssuedPrefix &issued) const;
-    std::optional<Common::Answer> checkPrefix(Common::Instant now, const KeyPrefix &prefix) const;
-    BeginDecision repeat(Record &record, Fingerprint fingerprint, WaiterId waiter);
-    Completion seal(Record &record, Common::Answer answer);
-    void keepAnswer(Record &record, const Common::Answer &answer);
-    void forget(IssuedPrefix &issued, std::vector<Completion> &completions);
+    struct PendingIntent
+    {
+        absl::Duration due;
+        Epoch epoch = 0;
+        std::string unique;
+
+        friend bool operator<(const PendingIntent &left, const PendingIntent &right)
+        {
+            return std::tie(left.due, left.epoch, left.unique)
+                   < std::tie(right.due, right.epoch, right.unique);
+        }
+    };
+
+    bool needsNewPrefix(Common::Instant now) const;
+    std::optional<Common::Answer> refusePrefix(Common::Instant now, const KeyPrefix &prefix) const;
+    BeginDecision start(Common::Instant now, IssuedPrefix &prefix, const std::string &unique,
+                        Record record);
     Record *find(const IdempotencyKey &key);
+    void endIntent(const IdempotencyKey &key, Record &record);
+    Completion seal(const IdempotencyKey &key, Record &record, Common::Answer answer);
+    void keepAnswer(Record &record, const Common::Answer &answer);
+    void forget(IssuedPrefix &prefix, std::vector<Completion> &completions);
+    void erase(const IdempotencyKey &key);
 
     VmRun self;
     ExecutionSettings settings;
     std::optional<VmRun> deputy;
     bool closed = false;
     Epoch lastEpoch = 0;
+    Common::Instant lastOpened;
     /// By epoch, thus also in the order of expiry.
     std::map<Epoch, IssuedPrefix> issued;
-    absl::flat_hash_map<std::string, Record> records;
-    /// Keys with a pending intent in the order of their timeouts.
-    std::map<std::pair<absl::Duration, std::string>, bool> pendingIntents;
-    std::size_t answerBytesKept = 0;
+    std::set<PendingIntent> pendingIntents;
+    std::size_t records = 0;
+    std::size_t bytesKept = 0;
     std::size_t running = 0;
 };
 
