Add the backend-server stand-in

Cause: the daemon is to be tested against backend servers with slots, faults and misleading reports. Change: standin-backend serves all backend servers of a document on their addresses, counts work by key, attempt and request, and changes its behaviour at run time. Its connections have a thread each and are watched with poll, since cpp-httplib's pool has a fixed size and wakes every 10 ms. Conclusion: usable by the daemon's tests.

--- a/Source/Core/Configuration/ServiceReader.cpp
+++ b/Source/Core/Configuration/ServiceReader.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::uint64_t maxDeadlineMs = 600'000;
-constexpr std::uint64_t maxBodyBytes = 16 * 1024 * 1024;
+constexpr std::uint64_t maxBodyBytes = std::uint64_t { 16 } * 1024 * 1024;
 // An owner keeps a thread and a connection for each slot.
 constexpr std::uint64_t maxSlots = 1000;
 
--- /dev/null
+++ b/Source/Standins/BackendServer/BackendStandin.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <optional>
+#include <string>
+
+#include <absl/synchronization/mutex.h>
+#include <absl/synchronization/notification.h>
+#include <nlohmann/json.hpp>
+
+#include "Behaviour.h"
+#include "ExecutionLog.h"
+#include "LoadReport.h"
+#include "ServiceTimes.h"
+#include "currantfall/Common/Time.h"
+
+namespace Currantfall::BackendStandin {
+
+struct ServerIdentity
+{
+    std::string service;
+    std::string server;
+    std::string zone;
+    std::size_t slots = 0;
+};
+
+enum class WorkResult {
+    Ran,
+    Shed,      ///< Did not start.
+    Cancelled, ///< Started, but the work was not done.
+    Expired,   ///< The deadline passed before the work was done.
+};
+
+struct WorkOutcome
+{
+    WorkResult result = WorkResult::Shed;
+    Draw draw;
+    absl::Duration answerDelay;
+};
+
+/// The slots, work and counters of one backend server. Thread-safe.
+class BackendStandin
+{
+public:
+    /// `log` is shared by the servers of the process and must outlive this object.
+    BackendStandin(ServerIdentity identity, Behaviour behaviour, std::uint64_t seed,
+                   ExecutionLog &log);
+
+    const ServerIdentity &identity() const { return this->serverIdentity; }
+
+    /// Takes a slot and blocks until the work is done, cancelled or expired. The work counts as
+    /// done at its end; until then it has no effect.
+    WorkOutcome run(const RequestIds &ids, std::optional<absl::Duration> deadline);
+
+    /// Cancels running work with this attempt id. Returns false if there is none.
+    bool cancel(const std::string &attempt);
+
+    /// Cancels work that would never end, now and from now on, so that the process can stop.
+    void stop();
+
+    Behaviour behaviour() const;
+    /// The server is cold again if `restartCold` is set.
+    void setBehaviour(const Behaviour &behaviour, bool restartCold);
+
+    nlohmann::json health() const;
+    nlohmann::json counters() const;
+
+private:
+    struct Attempt
+    {
+        std::string id;
+        bool hanging = false;
+        absl::Notification interrupted;
+    };
+
+    struct Counters
+    {
+        std::uint64_t started = 0;
+        std::uint64_t ran = 0;
+        std::uint64_t shed = 0;
+        std::uint64_t cancelled = 0;
+        std::uint64_t expired = 0;
+        std::uint64_t slotOverruns = 0;
+        std::size_t maxInUse = 0;
+        std::int64_t lastNewWorkMs = 0;
+    };
+
+    using Attempts = std::list<Attempt>;
+
+    std::optional<Attempts::iterator> start(const RequestIds &ids, WorkOutcome &outcome);
+    WorkResult finish(Attempts::iterator attempt, bool interrupted, bool complete);
+    double warmth(Common::Instant now) const;
+    std::string state(Common::Instant now) const;
+    void recordLoad();
+
+    const ServerIdentity serverIdentity;
+    const std::uint64_t seed;
+    ExecutionLog &log;
+
+    mutable absl::Mutex mutex;
+    Behaviour current;
+    Common::Instant coldSince;
+    Attempts running;
+    Counters counts;
+    std::uint64_t sequence = 0;
+    LoadReport loadReport;
+    bool stopping = false;
+};
+
+} // namespace Currantfall::BackendStandin
--- /dev/null
+++ b/Source/Standins/BackendServer/SocketStream.cpp
@@ -0,0 +1,92 @@
+#include "SocketStream.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <cstring>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace Currantfall::BackendStandin {
+
+namespace {
+
+constexpr std::size_t bufferBytes = 16 * 1024UL;
+// A caller that stalls within a request for longer loses its connection.
+constexpr int stallTimeoutMs = 30'000;
+
+using NameFunction = int (*)(int, sockaddr *, socklen_t *);
+
+void describeEnd(NameFunction function, socket_t descriptor, std::string &ip, int &port)
+{
+    sockaddr_in address {};
+    socklen_t length = sizeof(address);
+    if (function(descriptor, reinterpret_cast<sockaddr *>(&address), &length) != 0) {
+        return;
+    }
+    std::array<char, INET_ADDRSTRLEN> text {};
+    inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size());
+    ip = text.data();
+    port = ntohs(address.sin_port);
+}
+
+} // namespace
+
+SocketStream::SocketStream(socket_t descriptor) : descriptor(descriptor), buffer(bufferBytes) { }
+
+bool SocketStream::waitFor(short events) const
+{
+    pollfd entry { this->descriptor, events, 0 };
+    return poll(&entry, 1, stallTimeoutMs) == 1;
+}
+
+bool SocketStream::is_readable() const
+{
+    return this->hasBuffered() || this->waitFor(POLLIN);
+}
+
+bool SocketStream::is_writable() const
+{
+    return this->waitFor(POLLOUT);
+}
+
+ssize_t SocketStream::read(char *data, std::size_t size)
+{
+    if (!this->hasBuffered()) {
+        if (!this->waitFor(POLLIN)) {
+            return -1;
+        }
+        const ssize_t received
+                = recv(this->descriptor, this->buffer.data(), this->buffer.size(), 0);
+        if (received <= 0) {
+            return received;
+        }
+        this->position = 0;
+        this->filled = static_cast<std::size_t>(received);
+    }
+    const std::size_t count = std::min(size, this->filled - this->position);
+    std::memcpy(data, this->buffer.data() + this->position, count);
+    this->position += count;
+    return static_cast<ssize_t>(count);
+}
+
+ssize_t SocketStream::write(const char *data, std::size_t size)
+{
+    if (this->discarding || !this->waitFor(POLLOUT)) {
+        return -1;
+    }
+    return send(this->descriptor, data, size, MSG_NOSIGNAL);
+}
+
+void SocketStream::get_remote_ip_and_port(std::string &ip, int &port) const
+{
+    describeEnd(getpeername, this->descriptor, ip, port);
+}
+
+void SocketStream::get_local_ip_and_port(std::string &ip, int &port) const
+{
+    describeEnd(getsockname, this->descriptor, ip, port);
+}
+
+} // namespace Currantfall::BackendStandin
--- /dev/null
+++ b/Source/Standins/BackendServer/SocketStream.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstddef>
+#include <httplib.h>
+#include <string>
+#include <vector>
+
+namespace Currantfall::BackendStandin {
+
+/// A connection as cpp-httplib reads and writes it. Its own class is internal to the library and
+/// can't leave out an answer.
+class SocketStream : public httplib::Stream
+{
+public:
+    explicit SocketStream(socket_t descriptor);
+
+    bool is_readable() const override; // NOLINT(readability-identifier-naming)
+    bool is_writable() const override; // NOLINT(readability-identifier-naming)
+    ssize_t read(char *data, std::size_t size) override;
+    ssize_t write(const char *data, std::size_t size) override;
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    void get_remote_ip_and_port(std::string &ip, int &port) const override;
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    void get_local_ip_and_port(std::string &ip, int &port) const override;
+    socket_t socket() const override { return this->descriptor; }
+
+    /// True if received bytes have not been read yet.
+    bool hasBuffered() const { return this->position < this->filled; }
+
+    /// Drops everything that is written from now on.
+    void discardOutput() { this->discarding = true; }
+    bool discardsOutput() const { return this->discarding; }
+
+private:
+    bool waitFor(short events) const;
+
+    socket_t descriptor;
+    std::vector<char> buffer;
+    std::size_t position = 0;
+    std::size_t filled = 0;
+    bool discarding = false;
+};
+
+} // namespace Currantfall::BackendStandin
--- a/include/currantfall/Configuration/Ipv4Network.h
+++ b/include/currantfall/Configuration/Ipv4Network.h
@@ -20,6 +20,7 @@
 
     static Common::Result<Ipv4Endpoint> parse(const std::string &text);
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see Common::Name.
     friend auto operator<=>(const Ipv4Endpoint &left, const Ipv4Endpoint &right) = default;
 };
 
@@ -36,6 +37,7 @@
     bool contains(std::uint32_t other) const;
     std::string toString() const;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see Common::Name.
     friend auto operator<=>(const Ipv4Network &left, const Ipv4Network &right) = default;
 };
 
--- a/include/currantfall/Drain/DrainTarget.h
+++ b/include/currantfall/Drain/DrainTarget.h
@@ -32,6 +32,7 @@
     /// "zone lm-a".
     std::string toString() const;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see Common::Name.
     friend auto operator<=>(const DrainTarget &left, const DrainTarget &right) = default;
 };
 
