--- a/Source/Standins/BackendServer/RequestHandler.cpp
+++ b/Source/Standins/BackendServer/RequestHandler.cpp
@@ -183,7 +183,7 @@
             sendHalf(std::move(body), type, response);
             return;
         }
-        response.set_content(std::move(body), type);
+        response.set_content(body, type);
     }
 
     static void sendHalf(std::string body, const char *type, httplib::Response &response)
--- a/include/currantfall/Drain/HeadroomCheck.h
+++ b/include/currantfall/Drain/HeadroomCheck.h
@@ -33,7 +33,7 @@
     std::size_t slots = 0;             ///< Slots that remain there.
     double excess = 0.0;               ///< Slots needed above the limit.
 
-    /// "bellbook: zone lm-a would need 9.0 of 6 slots, 3.9 above the limit".
+    /// "bellbook: zone lm-a would need 9 of 6 slots, 3.9 above the limit".
     std::string toString() const;
 
     friend bool operator==(const Overload &left, const Overload &right) = default;
