--- a/Source/Core/Configuration/DiagnosticList.h
+++ b/Source/Core/Configuration/DiagnosticList.h
@@ -6,9 +6,10 @@
 #include <utility>
 #include <vector>
 
-#include "DocumentNode.h"
 #include "currantfall/Configuration/DocumentReader.h"
 
+#include "DocumentNode.h"
+
 namespace Currantfall::Configuration {
 
 /// Collects the faults of a document.
--- a/Source/Core/Configuration/DocumentReader.cpp
+++ b/Source/Core/Configuration/DocumentReader.cpp
@@ -1,8 +1,7 @@
 #include "currantfall/Configuration/DocumentReader.h"
 
-#include <xxhash.h>
-
 #include <absl/strings/str_cat.h>
+#include <xxhash.h>
 
 #include "DocumentTree.h"
 #include "EnvironmentReader.h"
--- a/Source/Core/Configuration/EnvironmentReader.cpp
+++ b/Source/Core/Configuration/EnvironmentReader.cpp
@@ -2,9 +2,10 @@
 
 #include <algorithm>
 
+#include "currantfall/Configuration/Ipv4Network.h"
+
 #include "Definitions.h"
 #include "ServiceReader.h"
-#include "currantfall/Configuration/Ipv4Network.h"
 
 namespace Currantfall::Configuration {
 
--- a/Source/Core/Configuration/EnvironmentReader.h
+++ b/Source/Core/Configuration/EnvironmentReader.h
@@ -1,8 +1,9 @@
 #pragma once
 
-#include "Cursor.h"
 #include "currantfall/Configuration/Environment.h"
 
+#include "Cursor.h"
+
 namespace Currantfall::Configuration {
 
 /// Reads and checks a whole document. The result is only meaningful if no diagnostic was added.
--- a/Source/Core/Configuration/ServiceReader.h
+++ b/Source/Core/Configuration/ServiceReader.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include "currantfall/Configuration/Environment.h"
+
 #include "Cursor.h"
 #include "Definitions.h"
-#include "currantfall/Configuration/Environment.h"
 
 namespace Currantfall::Configuration {
 
--- a/Source/Core/Execution/Issuer.cpp
+++ b/Source/Core/Execution/Issuer.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <utility>
+
 #include <xxhash.h>
 
 namespace Currantfall::Execution {
--- a/Source/Core/Peering/Socket.h
+++ b/Source/Core/Peering/Socket.h
@@ -5,9 +5,10 @@
 
 #include <absl/time/time.h>
 
-#include "FileDescriptor.h"
 #include "currantfall/Common/Error.h"
 
+#include "FileDescriptor.h"
+
 namespace Currantfall::Peering {
 
 /// An Error from errno.
--- a/Source/Core/Platform/PlatformClient.cpp
+++ b/Source/Core/Platform/PlatformClient.cpp
@@ -1,11 +1,12 @@
 #include "currantfall/Platform/PlatformClient.h"
 
 #include <algorithm>
-#include <httplib.h>
 #include <optional>
 #include <system_error>
 #include <utility>
 
+#include <httplib.h>
+
 #include "currantfall/Platform/HostPort.h"
 
 namespace Currantfall::Platform {
--- a/Source/Daemon/Settings.h
+++ b/Source/Daemon/Settings.h
@@ -20,8 +20,7 @@
     std::string environment;
     std::string address; ///< IPv4 address of all listeners.
     std::uint16_t portBase = 0;
-    std::string platformHost;
-    std::uint16_t platformPort = 0;
+    std::string platform; ///< "IP:PORT".
     std::string logLevel;
     std::size_t connectionsPerRank = 0;
     std::size_t bodyMemory = 0; ///< Bytes of request bodies held at the same time.
--- a/Source/Standins/BackendServer/Answer.cpp
+++ b/Source/Standins/BackendServer/Answer.cpp
@@ -3,10 +3,10 @@
 #include <algorithm>
 #include <cstdint>
 #include <cstring>
-#include <xxhash.h>
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
+#include <xxhash.h>
 
 namespace Currantfall::BackendStandin {
 
--- a/Source/Standins/BackendServer/BackendStandin.h
+++ b/Source/Standins/BackendServer/BackendStandin.h
@@ -10,11 +10,12 @@
 #include <absl/synchronization/notification.h>
 #include <nlohmann/json.hpp>
 
+#include "currantfall/Common/Time.h"
+
 #include "Behaviour.h"
 #include "ExecutionLog.h"
 #include "LoadReport.h"
 #include "ServiceTimes.h"
-#include "currantfall/Common/Time.h"
 
 namespace Currantfall::BackendStandin {
 
--- a/Source/Standins/BackendServer/ConnectionServer.h
+++ b/Source/Standins/BackendServer/ConnectionServer.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include <functional>
-#include <httplib.h>
 #include <memory>
 #include <string>
 #include <thread>
 
 #include <absl/time/time.h>
+#include <httplib.h>
 
 #include "currantfall/Common/Error.h"
 
--- a/Source/Standins/BackendServer/ConnectionThreads.h
+++ b/Source/Standins/BackendServer/ConnectionThreads.h
@@ -3,11 +3,11 @@
 #include <cstddef>
 #include <deque>
 #include <functional>
-#include <httplib.h>
 #include <thread>
 #include <vector>
 
 #include <absl/synchronization/mutex.h>
+#include <httplib.h>
 
 namespace Currantfall::BackendStandin {
 
--- a/Source/Standins/BackendServer/Fleet.h
+++ b/Source/Standins/BackendServer/Fleet.h
@@ -6,13 +6,14 @@
 #include <string>
 #include <vector>
 
+#include "currantfall/Common/Error.h"
+#include "currantfall/Configuration/Environment.h"
+
 #include "BackendStandin.h"
 #include "Behaviour.h"
 #include "ConnectionServer.h"
 #include "ExecutionLog.h"
 #include "RequestHandler.h"
-#include "currantfall/Common/Error.h"
-#include "currantfall/Configuration/Environment.h"
 
 namespace Currantfall::BackendStandin {
 
--- a/Source/Standins/BackendServer/Main.cpp
+++ b/Source/Standins/BackendServer/Main.cpp
@@ -9,10 +9,11 @@
 #include <absl/strings/str_cat.h>
 #include <cxxopts.hpp>
 
-#include "Fleet.h"
 #include "currantfall/Common/Log.h"
 #include "currantfall/Configuration/DocumentReader.h"
 
+#include "Fleet.h"
+
 namespace {
 
 using namespace Currantfall;
--- a/Source/Standins/BackendServer/RequestHandler.h
+++ b/Source/Standins/BackendServer/RequestHandler.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include <functional>
-#include <httplib.h>
 #include <vector>
 
+#include <httplib.h>
+
 #include "BackendStandin.h"
 #include "ExecutionLog.h"
 
--- a/Source/Standins/BackendServer/ServiceTimes.cpp
+++ b/Source/Standins/BackendServer/ServiceTimes.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+
 #include <xxhash.h>
 
 namespace Currantfall::BackendStandin {
--- a/Source/Standins/BackendServer/SocketStream.h
+++ b/Source/Standins/BackendServer/SocketStream.h
@@ -1,10 +1,11 @@
 #pragma once
 
 #include <cstddef>
-#include <httplib.h>
 #include <string>
 #include <vector>
 
+#include <httplib.h>
+
 namespace Currantfall::BackendStandin {
 
 /// A connection as cpp-httplib reads and writes it. Its own class is internal to the library and
--- a/Source/Standins/Platform/Main.cpp
+++ b/Source/Standins/Platform/Main.cpp
@@ -6,9 +6,10 @@
 
 #include <nlohmann/json.hpp>
 
-#include "PlatformServer.h"
 #include "currantfall/Common/CommandLine.h"
 
+#include "PlatformServer.h"
+
 namespace {
 
 using namespace Currantfall;
--- a/Source/Standins/Platform/PlatformServer.h
+++ b/Source/Standins/Platform/PlatformServer.h
@@ -3,13 +3,13 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
-#include <httplib.h>
 #include <map>
 #include <string>
 
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
 #include <absl/synchronization/notification.h>
+#include <httplib.h>
 
 #include "FaultPlan.h"
 #include "RateLimit.h"
--- a/Source/UnitTests/BackendStandin/BackendStandinTest.cpp
+++ b/Source/UnitTests/BackendStandin/BackendStandinTest.cpp
@@ -1,13 +1,13 @@
 #include <future>
-#include <httplib.h>
 #include <memory>
 #include <string>
 #include <unistd.h>
-#include <xxhash.h>
 
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 #include <catch2/catch.hpp>
+#include <httplib.h>
+#include <xxhash.h>
 
 #include "Fleet.h"
 #include "ServiceTimes.h"
--- a/Source/UnitTests/Configuration/ClientBlockTableTest.cpp
+++ b/Source/UnitTests/Configuration/ClientBlockTableTest.cpp
@@ -5,9 +5,10 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
-#include "Documents.h"
 #include "currantfall/Configuration/DocumentReader.h"
 
+#include "Documents.h"
+
 namespace Currantfall::Configuration {
 
 namespace {
--- a/Source/UnitTests/Configuration/DifferencesTest.cpp
+++ b/Source/UnitTests/Configuration/DifferencesTest.cpp
@@ -4,9 +4,10 @@
 
 #include <catch2/catch.hpp>
 
-#include "Documents.h"
 #include "currantfall/Configuration/DocumentReader.h"
 
+#include "Documents.h"
+
 namespace Currantfall::Configuration {
 
 TEST_CASE("A changed slot count gives one line with the path of the backend server")
--- a/Source/UnitTests/Peering/FrameCodecTest.cpp
+++ b/Source/UnitTests/Peering/FrameCodecTest.cpp
@@ -3,11 +3,11 @@
 #include <algorithm>
 #include <iterator>
 #include <optional>
-#include <rapidcheck.h>
 #include <string>
 #include <vector>
 
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 using namespace Currantfall;
 using namespace Currantfall::Peering;
