--- a/Source/Daemon/BackendPool.cpp
+++ b/Source/Daemon/BackendPool.cpp
@@ -1,5 +1,7 @@
 #include "BackendPool.h"
 
+#include <algorithm>
+#include <atomic>
 #include <utility>
 
 #include <absl/container/flat_hash_set.h>
@@ -13,6 +15,7 @@
     BackendConnection connection;
     Common::BoundedRing<BackendJob> jobs { 1 };
     bool idle = true; // Belongs to the pool's thread.
+    std::atomic<bool> ended { false };
     std::thread thread;
 };
 
@@ -21,13 +24,14 @@
 BackendPool::~BackendPool()
 {
     this->setServers({});
-    for (std::thread &thread : this->retired) {
-        thread.join();
+    for (const std::shared_ptr<Worker> &worker : this->retired) {
+        worker->thread.join();
     }
 }
 
 void BackendPool::setServers(const std::vector<Configuration::BackendServer> &wanted)
 {
+    this->reap();
     absl::flat_hash_set<Common::BackendServerName> kept;
     for (const Configuration::BackendServer &settings : wanted) {
         kept.insert(settings.name);
@@ -99,6 +103,7 @@
         completion.result = worker->connection.execute(job->attempt, *job->request);
         handler(std::move(completion));
     }
+    worker->ended = true;
 }
 
 void BackendPool::addServer(const Configuration::BackendServer &settings)
@@ -117,8 +122,21 @@
 {
     for (const std::shared_ptr<Worker> &worker : server.workers) {
         worker->jobs.close();
-        this->retired.push_back(std::move(worker->thread));
+        this->retired.push_back(worker);
     }
 }
 
+void BackendPool::reap()
+{
+    const auto ended = [](const std::shared_ptr<Worker> &worker) {
+        if (!worker->ended) {
+            return false;
+        }
+        worker->thread.join();
+        return true;
+    };
+    this->retired.erase(std::remove_if(this->retired.begin(), this->retired.end(), ended),
+                        this->retired.end());
+}
+
 } // namespace Currantfall::Daemon
--- a/Source/Daemon/BackendPool.h
+++ b/Source/Daemon/BackendPool.h
@@ -62,11 +62,13 @@
     static void run(std::shared_ptr<Worker> worker, CompletionHandler handler);
     void addServer(const Configuration::BackendServer &settings);
     void retire(Server server);
+    /// Joins retired workers that have ended.
+    void reap();
 
     CompletionHandler handler;
     absl::flat_hash_map<Common::BackendServerName, Server> servers;
     absl::flat_hash_map<std::string, std::shared_ptr<Worker>> busy; // By attempt.
-    std::vector<std::thread> retired;
+    std::vector<std::shared_ptr<Worker>> retired;
 };
 
 } // namespace Currantfall::Daemon
--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -115,8 +115,7 @@
 
 Common::Result<void> Daemon::startPlatform()
 {
-    auto client = Platform::PlatformClient::create(this->settings.platformHost + ":"
-                                                   + std::to_string(this->settings.platformPort));
+    auto client = Platform::PlatformClient::create(this->settings.platform);
     if (!client) {
         return tl::unexpected(client.error());
     }
--- a/Source/Daemon/KeyedFlow.cpp
+++ b/Source/Daemon/KeyedFlow.cpp
@@ -25,8 +25,8 @@
 } // namespace
 
 KeyedFlow::KeyedFlow(SteeringContext &context, ClusterFlow &cluster, Dispatcher &dispatcher)
-    : context(context), cluster(cluster), dispatcher(dispatcher),
-      issuer(context.now, context.self, {}), deputy(context.self, {})
+    : context(context), cluster(cluster), dispatcher(dispatcher), issuer(context.self, {}),
+      deputy(context.self, {})
 {
     this->context.timers.subscribeEvery(this->context.now, tickInterval,
                                         [this](Common::Instant) { this->tick(); });
@@ -201,6 +201,11 @@
 {
     this->chooseDeputy();
     for (const auto &member : this->context.members->members()) {
+        std::string &noted = this->announced[member->vm];
+        if (noted == member->keyPrefix) {
+            continue;
+        }
+        noted = member->keyPrefix;
         if (const auto prefix = Execution::KeyPrefix::parse(member->keyPrefix)) {
             this->deputy.noteIssuedPrefix(this->context.now, *prefix);
         }
@@ -440,7 +445,7 @@
     const auto best = this->bestDeputy();
     if (best != this->currentDeputy) {
         this->currentDeputy = best;
-        this->issuer.setDeputy(this->context.now, best);
+        this->issuer.setDeputy(best);
     }
 }
 
@@ -471,7 +476,11 @@
 void KeyedFlow::sendHandover()
 {
     std::map<Common::VmName, std::vector<Execution::KeyRecord>> byDeputy;
-    for (Execution::KeyRecord &record : this->issuer.handover()) {
+    Execution::Handover handover = this->issuer.handover();
+    for (const Execution::Completion &completion : handover.completions) {
+        this->complete(completion);
+    }
+    for (Execution::KeyRecord &record : handover.records) {
         if (const auto &deputyRun = record.key.prefix().deputy) {
             byDeputy[deputyRun->vm].push_back(std::move(record));
         }
--- a/Source/Daemon/KeyedFlow.h
+++ b/Source/Daemon/KeyedFlow.h
@@ -100,6 +100,7 @@
     Execution::Deputy deputy;
     std::optional<Execution::VmRun> currentDeputy;
     absl::flat_hash_set<Common::VmName> linked;
+    absl::flat_hash_map<Common::VmName, std::string> announced; // Prefixes noted at the deputy.
     absl::flat_hash_map<Execution::WaiterId, AnswerHandler> waiters;
     absl::flat_hash_map<std::string, SharedRequest>
             pendingRuns;                              // By key, until the intent is noted.
