--- a/Source/Core/Peering/SendQueue.cpp
+++ b/Source/Core/Peering/SendQueue.cpp
@@ -6,7 +6,7 @@
 
 SendQueue::Push SendQueue::push(std::string frame)
 {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     if (this->closed || this->pending + frame.size() > this->byteLimit) {
         return Push::Refused;
     }
@@ -18,13 +18,13 @@
 
 void SendQueue::close()
 {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     this->closed = true;
 }
 
 void SendQueue::gather(std::vector<iovec> &buffers, std::size_t maxBuffers)
 {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     std::size_t offset = this->frontSent;
     for (std::string &frame : this->frames) {
         if (buffers.size() == maxBuffers) {
@@ -38,7 +38,7 @@
 
 std::size_t SendQueue::consume(std::size_t bytes)
 {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     this->pending -= bytes;
     std::size_t finished = 0;
     bytes += this->frontSent;
@@ -53,7 +53,7 @@
 
 std::size_t SendQueue::pendingBytes() const
 {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     return this->pending;
 }
 
--- a/Source/Core/Peering/SendQueue.h
+++ b/Source/Core/Peering/SendQueue.h
@@ -2,16 +2,16 @@
 
 #include <cstddef>
 #include <deque>
+#include <mutex>
 #include <string>
 #include <sys/uio.h>
 #include <vector>
 
-#include <absl/synchronization/mutex.h>
-
 namespace Currantfall::Peering {
 
 /// Encoded frames that wait for the socket of one link. Any thread may push; only the peer thread
-/// gathers and consumes.
+/// gathers and consumes. Peering uses std::mutex because ThreadSanitizer can't see the ordering of
+/// absl::Mutex in Debian's library, which is built without it.
 class SendQueue
 {
 public:
@@ -39,7 +39,7 @@
 
 private:
     const std::size_t byteLimit;
-    mutable absl::Mutex mutex;
+    mutable std::mutex mutex;
     std::deque<std::string> frames;
     std::size_t frontSent = 0; // Bytes of the first frame that were sent.
     std::size_t pending = 0;
