Lock with the standard library in the backend-server stand-in

Cause: ThreadSanitizer reported races in 8 of the stand-in's tests. Debian's Abseil is not instrumented, so that TSan sees no synchronisation in absl::Mutex: two threads that increment a counter under an absl::Mutex give the same report. Change: std::mutex and std::condition_variable instead of absl::Mutex and absl::Notification. Other users of absl::Mutex will meet the same false reports.

--- a/Source/Standins/BackendServer/BackendStandin.cpp
+++ b/Source/Standins/BackendServer/BackendStandin.cpp
@@ -7,6 +7,13 @@
 
 namespace Currantfall::BackendStandin {
 
+namespace {
+
+// An infinite wait would overflow the clock.
+constexpr absl::Duration longestWait = absl::Hours(24 * 365);
+
+} // namespace
+
 BackendStandin::BackendStandin(ServerIdentity identity, Behaviour behaviour, std::uint64_t seed,
                                ExecutionLog &log)
     : serverIdentity(std::move(identity)), seed(serverSeed(seed, this->serverIdentity.server)),
@@ -16,6 +23,7 @@
 WorkOutcome BackendStandin::run(const RequestIds &ids, std::optional<absl::Duration> deadline)
 {
     WorkOutcome outcome;
+    std::unique_lock lock(this->mutex);
     const auto attempt = this->start(ids, outcome);
     if (!attempt) {
         return outcome;
@@ -24,9 +32,10 @@
     const absl::Duration needed
             = outcome.draw.hang ? absl::InfiniteDuration() : outcome.draw.serviceTime;
     const absl::Duration allowed = deadline.value_or(absl::InfiniteDuration());
-    const bool interrupted
-            = (*attempt)->interrupted.WaitForNotificationWithTimeout(std::min(needed, allowed));
-    outcome.result = this->finish(*attempt, interrupted, needed <= allowed);
+    const absl::Duration wait = std::min({ needed, allowed, longestWait });
+    (*attempt)->changed.wait_for(lock, absl::ToChronoNanoseconds(wait),
+                                 [&attempt] { return (*attempt)->cancelled; });
+    outcome.result = this->finish(*attempt, needed <= allowed);
     if (outcome.result == WorkResult::Ran) {
         this->log.ran(ids);
     }
@@ -36,7 +45,6 @@
 std::optional<BackendStandin::Attempts::iterator> BackendStandin::start(const RequestIds &ids,
                                                                         WorkOutcome &outcome)
 {
-    const absl::MutexLock lock(&this->mutex);
     this->counts.lastNewWorkMs = absl::ToUnixMillis(absl::Now());
     const bool full = this->running.size() >= this->serverIdentity.slots;
     if (full) {
@@ -53,20 +61,16 @@
     Attempt &attempt = this->running.emplace_front();
     attempt.id = ids.attempt;
     attempt.hanging = outcome.draw.hang;
-    if (this->stopping && attempt.hanging) {
-        attempt.interrupted.Notify();
-    }
+    attempt.cancelled = this->stopping && attempt.hanging;
     ++this->counts.started;
     this->counts.maxInUse = std::max(this->counts.maxInUse, this->running.size());
     this->recordLoad();
     return this->running.begin();
 }
 
-WorkResult BackendStandin::finish(Attempts::iterator attempt, bool interrupted, bool complete)
+WorkResult BackendStandin::finish(Attempts::iterator attempt, bool complete)
 {
-    const absl::MutexLock lock(&this->mutex);
-    // A cancellation that arrives after the end of the wait, but before this lock, still counts.
-    const bool cancelled = interrupted || attempt->interrupted.HasBeenNotified();
+    const bool cancelled = attempt->cancelled;
     this->running.erase(attempt);
     this->recordLoad();
     if (cancelled) {
@@ -81,17 +85,20 @@
     return WorkResult::Ran;
 }
 
+void BackendStandin::interrupt(Attempt &attempt)
+{
+    attempt.cancelled = true;
+    attempt.changed.notify_one();
+}
+
 bool BackendStandin::cancel(const std::string &attempt)
 {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     bool found = false;
     for (Attempt &candidate : this->running) {
-        if (candidate.id != attempt) {
-            continue;
-        }
-        found = true;
-        if (!candidate.interrupted.HasBeenNotified()) {
-            candidate.interrupted.Notify();
+        if (candidate.id == attempt) {
+            found = true;
+            interrupt(candidate);
         }
     }
     return found;
@@ -99,24 +106,24 @@
 
 void BackendStandin::stop()
 {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     this->stopping = true;
     for (Attempt &attempt : this->running) {
-        if (attempt.hanging && !attempt.interrupted.HasBeenNotified()) {
-            attempt.interrupted.Notify();
+        if (attempt.hanging) {
+            interrupt(attempt);
         }
     }
 }
 
 Behaviour BackendStandin::behaviour() const
 {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     return this->current;
 }
 
 void BackendStandin::setBehaviour(const Behaviour &behaviour, bool restartCold)
 {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     this->current = behaviour;
     if (restartCold) {
         this->coldSince = Common::monotonicNow();
@@ -148,7 +155,7 @@
 
 nlohmann::json BackendStandin::health() const
 {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     const Common::Instant now = Common::monotonicNow();
     LoadReport::Sample sample { this->running.size(), this->state(now) };
     if (this->current.reportLag > absl::ZeroDuration()) {
@@ -168,7 +175,7 @@
 
 nlohmann::json BackendStandin::counters() const
 {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     return { { "service", this->serverIdentity.service },
              { "server", this->serverIdentity.server },
              { "zone", this->serverIdentity.zone },
--- a/Source/Standins/BackendServer/BackendStandin.h
+++ b/Source/Standins/BackendServer/BackendStandin.h
@@ -1,13 +1,13 @@
 #pragma once
 
+#include <condition_variable>
 #include <cstddef>
 #include <cstdint>
 #include <list>
+#include <mutex>
 #include <optional>
 #include <string>
 
-#include <absl/synchronization/mutex.h>
-#include <absl/synchronization/notification.h>
 #include <nlohmann/json.hpp>
 
 #include "Behaviour.h"
@@ -72,7 +72,8 @@
     {
         std::string id;
         bool hanging = false;
-        absl::Notification interrupted;
+        bool cancelled = false;
+        std::condition_variable changed;
     };
 
     struct Counters
@@ -89,8 +90,10 @@
 
     using Attempts = std::list<Attempt>;
 
+    // These need the lock.
     std::optional<Attempts::iterator> start(const RequestIds &ids, WorkOutcome &outcome);
-    WorkResult finish(Attempts::iterator attempt, bool interrupted, bool complete);
+    WorkResult finish(Attempts::iterator attempt, bool complete);
+    static void interrupt(Attempt &attempt);
     double warmth(Common::Instant now) const;
     std::string state(Common::Instant now) const;
     void recordLoad();
@@ -99,7 +102,7 @@
     const std::uint64_t seed;
     ExecutionLog &log;
 
-    mutable absl::Mutex mutex;
+    mutable std::mutex mutex;
     Behaviour current;
     Common::Instant coldSince;
     Attempts running;
--- a/Source/Standins/BackendServer/ConnectionThreads.h
+++ b/Source/Standins/BackendServer/ConnectionThreads.h
@@ -1,16 +1,19 @@
 #pragma once
 
+#include <condition_variable>
 #include <cstddef>
 #include <deque>
 #include <functional>
 #include <httplib.h>
+#include <mutex>
 #include <thread>
 #include <vector>
 
-#include <absl/synchronization/mutex.h>
-
 namespace Currantfall::BackendStandin {
 
+// The stand-in locks with the standard library, because ThreadSanitizer does not see the
+// synchronisation inside Debian's Abseil and reports races that do not exist.
+
 /// Runs each connection on a thread of its own up to a limit; more connections wait. Threads of
 /// ended connections are used again. The library's own pool has a fixed size, so that idle
 /// keep-alive connections would take all its threads.
@@ -21,8 +24,9 @@
 
     void enqueue(std::function<void()> connection) override
     {
-        const absl::MutexLock lock(&this->mutex);
+        const std::lock_guard lock(this->mutex);
         this->waiting.push_back(std::move(connection));
+        this->changed.notify_one();
         if (this->idle < this->waiting.size() && this->threads.size() < this->limit) {
             this->threads.emplace_back([this] { this->work(); });
         }
@@ -31,9 +35,10 @@
     void shutdown() override
     {
         {
-            const absl::MutexLock lock(&this->mutex);
+            const std::lock_guard lock(this->mutex);
             this->ended = true;
         }
+        this->changed.notify_all();
         for (std::thread &thread : this->threads) {
             thread.join();
         }
@@ -45,9 +50,9 @@
         while (true) {
             std::function<void()> connection;
             {
-                const absl::MutexLock lock(&this->mutex);
+                std::unique_lock lock(this->mutex);
                 ++this->idle;
-                this->mutex.Await(absl::Condition(this, &ConnectionThreads::wakes));
+                this->changed.wait(lock, [this] { return this->ended || !this->waiting.empty(); });
                 --this->idle;
                 if (this->waiting.empty()) {
                     return;
@@ -59,10 +64,9 @@
         }
     }
 
-    bool wakes() const { return this->ended || !this->waiting.empty(); }
-
     const std::size_t limit;
-    absl::Mutex mutex;
+    std::mutex mutex;
+    std::condition_variable changed;
     std::deque<std::function<void()>> waiting;
     std::vector<std::thread> threads;
     std::size_t idle = 0;
--- a/Source/Standins/BackendServer/ExecutionLog.cpp
+++ b/Source/Standins/BackendServer/ExecutionLog.cpp
@@ -77,7 +77,7 @@
 
 void ExecutionLog::started(const RequestIds &ids)
 {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     this->keys.start(ids.key);
     this->attempts.start(ids.attempt);
     this->requests.start(ids.request);
@@ -85,7 +85,7 @@
 
 void ExecutionLog::ran(const RequestIds &ids)
 {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     this->keys.run(ids.key);
     this->attempts.run(ids.attempt);
     this->requests.run(ids.request);
@@ -93,7 +93,7 @@
 
 nlohmann::json ExecutionLog::summary() const
 {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     return { { "keys", this->keys.summary() },
              { "attempts", this->attempts.summary() },
              { "requests", this->requests.summary() } };
@@ -101,7 +101,7 @@
 
 nlohmann::json ExecutionLog::counts(const nlohmann::json &ids) const
 {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     const auto listed = [&ids](const char *name) {
         return ids.is_object() && ids.contains(name) ? ids[name] : nlohmann::json::array();
     };
--- a/Source/Standins/BackendServer/ExecutionLog.h
+++ b/Source/Standins/BackendServer/ExecutionLog.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include <cstdint>
+#include <mutex>
 #include <string>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
-#include <absl/synchronization/mutex.h>
 #include <nlohmann/json.hpp>
 
 namespace Currantfall::BackendStandin {
@@ -57,7 +57,7 @@
         std::vector<std::string> ranAgain;
     };
 
-    mutable absl::Mutex mutex;
+    mutable std::mutex mutex;
     Table keys;
     Table attempts;
     Table requests;
