--- a/include/currantfall/Membership/MemberTable.h
+++ b/include/currantfall/Membership/MemberTable.h
@@ -90,7 +90,7 @@
     /// Adds `vm` to peersToConnect() until it has not been requested for `requestedPeerIdle`.
     void requestPeer(Common::Instant now, const Common::VmName &vm);
 
-    /// Ages members and returns the messages that are due.
+    /// Returns the messages that are due and ages members, at most twice per heartbeat base.
     Outgoing advance(Common::Instant now);
 
     /// When advance() has work next.
@@ -105,8 +105,9 @@
     std::vector<Endpoint> peersToConnect() const;
 
     /// Set while this process must not trust its view after a pause: from a call that comes later
-    /// than the lease until every member of the own zone that was live before has been heard again,
-    /// at most one lease. The value is the last call before the pause.
+    /// than the lease until every member of the own zone that was live before (any member, if there
+    /// was none) has been heard again, at most for another lease. The value is the time of the last
+    /// call before the pause.
     std::optional<Common::Instant> pausedSince() const;
 
 private:
