Use a lock that ThreadSanitizer understands

Cause: Debian builds Abseil without ThreadSanitizer, which then reports every access under an absl::Mutex as a race. Change: Common::Mutex is absl::Mutex, and a standard mutex in ThreadSanitizer builds. Conclusion: sanitizer runs can check the daemon.

--- a/Source/Core/Membership/MemberRecord.h
+++ b/Source/Core/Membership/MemberRecord.h
@@ -5,11 +5,12 @@
 
 #include <absl/time/time.h>
 
-#include "DelayEstimator.h"
 #include "currantfall/Common/Names.h"
 #include "currantfall/Common/Time.h"
 #include "currantfall/Membership/Member.h"
 
+#include "DelayEstimator.h"
+
 namespace Currantfall::Membership {
 
 /// What is known about one other VM.
--- a/Source/Core/Membership/MemberTableOutput.cpp
+++ b/Source/Core/Membership/MemberTableOutput.cpp
@@ -3,9 +3,10 @@
 #include <iterator>
 #include <utility>
 
-#include "MemberTableState.h"
 #include "currantfall/Common/RendezvousHash.h"
 
+#include "MemberTableState.h"
+
 namespace Currantfall::Membership {
 
 namespace {
--- a/Source/Core/Membership/MemberTableState.h
+++ b/Source/Core/Membership/MemberTableState.h
@@ -8,9 +8,10 @@
 #include <string>
 #include <vector>
 
-#include "MemberRecord.h"
 #include "currantfall/Membership/MemberTable.h"
 
+#include "MemberRecord.h"
+
 namespace Currantfall::Membership {
 
 /// Implementation of MemberTable: inputs and ageing are in MemberTableState.cpp, messages and
--- a/Source/Core/Peering/Link.h
+++ b/Source/Core/Peering/Link.h
@@ -6,12 +6,13 @@
 #include <memory>
 #include <string>
 
-#include "FileDescriptor.h"
-#include "SendQueue.h"
 #include "currantfall/Common/Error.h"
 #include "currantfall/Common/Time.h"
 #include "currantfall/Peering/PeerTransport.h"
 
+#include "FileDescriptor.h"
+#include "SendQueue.h"
+
 namespace Currantfall::Peering {
 
 using LinkId = std::uint64_t;
--- a/Source/Core/Peering/LinkTable.h
+++ b/Source/Core/Peering/LinkTable.h
@@ -6,12 +6,13 @@
 
 #include <absl/container/flat_hash_map.h>
 
-#include "Link.h"
 #include "currantfall/Common/Error.h"
 #include "currantfall/Common/Names.h"
 #include "currantfall/Common/Time.h"
 #include "currantfall/Peering/PeerTransport.h"
 
+#include "Link.h"
+
 namespace Currantfall::Peering {
 
 /// All links of a VM, and which one of them is used for each peer and class. If two VMs dial each
--- a/Source/Core/Peering/Mailbox.h
+++ b/Source/Core/Peering/Mailbox.h
@@ -5,9 +5,10 @@
 #include <utility>
 #include <vector>
 
-#include "Link.h"
 #include "currantfall/Peering/PeerTransport.h"
 
+#include "Link.h"
+
 namespace Currantfall::Peering {
 
 /// What other threads have asked of the peer thread. Thread-safe; the caller wakes the thread.
--- a/Source/Core/Peering/PeerLoop.h
+++ b/Source/Core/Peering/PeerLoop.h
@@ -4,15 +4,16 @@
 #include <memory>
 #include <mutex>
 
+#include "currantfall/Common/Log.h"
+#include "currantfall/Common/Time.h"
+#include "currantfall/Peering/PeerTransport.h"
+
 #include "DialPlan.h"
 #include "Link.h"
 #include "LinkTable.h"
 #include "Mailbox.h"
 #include "Poller.h"
 #include "SendDirectory.h"
-#include "currantfall/Common/Log.h"
-#include "currantfall/Common/Time.h"
-#include "currantfall/Peering/PeerTransport.h"
 
 namespace Currantfall::Peering {
 
--- a/Source/Core/Peering/SendDirectory.h
+++ b/Source/Core/Peering/SendDirectory.h
@@ -7,11 +7,12 @@
 
 #include <absl/container/flat_hash_map.h>
 
-#include "Link.h"
-#include "SendQueue.h"
 #include "currantfall/Common/Names.h"
 #include "currantfall/Peering/FrameCodec.h"
 
+#include "Link.h"
+#include "SendQueue.h"
+
 namespace Currantfall::Peering {
 
 /// The usable links by peer and class, for sending threads. Thread-safe.
--- a/Source/Daemon/BackendConnection.cpp
+++ b/Source/Daemon/BackendConnection.cpp
@@ -102,7 +102,7 @@
         return result;
     }
     {
-        const absl::MutexLock lock(&this->mutex);
+        const Common::MutexLock lock(&this->mutex);
         this->current = attempt;
         this->cancelled = false;
     }
@@ -111,7 +111,7 @@
     const bool abandoned = result.answer.reason == Reason::Cancelled
                            || result.answer.reason == Reason::BackendServerFailed;
     {
-        const absl::MutexLock lock(&this->mutex);
+        const Common::MutexLock lock(&this->mutex);
         this->current.clear();
     }
     if (abandoned && !result.connectFailed) {
@@ -122,7 +122,7 @@
 
 void BackendConnection::cancel(const std::string &attempt)
 {
-    const absl::MutexLock lock(&this->mutex);
+    const Common::MutexLock lock(&this->mutex);
     if (this->current != attempt) {
         return;
     }
@@ -162,7 +162,7 @@
 
 bool BackendConnection::wasCancelled() const
 {
-    const absl::MutexLock lock(&this->mutex);
+    const Common::MutexLock lock(&this->mutex);
     return this->cancelled;
 }
 
--- a/Source/Daemon/BackendConnection.h
+++ b/Source/Daemon/BackendConnection.h
@@ -4,9 +4,10 @@
 #include <memory>
 #include <string>
 
-#include <absl/synchronization/mutex.h>
 #include <httplib.h>
 
+#include "currantfall/Common/Mutex.h"
+
 #include "Request.h"
 
 namespace Currantfall::Daemon {
@@ -42,7 +43,7 @@
 
     std::string address;
     httplib::Client client;
-    mutable absl::Mutex mutex;
+    mutable Common::Mutex mutex;
     std::string current; // Attempt in progress.
     bool cancelled = false;
 };
--- a/Source/Daemon/BodyMemory.cpp
+++ b/Source/Daemon/BodyMemory.cpp
@@ -22,14 +22,14 @@
     if (this->memory == nullptr) {
         return;
     }
-    const absl::MutexLock lock(&this->memory->mutex);
+    const Common::MutexLock lock(&this->memory->mutex);
     this->memory->used -= this->bytes;
 }
 
 std::optional<BodyMemory::Reservation> BodyMemory::reserve(Common::RankIndex rank,
                                                            std::size_t bytes)
 {
-    const absl::MutexLock lock(&this->mutex);
+    const Common::MutexLock lock(&this->mutex);
     if (this->used + bytes > limitOf(rank, this->capacity)) {
         return std::nullopt;
     }
--- a/Source/Daemon/BodyMemory.h
+++ b/Source/Daemon/BodyMemory.h
@@ -3,8 +3,7 @@
 #include <cstddef>
 #include <optional>
 
-#include <absl/synchronization/mutex.h>
-
+#include "currantfall/Common/Mutex.h"
 #include "currantfall/Common/Names.h"
 
 namespace Currantfall::Daemon {
@@ -39,7 +38,7 @@
     std::optional<Reservation> reserve(Common::RankIndex rank, std::size_t bytes);
 
 private:
-    absl::Mutex mutex;
+    Common::Mutex mutex;
     const std::size_t capacity;
     std::size_t used = 0;
 };
--- a/Source/Daemon/ElasticThreadPool.cpp
+++ b/Source/Daemon/ElasticThreadPool.cpp
@@ -21,7 +21,7 @@
 
 void ElasticThreadPool::enqueue(std::function<void()> task)
 {
-    const absl::MutexLock lock(&this->mutex);
+    const Common::MutexLock lock(&this->mutex);
     this->joinFinished();
     this->tasks.push_back(std::move(task));
     if (this->tasks.size() > this->idle && this->threads.size() < this->mostThreads) {
@@ -33,7 +33,7 @@
 {
     Threads remaining;
     {
-        const absl::MutexLock lock(&this->mutex);
+        const Common::MutexLock lock(&this->mutex);
         this->stopping = true;
         const auto noThreads = [this] { return this->threads.empty(); };
         this->mutex.Await(absl::Condition(&noThreads));
--- a/Source/Daemon/ElasticThreadPool.h
+++ b/Source/Daemon/ElasticThreadPool.h
@@ -6,9 +6,10 @@
 #include <list>
 #include <thread>
 
-#include <absl/synchronization/mutex.h>
 #include <httplib.h>
 
+#include "currantfall/Common/Mutex.h"
+
 namespace Currantfall::Daemon {
 
 /// Task queue for cpp-httplib that starts threads as connections arrive, up to a limit, and ends
@@ -32,7 +33,7 @@
     void joinFinished();
 
     const std::size_t mostThreads;
-    absl::Mutex mutex;
+    Common::Mutex mutex;
     std::deque<std::function<void()>> tasks;
     Threads threads;
     Threads finished;
--- a/Source/Daemon/Request.cpp
+++ b/Source/Daemon/Request.cpp
@@ -6,7 +6,7 @@
 
 void Completion::complete(Common::Answer result)
 {
-    const absl::MutexLock lock(&this->mutex);
+    const Common::MutexLock lock(&this->mutex);
     if (this->done) {
         return;
     }
@@ -16,7 +16,7 @@
 
 Common::Answer Completion::await(absl::Duration timeout)
 {
-    const absl::MutexLock lock(&this->mutex);
+    const Common::MutexLock lock(&this->mutex);
     if (!this->mutex.AwaitWithTimeout(absl::Condition(&this->done), timeout)) {
         this->done = true;
         return Common::outcomeUnknown(Common::Reason::TimedOut,
--- a/Source/Daemon/Request.h
+++ b/Source/Daemon/Request.h
@@ -5,9 +5,9 @@
 #include <string>
 #include <vector>
 
-#include <absl/synchronization/mutex.h>
 #include <absl/time/time.h>
 
+#include "currantfall/Common/Mutex.h"
 #include "currantfall/Common/Names.h"
 #include "currantfall/Common/Outcome.h"
 #include "currantfall/Common/Time.h"
@@ -47,7 +47,7 @@
     Common::Answer await(absl::Duration timeout);
 
 private:
-    absl::Mutex mutex;
+    Common::Mutex mutex;
     bool done = false;
     Common::Answer answer;
 };
--- a/Source/Daemon/RoutingSnapshot.h
+++ b/Source/Daemon/RoutingSnapshot.h
@@ -3,8 +3,7 @@
 #include <memory>
 #include <string>
 
-#include <absl/synchronization/mutex.h>
-
+#include "currantfall/Common/Mutex.h"
 #include "currantfall/Configuration/Environment.h"
 
 namespace Currantfall::Daemon {
@@ -24,18 +23,18 @@
 public:
     std::shared_ptr<const Snapshot> read() const
     {
-        const absl::ReaderMutexLock lock(&this->mutex);
+        const Common::MutexLock lock(&this->mutex);
         return this->current;
     }
 
     void publish(std::shared_ptr<const Snapshot> next)
     {
-        const absl::MutexLock lock(&this->mutex);
+        const Common::MutexLock lock(&this->mutex);
         this->current.swap(next);
     }
 
 private:
-    mutable absl::Mutex mutex;
+    mutable Common::Mutex mutex;
     std::shared_ptr<const Snapshot> current = std::make_shared<const Snapshot>();
 };
 
--- a/Source/Daemon/Steering.cpp
+++ b/Source/Daemon/Steering.cpp
@@ -124,6 +124,12 @@
     }
 }
 
+void Steering::awaitLeft()
+{
+    const Common::MutexLock lock(&this->leftMutex);
+    this->leftMutex.Await(absl::Condition(&this->left));
+}
+
 void Steering::awaitStopped()
 {
     this->thread.join();
@@ -239,8 +245,9 @@
 
 void Steering::checkStop()
 {
-    if (this->context.now >= this->leftAt && !this->left.HasBeenNotified()) {
-        this->left.Notify();
+    if (this->context.now >= this->leftAt) {
+        const Common::MutexLock lock(&this->leftMutex);
+        this->left = true;
     }
     if (this->callersGone && this->dispatcher->inProgress() == 0 && this->scheduler->inFlight() == 0
         && this->keyed->handoverDone()) {
--- a/Source/Daemon/Steering.h
+++ b/Source/Daemon/Steering.h
@@ -5,8 +5,6 @@
 #include <optional>
 #include <thread>
 
-#include <absl/synchronization/notification.h>
-
 #include "currantfall/Common/BoundedRing.h"
 #include "currantfall/Telemetry/MetricsRegistry.h"
 
@@ -55,7 +53,7 @@
     const Published<LookupSnapshot> &lookups() const { return this->lookupSnapshots; }
 
     /// Blocks until callers have had time to learn that this VM leaves.
-    void awaitLeft() { this->left.WaitForNotification(); }
+    void awaitLeft();
     /// Blocks until all work has ended and records are handed over.
     void awaitStopped();
 
@@ -111,7 +109,8 @@
     bool callersGone = false;
     bool finished = false;
     Common::Instant leftAt;
-    absl::Notification left;
+    Common::Mutex leftMutex;
+    bool left = false;
     std::thread thread;
 };
 
--- a/Source/Standins/BackendServer/ConnectionThreads.h
+++ b/Source/Standins/BackendServer/ConnectionThreads.h
@@ -4,11 +4,12 @@
 #include <cstddef>
 #include <deque>
 #include <functional>
-#include <httplib.h>
 #include <mutex>
 #include <thread>
 #include <vector>
 
+#include <httplib.h>
+
 namespace Currantfall::BackendStandin {
 
 // The stand-in locks with the standard library, because ThreadSanitizer does not see the
--- a/Source/Tool/Daemons.cpp
+++ b/Source/Tool/Daemons.cpp
@@ -2,10 +2,11 @@
 
 #include <algorithm>
 #include <atomic>
-#include <httplib.h>
 #include <thread>
 #include <utility>
 
+#include <httplib.h>
+
 #include "Commands.h"
 
 namespace Currantfall::Tool {
--- a/Source/UnitTests/Common/RendezvousHashTest.cpp
+++ b/Source/UnitTests/Common/RendezvousHashTest.cpp
@@ -1,11 +1,11 @@
 #include "currantfall/Common/RendezvousHash.h"
 
 #include <algorithm>
-#include <rapidcheck.h>
 #include <string>
 #include <vector>
 
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 using namespace Currantfall::Common;
 
--- a/Source/UnitTests/Membership/MemberTableTest.cpp
+++ b/Source/UnitTests/Membership/MemberTableTest.cpp
@@ -3,13 +3,13 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
-#include <rapidcheck.h>
 #include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 using namespace Currantfall;
 using namespace Currantfall::Membership;
--- a/include/currantfall/Common/BoundedRing.h
+++ b/include/currantfall/Common/BoundedRing.h
@@ -4,10 +4,11 @@
 #include <optional>
 #include <utility>
 
-#include <absl/synchronization/mutex.h>
 #include <absl/time/time.h>
 #include <boost/circular_buffer.hpp>
 
+#include "currantfall/Common/Mutex.h"
+
 namespace Currantfall::Common {
 
 /// A bounded FIFO between threads. Producers never block: a full ring refuses, so that overload
@@ -21,7 +22,7 @@
     /// Returns false, without taking the value, if the ring is full or closed.
     [[nodiscard]] bool tryPush(Value &&value)
     {
-        const absl::MutexLock lock(&this->mutex);
+        const MutexLock lock(&this->mutex);
         if (this->isClosed || this->values.full()) {
             return false;
         }
@@ -33,7 +34,7 @@
     /// empty.
     std::optional<Value> popWithin(absl::Duration timeout)
     {
-        const absl::MutexLock lock(&this->mutex);
+        const MutexLock lock(&this->mutex);
         this->mutex.AwaitWithTimeout(absl::Condition(this, &BoundedRing::readable), timeout);
         if (this->values.empty()) {
             return std::nullopt;
@@ -46,26 +47,26 @@
     /// Refuses further values and wakes consumers; values already queued can still be taken.
     void close()
     {
-        const absl::MutexLock lock(&this->mutex);
+        const MutexLock lock(&this->mutex);
         this->isClosed = true;
     }
 
     bool closed() const
     {
-        const absl::MutexLock lock(&this->mutex);
+        const MutexLock lock(&this->mutex);
         return this->isClosed;
     }
 
     std::size_t size() const
     {
-        const absl::MutexLock lock(&this->mutex);
+        const MutexLock lock(&this->mutex);
         return this->values.size();
     }
 
 private:
     bool readable() const { return this->isClosed || !this->values.empty(); }
 
-    mutable absl::Mutex mutex;
+    mutable Mutex mutex;
     boost::circular_buffer<Value> values;
     bool isClosed = false;
 };
