--- a/Source/Daemon/CreditFlow.cpp
+++ b/Source/Daemon/CreditFlow.cpp
@@ -231,7 +231,7 @@
     for (const auto &candidate : this->context.members->members()) {
         vms += candidate->region == this->context.region ? 1 : 0;
     }
-    settings.grantingVms = std::max<std::size_t>(1, vms) * environment.services.size();
+    settings.granters = std::max<std::size_t>(1, vms) * environment.services.size();
     return settings;
 }
 
