--- a/Source/Core/Peering/Socket.cpp
+++ b/Source/Core/Peering/Socket.cpp
@@ -127,6 +127,14 @@
     return {};
 }
 
+Common::Result<void> disableNagle(const FileDescriptor &socket)
+{
+    if (!setOption(socket, IPPROTO_TCP, TCP_NODELAY, 1)) {
+        return tl::unexpected(systemError("set TCP_NODELAY"));
+    }
+    return {};
+}
+
 Common::Result<void> configureLink(const FileDescriptor &socket, absl::Duration writeTimeout)
 {
     const int timeout = static_cast<int>(absl::ToInt64Milliseconds(writeTimeout));
--- a/Source/Core/Peering/Socket.h
+++ b/Source/Core/Peering/Socket.h
@@ -29,6 +29,9 @@
 /// The result of a connect whose socket became writable.
 Common::Result<void> connectResult(const FileDescriptor &socket, const std::string &peer);
 
+/// Sets TCP_NODELAY.
+Common::Result<void> disableNagle(const FileDescriptor &socket);
+
 /// Sets TCP_NODELAY, and TCP_USER_TIMEOUT so that unacknowledged data in the kernel's buffer also
 /// fails after `writeTimeout`.
 Common::Result<void> configureLink(const FileDescriptor &socket, absl::Duration writeTimeout);
