--- a/Source/Daemon/BackendConnection.cpp
+++ b/Source/Daemon/BackendConnection.cpp
@@ -148,6 +148,15 @@
                 this->address + ": the answer has neither a length nor chunked encoding");
         return result;
     }
+    // A connection that got out of step delivers the answer to another request.
+    if (response.has_header("Currantfall-Attempt")
+        && response.get_header_value("Currantfall-Attempt") != attempt) {
+        BackendResult result;
+        result.answer = Common::outcomeUnknown(Reason::BackendServerFailed,
+                                               this->address + ": the answer belongs to another "
+                                                               "attempt");
+        return result;
+    }
     return answeredResult(response);
 }
 
