--- a/Source/Daemon/BackendConnection.cpp
+++ b/Source/Daemon/BackendConnection.cpp
@@ -153,8 +153,9 @@
         && response.get_header_value("Currantfall-Attempt") != attempt) {
         BackendResult result;
         result.answer = Common::outcomeUnknown(Reason::BackendServerFailed,
-                                               this->address + ": the answer belongs to another "
-                                                               "attempt");
+                                               this->address
+                                                       + ": the answer belongs to another "
+                                                         "attempt");
         return result;
     }
     return answeredResult(response);
--- a/Source/Standins/Link/Channel.h
+++ b/Source/Standins/Link/Channel.h
@@ -4,9 +4,10 @@
 #include <deque>
 #include <string>
 
-#include "LinkSettings.h"
 #include "currantfall/Common/Time.h"
 
+#include "LinkSettings.h"
+
 namespace Currantfall::Standins {
 
 /// When the bandwidth of one direction of a link allows the next bytes.
--- a/Source/Standins/Link/Control.h
+++ b/Source/Standins/Link/Control.h
@@ -1,14 +1,16 @@
 #pragma once
 
 #include <cstdint>
-#include <httplib.h>
 #include <memory>
 #include <string>
 #include <thread>
 
-#include "Relay.h"
+#include <httplib.h>
+
 #include "currantfall/Common/Error.h"
 
+#include "Relay.h"
+
 namespace Currantfall::Standins {
 
 /// `POST /_control` with any of {"listen", "delay_ms", "cut", "freeze", "bytes_per_second"}.
--- a/Source/Standins/Link/Relay.h
+++ b/Source/Standins/Link/Relay.h
@@ -12,13 +12,14 @@
 #include <string>
 #include <vector>
 
-#include "Channel.h"
-#include "FileDescriptor.h"
-#include "LinkSettings.h"
 #include "currantfall/Common/Error.h"
 #include "currantfall/Common/Log.h"
 #include "currantfall/Common/Time.h"
 
+#include "Channel.h"
+#include "FileDescriptor.h"
+#include "LinkSettings.h"
+
 namespace Currantfall::Standins {
 
 struct Endpoint
--- a/Source/UnitTests/Execution/AttemptTest.cpp
+++ b/Source/UnitTests/Execution/AttemptTest.cpp
@@ -1,6 +1,5 @@
-#include <rapidcheck.h>
-
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 #include "currantfall/Execution/AttemptTable.h"
 #include "currantfall/Execution/IdempotencyKey.h"
--- a/Source/UnitTests/Execution/ProtocolModelTest.cpp
+++ b/Source/UnitTests/Execution/ProtocolModelTest.cpp
@@ -2,13 +2,13 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <rapidcheck.h>
 #include <set>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 #include "currantfall/Execution/Deputy.h"
 #include "currantfall/Execution/Issuer.h"
