currantfall-load: open-loop load with verification

Arrivals are exponential with a seed per class and never wait for answers; latency counts from the scheduled arrival. Each class has its own connections, so that a flood of one class can't delay another one inside the generator. After not-run the next try has a fresh key, because a key that got not-run never runs; after a failed connection or a lost answer it keeps its key. Not yet run against currantfalld and the stand-ins.

--- /dev/null
+++ b/Source/Load/Caller.cpp
@@ -0,0 +1,185 @@
+#include "Load/Caller.h"
+
+#include <algorithm>
+#include <utility>
+#include <xxhash.h>
+
+#include <absl/strings/numbers.h>
+#include <absl/time/time.h>
+#include <nlohmann/json.hpp>
+
+namespace Currantfall::Load {
+
+namespace {
+
+constexpr std::size_t maxTries = 3;
+constexpr int firstErrorStatus = 300;
+/// A dead VM must not use up the time of the other entries.
+constexpr absl::Duration connectTimeout = absl::Seconds(1);
+
+/// A body that no other request has.
+std::string bodyOf(const std::string &requestId, std::size_t bytes)
+{
+    std::string body;
+    body.reserve(bytes + requestId.size() + 1);
+    while (body.size() < bytes) {
+        body += requestId;
+        body += ' ';
+    }
+    body.resize(bytes);
+    return body;
+}
+
+/// The prefix of `entry` or, if it issues no keys, of the first entry that does.
+std::string keyPrefixFor(const Entry &entry, const std::vector<Entry> &entries)
+{
+    const auto issues = [](const Entry &candidate) { return !candidate.keyPrefix.empty(); };
+    if (issues(entry)) {
+        return entry.keyPrefix;
+    }
+    const auto found = std::find_if(entries.begin(), entries.end(), issues);
+    return found == entries.end() ? std::string() : found->keyPrefix;
+}
+
+bool sameHash(const std::string &hex, const std::string &body)
+{
+    std::uint64_t hash = 0;
+    return absl::SimpleHexAtoi(hex, &hash) && hash == XXH3_64bits(body.data(), body.size());
+}
+
+} // namespace
+
+Caller::Caller(const Settings &settings, const RequestClass &requestClass, LookupCache &lookups)
+    : settings(settings), requestClass(requestClass), lookups(lookups)
+{ }
+
+httplib::Client &Caller::client(const Endpoint &endpoint)
+{
+    std::unique_ptr<httplib::Client> &found = this->clients[endpoint.toString()];
+    if (!found) {
+        found = std::make_unique<httplib::Client>(endpoint.address, endpoint.port);
+        found->set_keep_alive(true);
+        found->set_tcp_nodelay(true);
+        const absl::Duration connect = std::min(connectTimeout, this->settings.timeout);
+        found->set_connection_timeout(absl::ToChronoMilliseconds(connect));
+        found->set_read_timeout(absl::ToChronoMilliseconds(this->settings.timeout));
+        found->set_write_timeout(absl::ToChronoMilliseconds(this->settings.timeout));
+    }
+    return *found;
+}
+
+httplib::Request Caller::request(const std::string &requestId, const std::string &path) const
+{
+    httplib::Request request;
+    request.method = this->requestClass.method;
+    request.path = path;
+    request.headers.emplace("Currantfall-Request", requestId);
+    if (!this->requestClass.tenant.empty()) {
+        request.headers.emplace("Currantfall-Tenant", this->requestClass.tenant);
+    }
+    if (this->requestClass.deadline > absl::ZeroDuration()) {
+        const auto deadline = absl::ToInt64Milliseconds(this->requestClass.deadline);
+        request.headers.emplace("Currantfall-Deadline-Ms", std::to_string(deadline));
+    }
+    request.body = bodyOf(requestId, this->requestClass.bodyBytes);
+    return request;
+}
+
+CallOutcome Caller::classify(const httplib::Response &response, const httplib::Request &request,
+                             const std::string &requestId, bool isSteered) const
+{
+    const std::string outcome = response.get_header_value("Currantfall-Outcome");
+    if (outcome == "not-run" || response.get_header_value("Currantfall-Shed") == "not-run") {
+        return CallOutcome::NotRun;
+    }
+    if (outcome == "outcome-unknown") {
+        return CallOutcome::OutcomeUnknown;
+    }
+    if (isSteered && outcome != "answered") {
+        return CallOutcome::WrongAnswer; // Every response names its outcome.
+    }
+    if (response.status >= firstErrorStatus) {
+        return CallOutcome::ErrorAnswer;
+    }
+    if (request.method == "HEAD") {
+        return CallOutcome::Answered;
+    }
+    try {
+        const nlohmann::json echo = nlohmann::json::parse(response.body);
+        const bool same = echo.at("request") == requestId && echo.at("method") == request.method
+                          && echo.at("path") == this->requestClass.path
+                          && echo.at("body_size") == request.body.size()
+                          && sameHash(echo.at("body_hash").get<std::string>(), request.body);
+        // A server that is called directly may belong to any service.
+        const bool sameService = !isSteered || echo.at("service") == this->requestClass.service;
+        return same && sameService ? CallOutcome::Answered : CallOutcome::WrongAnswer;
+    } catch (const nlohmann::json::exception &) {
+        return CallOutcome::WrongAnswer;
+    }
+}
+
+CallOutcome Caller::send(const Endpoint &endpoint, const httplib::Request &request,
+                         const std::string &requestId, bool isSteered)
+{
+    const httplib::Result result = this->client(endpoint).send(request);
+    if (result) {
+        return this->classify(*result, request, requestId, isSteered);
+    }
+    const bool notConnected = result.error() == httplib::Error::Connection
+                              || result.error() == httplib::Error::ConnectionTimeout;
+    return notConnected ? CallOutcome::Unreachable : CallOutcome::OutcomeUnknown;
+}
+
+Caller::Call Caller::direct(const std::string &requestId, std::uint64_t number)
+{
+    const Endpoint &endpoint = this->settings.direct.at(number % this->settings.direct.size());
+    const httplib::Request request = this->request(requestId, this->requestClass.path);
+    return { this->send(endpoint, request, requestId, false), 1 };
+}
+
+Caller::Call Caller::steered(const std::string &requestId)
+{
+    Call call;
+    const auto entries = this->lookups.entries(this->requestClass.service);
+    if (!entries) {
+        return call;
+    }
+    httplib::Request request
+            = this->request(requestId, "/" + this->requestClass.service + this->requestClass.path);
+    std::string key;
+    bool unknown = false;
+    for (const Entry &entry : *entries) {
+        if (call.attempts == maxTries) {
+            break;
+        }
+        if (this->requestClass.key && key.empty()) {
+            // A key that got not-run never runs, so the next try has a fresh one.
+            key = keyPrefixFor(entry, *entries) + "." + requestId + "-"
+                  + std::to_string(call.attempts);
+            request.headers.erase("Idempotency-Key");
+            request.headers.emplace("Idempotency-Key", key);
+        }
+        ++call.attempts;
+        const CallOutcome outcome = this->send(entry.endpoint, request, requestId, true);
+        if (outcome == CallOutcome::Unreachable) {
+            continue;
+        }
+        call.outcome = outcome;
+        if (outcome == CallOutcome::NotRun) {
+            key.clear();
+            continue;
+        }
+        unknown = unknown || outcome == CallOutcome::OutcomeUnknown;
+        const bool mayRepeat = this->requestClass.key || this->requestClass.idempotent();
+        if (outcome != CallOutcome::OutcomeUnknown || !mayRepeat) {
+            break;
+        }
+    }
+    // Without a key, not-run of the last try says nothing about the tries before it.
+    if (unknown && call.outcome == CallOutcome::NotRun && !this->requestClass.key) {
+        call.outcome = CallOutcome::OutcomeUnknown;
+    }
+    return call;
+}
+
+} // namespace Currantfall::Load
--- /dev/null
+++ b/Source/Load/LoadRun.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstddef>
+#include <vector>
+
+#include "Load/LookupCache.h"
+#include "Load/Results.h"
+#include "Load/Settings.h"
+#include "currantfall/Common/Error.h"
+
+namespace Currantfall::Load {
+
+struct Phase
+{
+    bool direct = false;
+    absl::Duration length = absl::ZeroDuration();
+    /// In the order of the settings' classes.
+    std::vector<ClassResult> classes;
+};
+
+struct LoadReport
+{
+    std::vector<Phase> phases;
+    /// True if the backend stand-ins were asked for their executions.
+    bool verified = false;
+
+    /// All results of one class in phases that are direct or steered.
+    ClassResult total(std::size_t classIndex, bool direct) const;
+    /// True if a request was executed twice, ran after not-run, or got a wrong answer.
+    bool invariantBroken() const;
+};
+
+/// Runs the load and the verification. Fails if no lookup is possible or a verification address
+/// does not answer.
+Common::Result<LoadReport> runLoad(const Settings &settings);
+
+/// Asks all stand-ins for their executions by request id.
+Common::Result<Executions> readExecutions(const std::vector<Endpoint> &servers,
+                                          absl::Duration timeout);
+
+} // namespace Currantfall::Load
--- /dev/null
+++ b/Source/Load/LookupCache.cpp
@@ -0,0 +1,91 @@
+#include "Load/LookupCache.h"
+
+#include <httplib.h>
+#include <utility>
+
+#include <absl/time/time.h>
+#include <nlohmann/json.hpp>
+
+namespace Currantfall::Load {
+
+namespace {
+
+const char *const lookupStep = "look up service";
+
+Common::Result<std::vector<Entry>> readEntries(const nlohmann::json &reply)
+{
+    std::vector<Entry> entries;
+    for (const nlohmann::json &item : reply.at("entries")) {
+        Entry entry;
+        entry.endpoint.address = item.at("address").get<std::string>();
+        entry.endpoint.port = item.at("port").get<int>();
+        entry.keyPrefix = item.value("key_prefix", std::string());
+        entries.push_back(std::move(entry));
+    }
+    if (entries.empty()) {
+        return Common::failure(Common::ErrorCode::Unavailable, lookupStep, {}, "no entries");
+    }
+    return entries;
+}
+
+} // namespace
+
+LookupCache::LookupCache(std::vector<Endpoint> lookups, absl::Duration timeout)
+    : lookups(std::move(lookups)), timeout(timeout)
+{ }
+
+Common::Result<std::vector<Entry>> LookupCache::entries(const std::string &service)
+{
+    {
+        const absl::MutexLock lock(&this->mutex);
+        Cached &cached = this->cache[service];
+        const bool fresh = Common::monotonicNow() < cached.expiry || cached.refreshing;
+        if (fresh && !cached.entries.empty()) {
+            return cached.entries;
+        }
+        cached.refreshing = true;
+    }
+    Common::Result<Cached> found = this->lookUp(service);
+    const absl::MutexLock lock(&this->mutex);
+    Cached &cached = this->cache[service];
+    cached.refreshing = false;
+    if (found) {
+        cached = *std::move(found);
+    } else if (cached.entries.empty()) {
+        return tl::unexpected<Common::Error>(found.error());
+    }
+    return cached.entries;
+}
+
+Common::Result<LookupCache::Cached> LookupCache::lookUp(const std::string &service) const
+{
+    Common::Error last(Common::ErrorCode::Unavailable, lookupStep, {}, "no lookup address");
+    for (const Endpoint &lookup : this->lookups) {
+        httplib::Client client(lookup.address, lookup.port);
+        client.set_tcp_nodelay(true);
+        client.set_connection_timeout(absl::ToChronoMilliseconds(this->timeout));
+        client.set_read_timeout(absl::ToChronoMilliseconds(this->timeout));
+        const httplib::Result reply = client.Get("/v1/lookup?service=" + service);
+        if (!reply || reply->status != 200) {
+            last = Common::Error(Common::ErrorCode::Unavailable, lookupStep, lookup.toString(),
+                                 reply ? "status " + std::to_string(reply->status)
+                                       : httplib::to_string(reply.error()));
+            continue;
+        }
+        try {
+            const nlohmann::json body = nlohmann::json::parse(reply->body);
+            Common::Result<std::vector<Entry>> entries = readEntries(body);
+            if (entries) {
+                const absl::Duration ttl = absl::Milliseconds(body.at("ttl_ms").get<int>());
+                return Cached { *std::move(entries), Common::monotonicNow() + ttl, false };
+            }
+            last = entries.error();
+        } catch (const nlohmann::json::exception &error) {
+            last = Common::Error(Common::ErrorCode::InvalidInput, lookupStep, lookup.toString(),
+                                 error.what());
+        }
+    }
+    return tl::unexpected<Common::Error>(last);
+}
+
+} // namespace Currantfall::Load
--- /dev/null
+++ b/Source/Load/LookupCache.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <absl/synchronization/mutex.h>
+#include <absl/time/time.h>
+
+#include "Load/Settings.h"
+#include "currantfall/Common/Error.h"
+#include "currantfall/Common/Time.h"
+
+namespace Currantfall::Load {
+
+struct Entry
+{
+    Endpoint endpoint;
+    /// Empty if the entry VM issues no keys.
+    std::string keyPrefix;
+};
+
+/// Lookup responses of all services, kept for their TTL as clients do. Thread-safe.
+class LookupCache
+{
+public:
+    LookupCache(std::vector<Endpoint> lookups, absl::Duration timeout);
+
+    /// Entry VMs for `service` in order of preference. While one thread refreshes a response, and
+    /// if the refresh fails, the others use the old one.
+    Common::Result<std::vector<Entry>> entries(const std::string &service);
+
+private:
+    struct Cached
+    {
+        std::vector<Entry> entries;
+        Common::Instant expiry;
+        bool refreshing = false;
+    };
+
+    Common::Result<Cached> lookUp(const std::string &service) const;
+
+    std::vector<Endpoint> lookups;
+    absl::Duration timeout;
+    absl::Mutex mutex;
+    std::map<std::string, Cached> cache;
+};
+
+} // namespace Currantfall::Load
--- /dev/null
+++ b/Source/Load/Main.cpp
@@ -0,0 +1,42 @@
+#include <algorithm>
+#include <iostream>
+#include <string>
+
+#include "Load/LoadRun.h"
+#include "Load/ReportText.h"
+#include "Load/Settings.h"
+
+using namespace Currantfall;
+
+namespace {
+
+constexpr int exitSuccess = 0;
+constexpr int exitInvariantBroken = 1;
+constexpr int exitInvalidSettings = 2;
+constexpr int exitUnreachable = 3;
+
+} // namespace
+
+int main(int count, char **arguments)
+{
+    const bool wantsHelp = std::any_of(arguments, arguments + count, [](const char *argument) {
+        return std::string(argument) == "--help";
+    });
+    if (wantsHelp) {
+        std::cout << Load::Settings::help();
+        return exitSuccess;
+    }
+    const Common::Result<Load::Settings> settings = Load::Settings::parse(count, arguments);
+    if (!settings) {
+        std::cerr << settings.error().toString() << "\n";
+        return exitInvalidSettings;
+    }
+    const Common::Result<Load::LoadReport> report = Load::runLoad(*settings);
+    if (!report) {
+        std::cerr << report.error().toString() << "\n";
+        return exitUnreachable;
+    }
+    std::cout << (settings->json ? Load::reportJson(*report, *settings)
+                                 : Load::reportText(*report, *settings));
+    return report->invariantBroken() ? exitInvariantBroken : exitSuccess;
+}
--- /dev/null
+++ b/Source/Load/Settings.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <absl/time/time.h>
+
+#include "currantfall/Common/Error.h"
+
+namespace Currantfall::Load {
+
+/// One kind of request with its own arrival rate.
+struct RequestClass
+{
+    std::string service;
+    std::string tenant;
+    std::string method = "GET";
+    std::string path = "/";
+    /// Mean arrivals per second.
+    double rate = 1.0;
+    std::size_t bodyBytes = 0;
+    /// Sends an idempotency key, as non-idempotent routes require.
+    bool key = false;
+    /// Remaining time that is announced to the entry VM; zero announces none.
+    absl::Duration deadline = absl::ZeroDuration();
+
+    bool idempotent() const;
+    std::string toString() const;
+
+    /// Parses "service=...,tenant=...,method=...,path=...,rate=...,body-bytes=...,key=yes|no,
+    /// deadline-ms=...". Only the service is required.
+    static Common::Result<RequestClass> parse(const std::string &text);
+};
+
+struct Endpoint
+{
+    std::string address;
+    int port = 0;
+
+    std::string toString() const { return this->address + ":" + std::to_string(this->port); }
+    static Common::Result<Endpoint> parse(const std::string &text);
+
+    friend bool operator==(const Endpoint &left, const Endpoint &right) = default;
+};
+
+struct Settings
+{
+    std::vector<Endpoint> lookups;
+    std::vector<Endpoint> direct;
+    std::vector<Endpoint> verify;
+    std::vector<RequestClass> classes;
+    absl::Duration duration = absl::Seconds(10);
+    absl::Duration timeout = absl::Seconds(10);
+    /// Wait between the last answer and the verification, for executions that are still running.
+    absl::Duration settle = absl::Seconds(1);
+    std::uint64_t seed = 1;
+    /// Connections, and threads, of each class. Classes share none, so that the flood of one class
+    /// does not delay another one here.
+    std::size_t connections = 32;
+    /// Pairs of a direct and a steered phase; 0 for one phase.
+    std::size_t alternate = 0;
+    bool json = false;
+
+    /// Reads the command line. An option that is absent there is taken from CURRANTFALL_<NAME>;
+    /// values of repeated options are separated by blanks there.
+    static Common::Result<Settings> parse(int count, const char *const *arguments);
+    static std::string help();
+};
+
+} // namespace Currantfall::Load
--- /dev/null
+++ b/Source/UnitTests/LoadGenerator/LoadRunTest.cpp
@@ -0,0 +1,285 @@
+#include "Load/LoadRun.h"
+
+#include <cstdlib>
+#include <functional>
+#include <httplib.h>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <xxhash.h>
+
+#include <absl/strings/str_cat.h>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "Load/ReportText.h"
+
+using namespace Currantfall::Load;
+
+namespace {
+
+/// Stands for lookups, an entry VM and a backend server on one port.
+class FakeEntry
+{
+public:
+    using Handler = std::function<void(const httplib::Request &, httplib::Response &)>;
+
+    explicit FakeEntry(Handler handler = {}) : handler(std::move(handler))
+    {
+        this->server.set_tcp_nodelay(true);
+        this->server.set_keep_alive_max_count(100000);
+        this->server.Get("/v1/lookup", [this](const httplib::Request &, httplib::Response &reply) {
+            reply.set_content(this->lookupReply(), "application/json");
+        });
+        this->server.Get("/_control/executions", [this](const httplib::Request &,
+                                                        httplib::Response &reply) {
+            const std::lock_guard lock(this->mutex);
+            reply.set_content(nlohmann::json { { "runs", this->runs } }.dump(), "application/json");
+        });
+        const auto serve = [this](const httplib::Request &request, httplib::Response &reply) {
+            this->serve(request, reply);
+        };
+        this->server.Get("/.*", serve);
+        this->server.Post("/.*", serve);
+        this->port = this->server.bind_to_any_port("127.0.0.1");
+        this->thread = std::thread([this] { this->server.listen_after_bind(); });
+        while (!this->server.is_running()) {
+            std::this_thread::yield();
+        }
+    }
+
+    ~FakeEntry()
+    {
+        this->server.stop();
+        this->thread.join();
+    }
+
+    /// An entry VM before this one in lookups, which may not exist.
+    void putBefore(int otherPort) { this->firstPort = otherPort; }
+
+    Endpoint endpoint() const { return { "127.0.0.1", this->port }; }
+
+    void run(const httplib::Request &request, httplib::Response &reply)
+    {
+        const std::string id = request.get_header_value("Currantfall-Request");
+        const XXH64_hash_t hash = XXH3_64bits(request.body.data(), request.body.size());
+        const bool steered = request.path.starts_with("/shop");
+        const nlohmann::json echo { { "service", "shop" },
+                                    { "server", "shop-1" },
+                                    { "method", request.method },
+                                    { "path", steered ? request.path.substr(5) : request.path },
+                                    { "request", id },
+                                    { "body_size", request.body.size() },
+                                    { "body_hash", absl::StrCat(absl::Hex(hash)) } };
+        reply.set_header("Currantfall-Outcome", "answered");
+        reply.set_content(echo.dump(), "application/json");
+        const std::lock_guard lock(this->mutex);
+        ++this->runs[id];
+        this->keys.insert(request.get_header_value("Idempotency-Key"));
+    }
+
+    std::set<std::string> keysSeen()
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->keys;
+    }
+
+private:
+    std::string lookupReply() const
+    {
+        nlohmann::json entries = nlohmann::json::array();
+        for (const int entryPort : { this->firstPort, this->port }) {
+            if (entryPort != 0) {
+                entries.push_back({ { "vm", "vm" },
+                                    { "zone", "z" },
+                                    { "address", "127.0.0.1" },
+                                    { "port", entryPort },
+                                    { "key_prefix", "1~vm~1~-~0~1" } });
+            }
+        }
+        return nlohmann::json { { "ttl_ms", 50 }, { "entries", entries } }.dump();
+    }
+
+    void serve(const httplib::Request &request, httplib::Response &reply)
+    {
+        if (this->handler) {
+            this->handler(request, reply);
+        } else {
+            this->run(request, reply);
+        }
+    }
+
+    Handler handler;
+    httplib::Server server;
+    int port = 0;
+    int firstPort = 0;
+    std::thread thread;
+    std::mutex mutex;
+    std::map<std::string, int> runs;
+    std::set<std::string> keys;
+};
+
+Settings settingsFor(const FakeEntry &entry, const std::string &requestClass)
+{
+    Settings settings;
+    settings.lookups = { entry.endpoint() };
+    settings.verify = { entry.endpoint() };
+    settings.classes = { RequestClass::parse(requestClass).value() };
+    settings.duration = absl::Milliseconds(500);
+    settings.settle = absl::ZeroDuration();
+    settings.connections = 4;
+    return settings;
+}
+
+const std::string order = "service=shop,method=POST,path=/orders,rate=200,body-bytes=100,key=yes";
+
+void setNotRun(httplib::Response &reply)
+{
+    reply.status = 503;
+    reply.headers.erase("Currantfall-Outcome");
+    reply.set_header("Currantfall-Outcome", "not-run");
+}
+
+} // namespace
+
+TEST_CASE("Correct answers break no invariant, and each request has its own key")
+{
+    FakeEntry entry;
+    const LoadReport report = runLoad(settingsFor(entry, order)).value();
+    const ClassResult result = report.total(0, false);
+    REQUIRE(result.requests() > 0);
+    REQUIRE(result.count(CallOutcome::Answered) == result.requests());
+    REQUIRE(entry.keysSeen().size() == result.requests());
+    REQUIRE(entry.keysSeen().begin()->starts_with("1~vm~1~-~0~1."));
+    REQUIRE(!report.invariantBroken());
+}
+
+TEST_CASE("An execution behind a not-run refusal is counted as a false not-run and a duplicate")
+{
+    FakeEntry *self = nullptr;
+    FakeEntry entry([&self](const httplib::Request &request, httplib::Response &reply) {
+        self->run(request, reply);
+        setNotRun(reply);
+    });
+    self = &entry;
+    entry.putBefore(entry.endpoint().port);
+    const LoadReport report = runLoad(settingsFor(entry, order)).value();
+    const ClassResult result = report.total(0, false);
+    REQUIRE(result.requests() > 0);
+    REQUIRE(result.falseNotRun == result.requests());
+    REQUIRE(result.duplicates == result.requests());
+    REQUIRE(report.invariantBroken());
+}
+
+TEST_CASE("The answer to another request is counted as wrong")
+{
+    FakeEntry *self = nullptr;
+    FakeEntry entry([&self](const httplib::Request &request, httplib::Response &reply) {
+        httplib::Request other = request;
+        other.body += "x";
+        self->run(other, reply);
+    });
+    self = &entry;
+    const LoadReport report = runLoad(settingsFor(entry, order)).value();
+    const ClassResult result = report.total(0, false);
+    REQUIRE(result.requests() > 0);
+    REQUIRE(result.count(CallOutcome::WrongAnswer) == result.requests());
+    REQUIRE(report.invariantBroken());
+}
+
+TEST_CASE("A dead first entry costs a second try with the same key, and nothing else")
+{
+    int unusedPort = 0;
+    {
+        const FakeEntry gone;
+        unusedPort = gone.endpoint().port;
+    }
+    FakeEntry entry;
+    entry.putBefore(unusedPort);
+    const ClassResult result = runLoad(settingsFor(entry, order)).value().total(0, false);
+    REQUIRE(result.requests() > 0);
+    REQUIRE(result.count(CallOutcome::Answered) == result.requests());
+    REQUIRE(result.attempts == 2 * result.requests());
+    REQUIRE(entry.keysSeen().begin()->ends_with("-0"));
+}
+
+TEST_CASE("A lost answer without a key is outcome-unknown and not repeated")
+{
+    FakeEntry entry([](const httplib::Request &, httplib::Response &reply) {
+        reply.set_content_provider(100, "text/plain",
+                                   [](size_t, size_t, httplib::DataSink &) { return false; });
+    });
+    entry.putBefore(entry.endpoint().port);
+    const ClassResult result = runLoad(settingsFor(entry, "service=shop,method=POST,rate=50"))
+                                       .value()
+                                       .total(0, false);
+    REQUIRE(result.requests() > 0);
+    REQUIRE(result.count(CallOutcome::OutcomeUnknown) == result.requests());
+    REQUIRE(result.attempts == result.requests());
+}
+
+// Guards against coordinated omission: a slow server must not slow the arrivals down.
+TEST_CASE("Latency counts from the scheduled arrival when all connections are busy")
+{
+    FakeEntry *self = nullptr;
+    FakeEntry entry([&self](const httplib::Request &request, httplib::Response &reply) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        self->run(request, reply);
+    });
+    self = &entry;
+    Settings settings = settingsFor(entry, "service=shop,rate=100");
+    settings.connections = 1;
+    const ClassResult result = runLoad(settings).value().total(0, false);
+    REQUIRE(result.requests() > 20);
+    REQUIRE(result.answered.maximum() > absl::Milliseconds(500));
+}
+
+TEST_CASE("Alternating phases report a ratio for each pair")
+{
+    FakeEntry entry;
+    Settings settings = settingsFor(entry, "service=shop,rate=400");
+    settings.direct = { entry.endpoint() };
+    settings.alternate = 2;
+    const LoadReport report = runLoad(settings).value();
+    REQUIRE(report.phases.size() == 4);
+    REQUIRE(!report.invariantBroken());
+    const auto json = nlohmann::json::parse(reportJson(report, settings));
+    REQUIRE(json.at("pairs").size() == 2);
+    REQUIRE(reportText(report, settings).find("pair 2 shop GET /") != std::string::npos);
+}
+
+TEST_CASE("Settings come from the command line, then from the environment; errors are named")
+{
+    setenv("CURRANTFALL_LOOKUP", "127.0.0.1:1 127.0.0.2:2", 1);
+    setenv("CURRANTFALL_SEED", "5", 1);
+    const char *const arguments[] = { "load",    "--class",   "service=a,rate=2.5,key=yes",
+                                      "--class", "service=b", "--seed=7" };
+    const auto settings = Settings::parse(6, arguments);
+    unsetenv("CURRANTFALL_LOOKUP");
+    unsetenv("CURRANTFALL_SEED");
+    REQUIRE(settings);
+    REQUIRE(settings->lookups.size() == 2);
+    REQUIRE(settings->classes.size() == 2);
+    REQUIRE(settings->classes[0].rate == 2.5);
+    REQUIRE(settings->seed == 7);
+    for (const std::string text : { "", "rate=1", "service=a,rate=x", "service=a,key=maybe" }) {
+        REQUIRE(!RequestClass::parse(text));
+    }
+    REQUIRE(!Endpoint::parse("127.0.0.1"));
+    REQUIRE(!Settings::parse(1, arguments));
+}
+
+TEST_CASE("Quantiles are within 1% and ignore order")
+{
+    LatencyHistogram first;
+    LatencyHistogram second;
+    for (int value = 1; value <= 1000; ++value) {
+        (value % 2 == 0 ? first : second).add(absl::Microseconds(value * 10));
+    }
+    first.merge(second);
+    REQUIRE(absl::ToDoubleMicroseconds(first.quantile(0.5)) == Approx(5000).epsilon(0.011));
+    REQUIRE(absl::ToDoubleMicroseconds(first.quantile(0.99)) == Approx(9900).epsilon(0.011));
+    REQUIRE(first.maximum() == absl::Microseconds(10000));
+}
