--- a/Source/Core/Telemetry/MetricsRegistry.cpp
+++ b/Source/Core/Telemetry/MetricsRegistry.cpp
@@ -8,9 +8,10 @@
 #include <absl/strings/str_cat.h>
 #include <absl/synchronization/mutex.h>
 
-#include "PrometheusText.h"
 #include "currantfall/Telemetry/LatencyHistogram.h"
 
+#include "PrometheusText.h"
+
 namespace Currantfall::Telemetry {
 
 namespace {
--- a/Source/UnitTests/Membership/MembershipBenchmark.cpp
+++ b/Source/UnitTests/Membership/MembershipBenchmark.cpp
@@ -2,7 +2,6 @@
 #include <cstdint>
 #include <ctime>
 #include <iostream>
-#include <malloc.h>
 #include <map>
 #include <memory>
 #include <string>
@@ -10,6 +9,7 @@
 #include <vector>
 
 #include <catch2/catch.hpp>
+#include <malloc.h>
 #include <nlohmann/json.hpp>
 
 #include "currantfall/Membership/MemberTable.h"
--- a/Source/UnitTests/Telemetry/MetricsRegistryTest.cpp
+++ b/Source/UnitTests/Telemetry/MetricsRegistryTest.cpp
@@ -4,11 +4,11 @@
 #include <chrono>
 #include <cmath>
 #include <iostream>
-#include <rapidcheck.h>
 #include <thread>
 
 #include <absl/synchronization/mutex.h>
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 #include "currantfall/Telemetry/LatencyHistogram.h"
 
--- a/Tests/Deployment/DeploymentFixture.cpp
+++ b/Tests/Deployment/DeploymentFixture.cpp
@@ -274,7 +274,8 @@
 CallRecord Callers::call(std::size_t index, std::uint64_t number, const std::string &zone)
 {
     CallRecord record;
-    record.requestId = (this->keyed ? "booking-" : "query-") + std::to_string(index) + "-" + std::to_string(number);
+    record.requestId = (this->keyed ? "booking-" : "query-") + std::to_string(index) + "-"
+                       + std::to_string(number);
     record.keyed = this->keyed;
     record.outcome = "unreachable";
     const json found = this->deployment.lookup(this->keyed ? "bellbook" : "slotview", zone);
