--- /dev/null
+++ b/Source/Core/Configuration/EnvironmentReader.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "currantfall/Configuration/Environment.h"
+
+#include "Cursor.h"
+
+namespace Currantfall::Configuration {
+
+/// Reads and checks a whole document. The result is only meaningful if no diagnostic was added.
+Environment readEnvironment(const Cursor &root);
+
+} // namespace Currantfall::Configuration
--- /dev/null
+++ b/Source/Core/Configuration/ServiceReader.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "currantfall/Configuration/Environment.h"
+
+#include "Cursor.h"
+#include "Definitions.h"
+
+namespace Currantfall::Configuration {
+
+/// Reads an element of "services". Ranks and zones must have been defined.
+Service readService(const Cursor &cursor, Definitions &definitions);
+
+} // namespace Currantfall::Configuration
