Add standin-platform and command-line settings

Process-level tests need the table service, object store and VM list with faults. The stand-in keeps all state in memory; CommandLine reads flags and environment variables for all programs.

--- a/Source/Core/Platform/EnvironmentRow.cpp
+++ b/Source/Core/Platform/EnvironmentRow.cpp
@@ -26,12 +26,17 @@
     }
 }
 
+void requireMember(const json &value, const std::string &path, const std::string &name)
+{
+    require(value.contains(name), path + " to have '" + name + "'");
+}
+
 void requireMembers(const json &value, const std::string &path,
                     std::initializer_list<std::string> names)
 {
     require(value.is_object(), path + " to be an object");
     for (const std::string &name : names) {
-        require(value.contains(name), path + " to have '" + name + "'");
+        requireMember(value, path, name);
     }
     require(value.size() == names.size(), path + " to have no other members");
 }
@@ -60,12 +65,10 @@
 DrainEntry drainOf(const json &value)
 {
     requireMembers(value, "a drain", { "kind", "name", "operator", "operation", "started_ms" });
-    const auto kind = drainKindFromString(text(value, "kind"));
-    require(kind.has_value(), "'kind' to be backend-server, vm, zone or region");
+    auto target = DrainTarget::parse(text(value, "kind"), text(value, "name"));
+    require(target.has_value(), "the kind and name of a drain target");
     require(value["started_ms"].is_number_unsigned(), "'started_ms' to be a whole number");
-    return { { *kind, filledText(value, "name") },
-             text(value, "operator"),
-             filledText(value, "operation"),
+    return { *std::move(target), text(value, "operator"), filledText(value, "operation"),
              absl::FromUnixMillis(value["started_ms"].get<std::int64_t>()) };
 }
 
@@ -113,32 +116,6 @@
 
 } // namespace
 
-std::string toString(DrainKind kind)
-{
-    switch (kind) {
-    case DrainKind::BackendServer:
-        return "backend-server";
-    case DrainKind::Vm:
-        return "vm";
-    case DrainKind::Zone:
-        return "zone";
-    case DrainKind::Region:
-        return "region";
-    }
-    return "unknown";
-}
-
-std::optional<DrainKind> drainKindFromString(const std::string &text)
-{
-    for (const DrainKind kind :
-         { DrainKind::BackendServer, DrainKind::Vm, DrainKind::Zone, DrainKind::Region }) {
-        if (text == toString(kind)) {
-            return kind;
-        }
-    }
-    return std::nullopt;
-}
-
 Common::Result<EnvironmentRow> EnvironmentRow::fromJson(const json &value)
 {
     try {
@@ -213,8 +190,8 @@
 {
     if (const DrainEntry *drain = this->findDrain(target); drain != nullptr) {
         return Common::failure(Common::ErrorCode::Refused, "start drain", {},
-                               toString(target.kind) + " " + target.name
-                                       + " is already being drained by " + drain->operatorName);
+                               target.toString() + " is already being drained by "
+                                       + drain->operatorName);
     }
     EnvironmentRow row = *this;
     // Whole milliseconds, so that the row is equal to its JSON form read back.
@@ -230,7 +207,7 @@
 {
     if (this->findDrain(target) == nullptr) {
         return Common::failure(Common::ErrorCode::NotFound, "finish drain", {},
-                               toString(target.kind) + " " + target.name + " is not being drained");
+                               target.toString() + " is not being drained");
     }
     EnvironmentRow row = *this;
     std::erase_if(row.currentDrains,
--- /dev/null
+++ b/Source/Standins/Platform/Main.cpp
@@ -0,0 +1,120 @@
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+#include <nlohmann/json.hpp>
+
+#include "PlatformServer.h"
+#include "currantfall/Common/CommandLine.h"
+
+namespace {
+
+using namespace Currantfall;
+
+constexpr int exitFailed = 1;
+constexpr int exitInvalid = 2;
+
+const std::vector<Common::Flag> flags = {
+    { "address", "IP address to listen on, default 127.0.0.1", "IP" },
+    { "port", "port to listen on, default 0: chosen by the system", "PORT" },
+    { "vms", "JSON array with the initial entries of GET /vms", "FILE" },
+    { "reads-per-s", "reads allowed per second, default 0: unlimited", "N" },
+    { "writes-per-s", "writes allowed per second, default 0: unlimited", "N" },
+    { "threads", "connections served at the same time, default 128", "N" },
+    { "help", "print this help", "" },
+};
+
+Common::Result<Standins::PlatformServerSettings> settingsOf(const Common::CommandLine &line)
+{
+    constexpr long maxRate = 1'000'000;
+    const auto port = line.number("port", 0, 0, 65535);
+    const auto reads = line.number("reads-per-s", 0, 0, maxRate);
+    const auto writes = line.number("writes-per-s", 0, 0, maxRate);
+    const auto threads = line.number("threads", 128, 1, 1024);
+    for (const auto &number : { port, reads, writes, threads }) {
+        if (!number) {
+            return tl::unexpected<Common::Error>(number.error());
+        }
+    }
+    if (!line.positional().empty()) {
+        return Common::failure(Common::ErrorCode::InvalidInput, "read settings", {},
+                               "unexpected argument '" + line.positional().front() + "'");
+    }
+    return Standins::PlatformServerSettings { line.valueOr("address", "127.0.0.1"),
+                                              static_cast<int>(*port), static_cast<double>(*reads),
+                                              static_cast<double>(*writes),
+                                              static_cast<std::size_t>(*threads) };
+}
+
+Common::Result<void> presetVms(const Common::CommandLine &line, Standins::VmDirectory &vms)
+{
+    const auto path = line.value("vms");
+    if (!path) {
+        return {};
+    }
+    const std::ifstream file(*path);
+    if (!file) {
+        return Common::failure(Common::ErrorCode::InvalidInput, "read " + *path);
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    return vms.preset(text.str());
+}
+
+int fail(const Common::Error &error, int code)
+{
+    std::cerr << "standin-platform: " << error.toString() << "\n";
+    return code;
+}
+
+int serve(Standins::PlatformServer &server, const std::string &address, const sigset_t &signals)
+{
+    const auto port = server.bind();
+    if (!port) {
+        return fail(port.error(), exitFailed);
+    }
+    std::thread listener([&server] { server.run(); });
+    while (!server.running()) {
+        std::this_thread::yield();
+    }
+    const nlohmann::json line = { { "listening", address + ":" + std::to_string(*port) } };
+    std::cout << line.dump() << std::endl;
+    int signal = 0;
+    sigwait(&signals, &signal);
+    server.stop();
+    listener.join();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    // Blocked before the first thread starts, so that only sigwait() takes them.
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+
+    const auto line = Common::CommandLine::parse(flags, "STANDIN_PLATFORM_", argc, argv);
+    if (!line) {
+        return fail(line.error(), exitInvalid);
+    }
+    if (line->enabled("help")) {
+        std::cout << "standin-platform: in-memory table service, object store and VM list\n"
+                  << Common::CommandLine::describe(flags);
+        return 0;
+    }
+    const auto settings = settingsOf(*line);
+    if (!settings) {
+        return fail(settings.error(), exitInvalid);
+    }
+    Standins::PlatformServer server(*settings);
+    if (auto preset = presetVms(*line, server.vms()); !preset) {
+        return fail(preset.error(), exitInvalid);
+    }
+    return serve(server, settings->address, signals);
+}
--- /dev/null
+++ b/Source/Standins/Platform/VmDirectory.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/time/time.h>
+#include <nlohmann/json.hpp>
+
+#include "currantfall/Common/Error.h"
+#include "currantfall/Common/Time.h"
+
+namespace Currantfall::Standins {
+
+/// The list of VMs with its past states, so that it can be shown with a lag. Thread-safe.
+class VmDirectory
+{
+public:
+    /// Past states are kept this long, which limits the lag.
+    static constexpr absl::Duration maxLag = absl::Minutes(15);
+
+    /// Sets the initial list from a JSON array of entries of `GET /vms`.
+    Common::Result<void> preset(const std::string &text);
+
+    /// Adds or replaces one VM; `entry` needs no "vm", and "state" is "live" if absent.
+    Common::Result<void> put(const std::string &vm, nlohmann::json entry, Common::Instant now);
+    /// False if there is no such VM.
+    bool remove(const std::string &vm, Common::Instant now);
+
+    /// The body of `GET /vms` as of `now - lag`.
+    nlohmann::json listing(Common::Instant now, absl::Duration lag) const;
+
+private:
+    using Vms = std::map<std::string, nlohmann::json>;
+    struct Snapshot
+    {
+        Common::Instant since;
+        Vms vms;
+    };
+
+    void record(Vms vms, Common::Instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+
+    mutable absl::Mutex mutex;
+    /// Ascending; the first one holds for all earlier times.
+    std::deque<Snapshot> snapshots ABSL_GUARDED_BY(mutex) = { Snapshot {} };
+};
+
+} // namespace Currantfall::Standins
--- a/include/currantfall/Platform/EnvironmentRow.h
+++ b/include/currantfall/Platform/EnvironmentRow.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <optional>
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -9,30 +9,15 @@
 
 #include "currantfall/Common/Error.h"
 #include "currantfall/Common/Names.h"
+#include "currantfall/Drain/DrainTarget.h"
 
 namespace Currantfall::Platform {
 
 /// The table that has one row per environment, keyed by the environment's name.
 inline constexpr const char *environmentsTable = "environments";
 
-enum class DrainKind {
-    BackendServer,
-    Vm,
-    Zone,
-    Region
-};
-
-/// "backend-server", "vm", "zone" or "region", as on the wire.
-std::string toString(DrainKind kind);
-std::optional<DrainKind> drainKindFromString(const std::string &text);
-
-struct DrainTarget
-{
-    DrainKind kind = DrainKind::Zone;
-    std::string name;
-
-    friend auto operator<=>(const DrainTarget &left, const DrainTarget &right) = default;
-};
+using Drain::DrainKind;
+using Drain::DrainTarget;
 
 /// A drain that has been started and not finished.
 struct DrainEntry
--- a/include/currantfall/Platform/HostPort.h
+++ b/include/currantfall/Platform/HostPort.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <string>
 
 #include "currantfall/Common/Error.h"
@@ -17,7 +16,7 @@
     static Common::Result<HostPort> parse(const std::string &text);
     std::string toString() const;
 
-    friend auto operator<=>(const HostPort &left, const HostPort &right) = default;
+    friend bool operator==(const HostPort &left, const HostPort &right) = default;
 };
 
 } // namespace Currantfall::Platform
--- a/include/currantfall/Platform/PlatformClient.h
+++ b/include/currantfall/Platform/PlatformClient.h
@@ -12,7 +12,7 @@
 #include "currantfall/Common/Names.h"
 #include "currantfall/Common/Time.h"
 
-namespace httplib {
+namespace httplib { // NOLINT(readability-identifier-naming)
 class Client;
 }
 
