Add the operator tool

Operators need check, diff, promote, rollback, drain, status and lookup with the documented exit codes. Each command is one file over the Platform and Drain modules; the headroom check of a drain runs against the row that the conditional write names.

--- a/Source/Core/Common/CommandLine.cpp
+++ b/Source/Core/Common/CommandLine.cpp
@@ -96,7 +96,7 @@
     }
     for (const Flag &flag : flags) {
         const auto found = line.settings.find(flag.name);
-        if (found == line.settings.end() && !environmentPrefix.empty()) {
+        if (found == line.settings.end() && flag.hasVariable && !environmentPrefix.empty()) {
             if (auto added = addVariable(flag, environmentPrefix, line.settings); !added) {
                 return tl::unexpected<Error>(added.error());
             }
--- /dev/null
+++ b/Source/Tool/Daemons.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "ToolSettings.h"
+#include "VmStatus.h"
+#include "currantfall/Platform/HostPort.h"
+#include "currantfall/Platform/PlatformClient.h"
+
+namespace Currantfall::Tool {
+
+/// Offset of the admin port from the port base of an entry VM.
+inline constexpr int adminPortOffset = 9;
+
+/// A daemon to be asked.
+struct Daemon
+{
+    Platform::HostPort admin;
+    /// The entry of the platform's list; absent for --daemon.
+    std::optional<Platform::ListedVm> listed;
+
+    /// The listed name, or the admin address.
+    std::string name() const;
+    /// True unless the platform lists it as leaving.
+    bool expectedLive() const;
+    Platform::HostPort lookups() const;
+};
+
+struct DaemonReport
+{
+    Daemon daemon;
+    Common::Result<VmStatus> status;
+};
+
+/// The daemons of --daemon or, without it, of the platform's list.
+Common::Result<std::vector<Daemon>> findDaemons(const ToolSettings &settings);
+
+/// Asks all daemons at the same time; the reports have the order of `daemons`.
+std::vector<DaemonReport> askDaemons(const std::vector<Daemon> &daemons, absl::Duration timeout);
+
+/// The body of a successful GET. Errors: Unavailable without an answer, Refused for other statuses.
+Common::Result<std::string> fetch(const Platform::HostPort &server, const std::string &path,
+                                  absl::Duration timeout);
+
+} // namespace Currantfall::Tool
--- /dev/null
+++ b/Source/Tool/LoadSurvey.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <vector>
+
+#include "Daemons.h"
+#include "currantfall/Drain/HeadroomCheck.h"
+
+namespace Currantfall::Tool {
+
+/// The load per zone and service as reported by the VMs of each zone. The load of VMs that did not
+/// report is taken to be that of the others in their zone.
+std::vector<Drain::ServiceLoad> serviceLoads(const std::vector<DaemonReport> &reports);
+
+/// Refuses if less than two thirds of the live VMs, or less than half of those of a zone, reported
+/// their load: the headroom of the rest would be a guess.
+Common::Result<void> requireLoadData(const std::vector<DaemonReport> &reports);
+
+} // namespace Currantfall::Tool
--- a/include/currantfall/Common/CommandLine.h
+++ b/include/currantfall/Common/CommandLine.h
@@ -17,6 +17,8 @@
     /// Shown in the help, such as "HOST:PORT". Empty for a switch without a value.
     std::string valueName;
     bool repeatable = false;
+    /// False for flags of a single run, such as --force, which a variable must not turn on for all.
+    bool hasVariable = true;
 };
 
 /// The settings of one run. A flag that is not on the command line is taken from the environment
