Estimate the load of zones without a report

A zone whose slots a VM of another zone owns has no report, and the headroom check takes a missing load as zero. Its load is now that of the most loaded zone of its region.

--- a/Source/Tool/DrainCommand.cpp
+++ b/Source/Tool/DrainCommand.cpp
@@ -69,19 +69,6 @@
     return {};
 }
 
-/// Loads of services that the document does not have, reported by VMs with another revision, are
-/// left out.
-std::vector<Drain::ServiceLoad> loadsFor(const Configuration::Environment &environment,
-                                         const std::vector<DaemonReport> &reports)
-{
-    std::vector<Drain::ServiceLoad> loads = serviceLoads(reports);
-    std::erase_if(loads, [&](const Drain::ServiceLoad &load) {
-        return environment.findService(load.service) == nullptr
-               || environment.regionOf(load.zone) == nullptr;
-    });
-    return loads;
-}
-
 Common::Result<void> requireHeadroom(const Run &run, const Configuration::Environment &environment,
                                      const Platform::EnvironmentRow &row,
                                      const std::vector<DaemonReport> &reports)
@@ -91,7 +78,7 @@
         drains.push_back(drain.target);
     }
     const auto verdict = Drain::HeadroomCheck::create().and_then([&](const auto &check) {
-        return check.evaluate(environment, drains, run.target, loadsFor(environment, reports));
+        return check.evaluate(environment, drains, run.target, serviceLoads(reports, environment));
     });
     if (!verdict) {
         return refuseUnlessForced(run, verdict.error());
--- a/Source/Tool/LoadSurvey.cpp
+++ b/Source/Tool/LoadSurvey.cpp
@@ -1,6 +1,8 @@
 #include "LoadSurvey.h"
 
+#include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -30,20 +32,9 @@
     return report.status ? report.status->zone.value() : report.daemon.name();
 }
 
-std::string missingNames(const std::vector<DaemonReport> &reports)
-{
-    std::string names;
-    for (const DaemonReport &report : reports) {
-        if (report.daemon.expectedLive() && !hasLoad(report)) {
-            names += (names.empty() ? "" : ", ") + report.daemon.name();
-        }
-    }
-    return names;
-}
+using Fractions = std::map<std::pair<Common::ZoneName, Common::ServiceName>, double>;
 
-} // namespace
-
-std::vector<Drain::ServiceLoad> serviceLoads(const std::vector<DaemonReport> &reports)
+Fractions reportedFractions(const std::vector<DaemonReport> &reports)
 {
     std::map<std::pair<Common::ZoneName, Common::ServiceName>, SlotUse> sums;
     for (const DaemonReport &report : reports) {
@@ -56,11 +47,57 @@
             sum.inUse += use.inUse;
         }
     }
-    std::vector<Drain::ServiceLoad> loads;
+    Fractions fractions;
     for (const auto &[place, sum] : sums) {
         if (sum.slots > 0) {
-            loads.push_back({ place.first, place.second,
-                              static_cast<double>(sum.inUse) / static_cast<double>(sum.slots) });
+            fractions[place] = static_cast<double>(sum.inUse) / static_cast<double>(sum.slots);
+        }
+    }
+    return fractions;
+}
+
+double highestInRegion(const Fractions &fractions, const Configuration::Region *region,
+                       const Common::ServiceName &service)
+{
+    double highest = 0.0;
+    for (const Common::ZoneName &zone :
+         region == nullptr ? std::vector<Common::ZoneName> {} : region->zones) {
+        const auto found = fractions.find({ zone, service });
+        highest = found == fractions.end() ? highest : std::max(highest, found->second);
+    }
+    return highest;
+}
+
+std::string missingNames(const std::vector<DaemonReport> &reports)
+{
+    std::string names;
+    for (const DaemonReport &report : reports) {
+        if (report.daemon.expectedLive() && !hasLoad(report)) {
+            names += (names.empty() ? "" : ", ") + report.daemon.name();
+        }
+    }
+    return names;
+}
+
+} // namespace
+
+std::vector<Drain::ServiceLoad> serviceLoads(const std::vector<DaemonReport> &reports,
+                                             const Configuration::Environment &environment)
+{
+    const Fractions reported = reportedFractions(reports);
+    std::vector<Drain::ServiceLoad> loads;
+    for (const Configuration::Service &service : environment.services) {
+        std::set<Common::ZoneName> zones;
+        for (const Configuration::BackendServer &server : service.backendServers) {
+            zones.insert(server.zone);
+        }
+        for (const Common::ZoneName &zone : zones) {
+            const auto own = reported.find({ zone, service.name });
+            const double fraction
+                    = own == reported.end()
+                              ? highestInRegion(reported, environment.regionOf(zone), service.name)
+                              : own->second;
+            loads.push_back({ zone, service.name, fraction });
         }
     }
     return loads;
--- a/Source/Tool/LoadSurvey.h
+++ b/Source/Tool/LoadSurvey.h
@@ -3,13 +3,18 @@
 #include <vector>
 
 #include "Daemons.h"
+#include "currantfall/Configuration/Environment.h"
 #include "currantfall/Drain/HeadroomCheck.h"
 
 namespace Currantfall::Tool {
 
 /// The load per zone and service as reported by the VMs of each zone. The load of VMs that did not
-/// report is taken to be that of the others in their zone.
-std::vector<Drain::ServiceLoad> serviceLoads(const std::vector<DaemonReport> &reports);
+/// report is taken to be that of the others in their zone. A zone without a report, such as one
+/// whose slots a VM of another zone owns, is taken to be as loaded as the most loaded one of its
+/// region. Services and zones that the document does not have are left out: they come from VMs with
+/// another revision.
+std::vector<Drain::ServiceLoad> serviceLoads(const std::vector<DaemonReport> &reports,
+                                             const Configuration::Environment &environment);
 
 /// Refuses if less than two thirds of the live VMs, or less than half of those of a zone, reported
 /// their load: the headroom of the rest would be a guess.
