--- a/Source/Core/Platform/EnvironmentRow.cpp
+++ b/Source/Core/Platform/EnvironmentRow.cpp
@@ -67,9 +67,10 @@
     requireMembers(value, "a drain", { "kind", "name", "operator", "operation", "started_ms" });
     auto target = DrainTarget::parse(text(value, "kind"), text(value, "name"));
     require(target.has_value(), "the kind and name of a drain target");
-    require(value["started_ms"].is_number_unsigned(), "'started_ms' to be a whole number");
+    const json &started = value["started_ms"];
+    require(started.is_number_integer() && started >= 0, "'started_ms' to be a whole number");
     return { *std::move(target), text(value, "operator"), filledText(value, "operation"),
-             absl::FromUnixMillis(value["started_ms"].get<std::int64_t>()) };
+             absl::FromUnixMillis(started.get<std::int64_t>()) };
 }
 
 HistoryEntry historyOf(const json &value)
