Test doubts that later failures must not clear

Trial mutants of the revision store showed two gaps: clearing the doubt after a write that was not sent, and repeating a write to a row that disappeared. Both mutants now fail a test.

--- a/Source/UnitTests/Platform/FakePlatform.h
+++ b/Source/UnitTests/Platform/FakePlatform.h
@@ -44,9 +44,9 @@
             return unanswered("read");
         }
         const auto found = this->rows.find(key);
-        const auto result = found == this->rows.end() ? Common::Result<VersionedRow>(
-                                    Common::failure(Common::ErrorCode::NotFound, "read"))
-                                                      : found->second;
+        auto result = found == this->rows.end() ? Common::Result<VersionedRow>(
+                              Common::failure(Common::ErrorCode::NotFound, "read"))
+                                                : found->second;
         for (const auto &late : std::exchange(this->inFlight, {})) {
             late();
         }
@@ -115,6 +115,8 @@
         this->rows[key] = { value, std::to_string(++this->lastVersion) };
     }
 
+    void removeRow(const std::string &key) { this->rows.erase(key); }
+
     /// Operations are named op-1, op-2, ...
     auto store()
     {
--- a/Source/UnitTests/Platform/RevisionStoreTest.cpp
+++ b/Source/UnitTests/Platform/RevisionStoreTest.cpp
@@ -226,6 +226,28 @@
     REQUIRE(mentions(result.error(), "op-1"));
 }
 
+TEST_CASE("A lost write stays in doubt when the writes after it were not sent")
+{
+    FakePlatform platform;
+    platform.writeFaults.assign(1000, WriteFault::NotSent);
+    platform.writeFaults.push_front(WriteFault::LostBefore);
+    const auto result = platform.store().promote("a", "ana");
+    REQUIRE_FALSE(result);
+    REQUIRE(isResultUnknown(result.error()));
+}
+
+TEST_CASE("A lost write to a row that has disappeared is in doubt and not repeated")
+{
+    FakePlatform platform;
+    REQUIRE(platform.store().promote("a", "ana"));
+    platform.writeFaults = { WriteFault::LostBefore };
+    platform.beforeWrite = [&] { platform.removeRow("trial"); };
+    const auto result = platform.store().promote("b", "ana");
+    REQUIRE_FALSE(result);
+    REQUIRE(isResultUnknown(result.error()));
+    REQUIRE(platform.writes == 2);
+}
+
 TEST_CASE("A lost answer is found in the history while the history reaches back to it")
 {
     // The write is followed by this many revisions of another operator before the row is read.
