Test the operator tool against standin-platform as processes

Unit tests do not cover the real connections, exit codes and concurrent operators. ProcessFixture starts, stops and pauses programs for all process-level tests. The stand-in's rates may be fractions, so that a test can hold a promotion between its two writes.

--- a/Source/Standins/Platform/Main.cpp
+++ b/Source/Standins/Platform/Main.cpp
@@ -4,6 +4,7 @@
 #include <sstream>
 #include <thread>
 
+#include <absl/strings/numbers.h>
 #include <nlohmann/json.hpp>
 
 #include "PlatformServer.h"
@@ -26,25 +27,40 @@
     { "help", "print this help", "" },
 };
 
+/// A rate that may be a fraction.
+Common::Result<double> rateOf(const Common::CommandLine &line, const std::string &flag)
+{
+    const std::string text = line.valueOr(flag, "0");
+    double rate = 0.0;
+    if (!absl::SimpleAtod(text, &rate) || !(rate >= 0.0 && rate <= 1e6)) {
+        return Common::failure(Common::ErrorCode::InvalidInput, "read settings", {},
+                               "--" + flag + ": expected 0 to 1000000, found '" + text + "'");
+    }
+    return rate;
+}
+
 Common::Result<Standins::PlatformServerSettings> settingsOf(const Common::CommandLine &line)
 {
-    constexpr long maxRate = 1'000'000;
     const auto port = line.number("port", 0, 0, 65535);
-    const auto reads = line.number("reads-per-s", 0, 0, maxRate);
-    const auto writes = line.number("writes-per-s", 0, 0, maxRate);
+    const auto reads = rateOf(line, "reads-per-s");
+    const auto writes = rateOf(line, "writes-per-s");
     const auto threads = line.number("threads", 128, 1, 1024);
-    for (const auto &number : { port, reads, writes, threads }) {
+    for (const auto &number : { port, threads }) {
         if (!number) {
             return tl::unexpected<Common::Error>(number.error());
         }
     }
+    for (const auto &rate : { reads, writes }) {
+        if (!rate) {
+            return tl::unexpected<Common::Error>(rate.error());
+        }
+    }
     if (!line.positional().empty()) {
         return Common::failure(Common::ErrorCode::InvalidInput, "read settings", {},
                                "unexpected argument '" + line.positional().front() + "'");
     }
     return Standins::PlatformServerSettings { line.valueOr("address", "127.0.0.1"),
-                                              static_cast<int>(*port), static_cast<double>(*reads),
-                                              static_cast<double>(*writes),
+                                              static_cast<int>(*port), *reads, *writes,
                                               static_cast<std::size_t>(*threads) };
 }
 
--- a/Source/Standins/Platform/RateLimit.cpp
+++ b/Source/Standins/Platform/RateLimit.cpp
@@ -4,7 +4,9 @@
 
 namespace Currantfall::Standins {
 
-RateLimit::RateLimit(double perSecond) : perSecond(perSecond), tokens(perSecond) { }
+RateLimit::RateLimit(double perSecond)
+    : perSecond(perSecond), capacity(std::max(1.0, perSecond)), tokens(this->capacity)
+{ }
 
 bool RateLimit::allow(Common::Instant now)
 {
@@ -13,7 +15,7 @@
     }
     const absl::MutexLock lock(&this->mutex);
     const double elapsed = absl::ToDoubleSeconds(now - this->refilled);
-    this->tokens = std::min(this->perSecond, this->tokens + elapsed * this->perSecond);
+    this->tokens = std::min(this->capacity, this->tokens + elapsed * this->perSecond);
     this->refilled = now;
     if (this->tokens < 1.0) {
         return false;
--- a/Source/Standins/Platform/RateLimit.h
+++ b/Source/Standins/Platform/RateLimit.h
@@ -7,7 +7,7 @@
 
 namespace Currantfall::Standins {
 
-/// A token bucket that holds one second's worth of operations. Thread-safe.
+/// A token bucket that holds one second's worth of operations, but at least one. Thread-safe.
 class RateLimit
 {
 public:
@@ -18,6 +18,7 @@
 
 private:
     const double perSecond;
+    const double capacity;
     absl::Mutex mutex;
     double tokens ABSL_GUARDED_BY(mutex);
     Common::Instant refilled ABSL_GUARDED_BY(mutex);
--- a/Source/Tool/DrainCommand.cpp
+++ b/Source/Tool/DrainCommand.cpp
@@ -15,9 +15,6 @@
 
 using Common::ErrorCode;
 
-/// Upper bound for the answer of one daemon; a daemon that is slower counts as not heard from.
-constexpr absl::Duration daemonTimeout = absl::Seconds(2);
-
 /// One run of the command.
 struct Run
 {
@@ -36,7 +33,7 @@
 Common::Result<std::vector<DaemonReport>> askAll(const Run &run)
 {
     return findDaemons(run.settings).map([&](const std::vector<Daemon> &daemons) {
-        return askDaemons(daemons, std::min(run.settings.timeout, daemonTimeout));
+        return askDaemons(daemons, run.settings.daemonTimeout());
     });
 }
 
--- a/Source/Tool/LookupCommand.cpp
+++ b/Source/Tool/LookupCommand.cpp
@@ -55,7 +55,7 @@
             continue;
         }
         const auto body = fetch(daemon.lookups(), "/v1/lookup?service=" + service,
-                                std::min(remaining, absl::Seconds(2)));
+                                std::min(remaining, settings.daemonTimeout()));
         if (!body) {
             failure = body.error();
             continue;
--- a/Source/Tool/StatusCommand.cpp
+++ b/Source/Tool/StatusCommand.cpp
@@ -1,4 +1,3 @@
-#include <algorithm>
 #include <map>
 #include <optional>
 #include <utility>
@@ -176,7 +175,7 @@
     if (!daemons) {
         return output.fail(daemons.error());
     }
-    overview.reports = askDaemons(*daemons, std::min(settings.timeout, absl::Seconds(2)));
+    overview.reports = askDaemons(*daemons, settings.daemonTimeout());
     if (!daemons->empty() && overview.notHeard().size() == daemons->size()) {
         code = ExitCode::Unreachable;
     }
--- a/Source/Tool/ToolSettings.h
+++ b/Source/Tool/ToolSettings.h
@@ -34,6 +34,9 @@
 
     static std::string usage();
 
+    /// Upper bound for the answer of one daemon; a slower one counts as not heard from.
+    absl::Duration daemonTimeout() const { return this->timeout / 4; }
+
     /// The value of a setting that the command needs.
     Common::Result<std::string> required(const std::optional<std::string> &value,
                                          const std::string &flag) const;
--- /dev/null
+++ b/Tests/Support/ProcessFixture.cpp
@@ -0,0 +1,187 @@
+#include "Support/ProcessFixture.h"
+
+#include <cerrno>
+#include <stdexcept>
+#include <sys/mman.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <system_error>
+#include <unistd.h>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace Currantfall::Tests {
+
+namespace {
+
+[[noreturn]] void throwSystemError(const std::string &step)
+{
+    throw std::system_error(errno, std::generic_category(), step);
+}
+
+int createFile(const char *name)
+{
+    const int file = memfd_create(name, MFD_CLOEXEC);
+    if (file < 0) {
+        throwSystemError("memfd_create");
+    }
+    return file;
+}
+
+std::string readAll(int file)
+{
+    std::string text;
+    char buffer[4096];
+    for (;;) {
+        const ssize_t count = pread(file, buffer, sizeof(buffer), static_cast<off_t>(text.size()));
+        if (count <= 0) {
+            return text;
+        }
+        text.append(buffer, static_cast<std::size_t>(count));
+    }
+}
+
+std::vector<char *> pointersTo(std::vector<std::string> &texts)
+{
+    std::vector<char *> pointers;
+    pointers.reserve(texts.size() + 1);
+    for (std::string &text : texts) {
+        pointers.push_back(text.data());
+    }
+    pointers.push_back(nullptr);
+    return pointers;
+}
+
+std::vector<std::string> environmentWith(const std::vector<std::string> &variables)
+{
+    std::vector<std::string> all;
+    for (char **variable = environ; *variable != nullptr; ++variable) {
+        all.emplace_back(*variable);
+    }
+    all.insert(all.end(), variables.begin(), variables.end());
+    return all;
+}
+
+/// Runs in the child between fork and exec, where only async-signal-safe calls are allowed.
+[[noreturn]] void becomeProgram(char *const *arguments, char *const *variables, int outputFile,
+                                int errorFile, pid_t parent)
+{
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (getppid() != parent) {
+        _exit(127); // The parent ended before the death signal was set.
+    }
+    sigset_t none;
+    sigemptyset(&none);
+    sigprocmask(SIG_SETMASK, &none, nullptr);
+    dup2(outputFile, STDOUT_FILENO);
+    dup2(errorFile, STDERR_FILENO);
+    // Sockets of servers in the test process must not stay open in the child.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
+    execve(arguments[0], arguments, variables);
+    _exit(127);
+}
+
+} // namespace
+
+ProcessFixture::ProcessFixture(const std::string &program,
+                               const std::vector<std::string> &arguments,
+                               const std::vector<std::string> &variables)
+    : outputFile(createFile("output")), errorFile(createFile("errors"))
+{
+    std::vector<std::string> argumentTexts = { program };
+    argumentTexts.insert(argumentTexts.end(), arguments.begin(), arguments.end());
+    std::vector<std::string> variableTexts = environmentWith(variables);
+    const std::vector<char *> argumentPointers = pointersTo(argumentTexts);
+    const std::vector<char *> variablePointers = pointersTo(variableTexts);
+    const pid_t parent = getpid();
+    this->process = fork();
+    if (this->process < 0) {
+        throwSystemError("fork");
+    }
+    if (this->process == 0) {
+        becomeProgram(argumentPointers.data(), variablePointers.data(), this->outputFile,
+                      this->errorFile, parent);
+    }
+}
+
+ProcessFixture::ProcessFixture(ProcessFixture &&other) noexcept
+    : process(std::exchange(other.process, -1)), outputFile(std::exchange(other.outputFile, -1)),
+      errorFile(std::exchange(other.errorFile, -1)), exitCode(other.exitCode)
+{ }
+
+ProcessFixture::~ProcessFixture()
+{
+    if (this->process > 0 && this->running()) {
+        ::kill(this->process, SIGKILL);
+        waitpid(this->process, nullptr, 0);
+    }
+    close(this->outputFile);
+    close(this->errorFile);
+}
+
+std::string ProcessFixture::waitListening()
+{
+    for (;;) {
+        const bool alive = this->running();
+        const std::string text = this->output();
+        const std::size_t end = text.find('\n');
+        if (end != std::string::npos) {
+            return nlohmann::json::parse(text.substr(0, end)).at("listening").get<std::string>();
+        }
+        if (!alive) {
+            throw std::runtime_error("the program ended before it listened: " + this->errors());
+        }
+        pauseBetweenChecks();
+    }
+}
+
+bool ProcessFixture::running()
+{
+    if (this->exitCode) {
+        return false;
+    }
+    int status = 0;
+    const pid_t ended = waitpid(this->process, &status, WNOHANG);
+    if (ended < 0) {
+        throwSystemError("waitpid");
+    }
+    if (ended == 0) {
+        return true;
+    }
+    constexpr int signalBase = 128;
+    this->exitCode = WIFEXITED(status) ? WEXITSTATUS(status) : signalBase + WTERMSIG(status);
+    return false;
+}
+
+int ProcessFixture::wait()
+{
+    waitUntil([this] { return !this->running(); });
+    return *this->exitCode;
+}
+
+std::string ProcessFixture::output() const
+{
+    return readAll(this->outputFile);
+}
+
+std::string ProcessFixture::errors() const
+{
+    return readAll(this->errorFile);
+}
+
+void ProcessFixture::signal(int number)
+{
+    // Once the process was waited for, its id may belong to another one.
+    if (this->running() && ::kill(this->process, number) != 0) {
+        throwSystemError("kill");
+    }
+}
+
+void pauseBetweenChecks()
+{
+    constexpr useconds_t pauseMicroseconds = 2000;
+    usleep(pauseMicroseconds);
+}
+
+} // namespace Currantfall::Tests
