Lock with the standard library in standin-platform

Debian's Abseil is not instrumented, so that ThreadSanitizer sees no synchronisation in absl::Mutex and would report false races.

--- a/Source/Standins/Platform/FaultPlan.cpp
+++ b/Source/Standins/Platform/FaultPlan.cpp
@@ -75,7 +75,7 @@
         return Common::failure(Common::ErrorCode::InvalidInput, "apply faults", {},
                                "expected an object");
     }
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     Faults next = this->faults;
     for (const auto &[name, value] : change.items()) {
         if (!applyMember(name, value, next)) {
@@ -89,13 +89,13 @@
 
 Faults FaultPlan::current() const
 {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     return this->faults;
 }
 
 bool FaultPlan::takeLostAnswer()
 {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     if (this->faults.loseAnswers == 0) {
         return false;
     }
--- a/Source/Standins/Platform/FaultPlan.h
+++ b/Source/Standins/Platform/FaultPlan.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
+#include <mutex>
+
 #include <absl/time/time.h>
 #include <nlohmann/json.hpp>
 
@@ -40,8 +40,8 @@
     bool takeLostAnswer();
 
 private:
-    mutable absl::Mutex mutex;
-    Faults faults ABSL_GUARDED_BY(mutex);
+    mutable std::mutex mutex;
+    Faults faults;
 };
 
 } // namespace Currantfall::Standins
--- a/Source/Standins/Platform/PlatformServer.cpp
+++ b/Source/Standins/Platform/PlatformServer.cpp
@@ -104,7 +104,11 @@
 
 void PlatformServer::stop()
 {
-    this->stopping.Notify();
+    {
+        const std::lock_guard lock(this->mutex);
+        this->stopping = true;
+    }
+    this->stopped.notify_all();
     this->server.stop();
     dropAllConnections();
 }
@@ -180,7 +184,7 @@
 bool PlatformServer::answersNormally(Access access, const httplib::Request &request,
                                      httplib::Response &response)
 {
-    this->stopping.WaitForNotificationWithTimeout(this->faults.current().delay);
+    this->delay();
     switch (this->faults.current().outage) {
     case Outage::None:
         break;
@@ -202,6 +206,13 @@
     return true;
 }
 
+void PlatformServer::delay()
+{
+    const auto duration = absl::ToChronoMilliseconds(this->faults.current().delay);
+    std::unique_lock lock(this->mutex);
+    this->stopped.wait_for(lock, duration, [this] { return this->stopping; });
+}
+
 void PlatformServer::drop(const httplib::Request &request)
 {
     this->count("dropped");
@@ -210,7 +221,7 @@
 
 void PlatformServer::count(const std::string &counter)
 {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     ++this->counters[counter];
 }
 
@@ -303,7 +314,7 @@
     for (const char *counter :
          { "reads", "writes", "row_reads", "row_writes", "object_reads", "object_writes",
            "vm_list_reads", "dropped", "unavailable", "limited" }) {
-        const absl::MutexLock lock(&this->mutex);
+        const std::lock_guard lock(this->mutex);
         statistics[counter] = this->counters[counter];
     }
     response.set_content(statistics.dump(), jsonType);
--- a/Source/Standins/Platform/PlatformServer.h
+++ b/Source/Standins/Platform/PlatformServer.h
@@ -1,16 +1,13 @@
 #pragma once
 
-#include <atomic>
+#include <condition_variable>
 #include <cstdint>
 #include <functional>
 #include <httplib.h>
 #include <map>
+#include <mutex>
 #include <string>
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
-#include <absl/synchronization/notification.h>
-
 #include "FaultPlan.h"
 #include "RateLimit.h"
 #include "Store.h"
@@ -67,6 +64,8 @@
                          httplib::Response &response);
     void drop(const httplib::Request &request);
     void count(const std::string &counter);
+    /// Waits for the delay in force or until the server stops.
+    void delay();
 
     void readRow(const httplib::Request &request, httplib::Response &response);
     void writeRow(const httplib::Request &request, httplib::Response &response);
@@ -83,9 +82,11 @@
     RateLimit reads;
     RateLimit writes;
     Listener server;
-    absl::Notification stopping;
-    absl::Mutex mutex;
-    std::map<std::string, std::uint64_t> counters ABSL_GUARDED_BY(mutex);
+    /// Not an absl::Mutex: Debian's Abseil is not instrumented for ThreadSanitizer.
+    std::mutex mutex;
+    std::condition_variable stopped;
+    bool stopping = false;
+    std::map<std::string, std::uint64_t> counters;
 };
 
 } // namespace Currantfall::Standins
--- a/Source/Standins/Platform/RateLimit.cpp
+++ b/Source/Standins/Platform/RateLimit.cpp
@@ -13,7 +13,7 @@
     if (this->perSecond == 0.0) {
         return true;
     }
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     const double elapsed = absl::ToDoubleSeconds(now - this->refilled);
     this->tokens = std::min(this->capacity, this->tokens + elapsed * this->perSecond);
     this->refilled = now;
--- a/Source/Standins/Platform/RateLimit.h
+++ b/Source/Standins/Platform/RateLimit.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
+#include <mutex>
 
 #include "currantfall/Common/Time.h"
 
@@ -19,9 +18,9 @@
 private:
     const double perSecond;
     const double capacity;
-    absl::Mutex mutex;
-    double tokens ABSL_GUARDED_BY(mutex);
-    Common::Instant refilled ABSL_GUARDED_BY(mutex);
+    std::mutex mutex;
+    double tokens;
+    Common::Instant refilled;
 };
 
 } // namespace Currantfall::Standins
--- a/Source/Standins/Platform/Store.cpp
+++ b/Source/Standins/Platform/Store.cpp
@@ -4,7 +4,7 @@
 
 std::optional<StoredRow> Store::readRow(const std::string &table, const std::string &key) const
 {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     const auto found = this->rows.find({ table, key });
     return found == this->rows.end() ? std::nullopt : std::optional(found->second);
 }
@@ -13,7 +13,7 @@
                                              const std::string &value,
                                              std::optional<std::uint64_t> expected)
 {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     const auto found = this->rows.find({ table, key });
     const auto present
             = found == this->rows.end() ? std::nullopt : std::optional(found->second.version);
@@ -27,14 +27,14 @@
 
 std::optional<std::string> Store::readObject(const std::string &name) const
 {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     const auto found = this->objects.find(name);
     return found == this->objects.end() ? std::nullopt : std::optional(found->second);
 }
 
 ObjectWrite Store::writeObject(const std::string &name, const std::string &bytes)
 {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     const auto [entry, added] = this->objects.try_emplace(name, bytes);
     if (added) {
         return ObjectWrite::Created;
--- a/Source/Standins/Platform/Store.h
+++ b/Source/Standins/Platform/Store.h
@@ -2,13 +2,11 @@
 
 #include <cstdint>
 #include <map>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <utility>
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
-
 namespace Currantfall::Standins {
 
 struct StoredRow
@@ -40,10 +38,10 @@
     ObjectWrite writeObject(const std::string &name, const std::string &bytes);
 
 private:
-    mutable absl::Mutex mutex;
-    std::map<std::pair<std::string, std::string>, StoredRow> rows ABSL_GUARDED_BY(mutex);
-    std::map<std::string, std::string> objects ABSL_GUARDED_BY(mutex);
-    std::uint64_t lastVersion ABSL_GUARDED_BY(mutex) = 0;
+    mutable std::mutex mutex;
+    std::map<std::pair<std::string, std::string>, StoredRow> rows;
+    std::map<std::string, std::string> objects;
+    std::uint64_t lastVersion = 0;
 };
 
 } // namespace Currantfall::Standins
--- a/Source/Standins/Platform/VmDirectory.cpp
+++ b/Source/Standins/Platform/VmDirectory.cpp
@@ -16,7 +16,7 @@
     if (auto valid = Platform::parseVmList(body.dump(), {}); !valid) {
         return tl::unexpected<Common::Error>(valid.error());
     }
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     for (const json &entry : list) {
         this->snapshots.back().vms[entry["vm"].get<std::string>()] = entry;
     }
@@ -35,7 +35,7 @@
     if (auto valid = Platform::parseVmList(body.dump(), {}); !valid) {
         return tl::unexpected<Common::Error>(valid.error());
     }
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     Vms vms = this->snapshots.back().vms;
     vms[vm] = std::move(entry);
     this->record(std::move(vms), now);
@@ -44,7 +44,7 @@
 
 bool VmDirectory::remove(const std::string &vm, Common::Instant now)
 {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     Vms vms = this->snapshots.back().vms;
     if (vms.erase(vm) == 0) {
         return false;
@@ -55,7 +55,7 @@
 
 json VmDirectory::listing(Common::Instant now, absl::Duration lag) const
 {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     const Common::Instant moment = now - std::min(lag, maxLag);
     const auto later = std::upper_bound(
             this->snapshots.begin() + 1, this->snapshots.end(), moment,
--- a/Source/Standins/Platform/VmDirectory.h
+++ b/Source/Standins/Platform/VmDirectory.h
@@ -2,10 +2,9 @@
 
 #include <deque>
 #include <map>
+#include <mutex>
 #include <string>
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
 #include <absl/time/time.h>
 #include <nlohmann/json.hpp>
 
@@ -40,11 +39,12 @@
         Vms vms;
     };
 
-    void record(Vms vms, Common::Instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    /// The caller has the lock.
+    void record(Vms vms, Common::Instant now);
 
-    mutable absl::Mutex mutex;
+    mutable std::mutex mutex;
     /// Ascending; the first one holds for all earlier times.
-    std::deque<Snapshot> snapshots ABSL_GUARDED_BY(mutex) = { Snapshot {} };
+    std::deque<Snapshot> snapshots = { Snapshot {} };
 };
 
 } // namespace Currantfall::Standins
