--- a/Source/Standins/Platform/Main.cpp
+++ b/Source/Standins/Platform/Main.cpp
@@ -7,9 +7,8 @@
 #include <absl/strings/numbers.h>
 #include <nlohmann/json.hpp>
 
-#include "currantfall/Common/CommandLine.h"
-
 #include "PlatformServer.h"
+#include "currantfall/Common/CommandLine.h"
 
 namespace {
 
--- a/Source/Standins/Platform/PlatformServer.cpp
+++ b/Source/Standins/Platform/PlatformServer.cpp
@@ -7,9 +7,8 @@
 #include <absl/strings/numbers.h>
 #include <nlohmann/json.hpp>
 
-#include "currantfall/Common/Time.h"
-
 #include "ConnectionDrop.h"
+#include "currantfall/Common/Time.h"
 
 namespace Currantfall::Standins {
 
--- a/Source/Tool/Commands.h
+++ b/Source/Tool/Commands.h
@@ -3,10 +3,9 @@
 #include <ostream>
 #include <string>
 
-#include "currantfall/Platform/RevisionStore.h"
-
 #include "Output.h"
 #include "ToolSettings.h"
+#include "currantfall/Platform/RevisionStore.h"
 
 namespace Currantfall::Tool {
 
--- a/Source/Tool/DiffCommand.cpp
+++ b/Source/Tool/DiffCommand.cpp
@@ -1,8 +1,7 @@
-#include "currantfall/Common/Time.h"
-#include "currantfall/Configuration/Differences.h"
-
 #include "Commands.h"
 #include "Documents.h"
+#include "currantfall/Common/Time.h"
+#include "currantfall/Configuration/Differences.h"
 
 namespace Currantfall::Tool {
 
--- a/Source/Tool/Documents.h
+++ b/Source/Tool/Documents.h
@@ -3,11 +3,10 @@
 #include <optional>
 #include <string>
 
-#include "currantfall/Configuration/Environment.h"
-#include "currantfall/Platform/PlatformClient.h"
-
 #include "Output.h"
 #include "ToolSettings.h"
+#include "currantfall/Configuration/Environment.h"
+#include "currantfall/Platform/PlatformClient.h"
 
 namespace Currantfall::Tool {
 
--- a/Source/Tool/DrainCommand.cpp
+++ b/Source/Tool/DrainCommand.cpp
@@ -1,14 +1,13 @@
 #include <algorithm>
 #include <utility>
 
-#include "currantfall/Common/Time.h"
-#include "currantfall/Drain/HeadroomCheck.h"
-
 #include "Commands.h"
 #include "Daemons.h"
 #include "Documents.h"
 #include "DrainHolders.h"
 #include "LoadSurvey.h"
+#include "currantfall/Common/Time.h"
+#include "currantfall/Drain/HeadroomCheck.h"
 
 namespace Currantfall::Tool {
 
@@ -34,7 +33,7 @@
 Common::Result<std::vector<DaemonReport>> askAll(const Run &run)
 {
     return findDaemons(run.settings).map([&](const std::vector<Daemon> &daemons) {
-        return askDaemons(daemons, run.settings.daemonTimeout());
+        return askDaemons(daemons, run.settings);
     });
 }
 
--- a/Source/Tool/DrainHolders.h
+++ b/Source/Tool/DrainHolders.h
@@ -5,9 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
-#include "currantfall/Platform/EnvironmentRow.h"
-
 #include "Daemons.h"
+#include "currantfall/Platform/EnvironmentRow.h"
 
 namespace Currantfall::Tool {
 
