Bound what unknown callers cost a peer listener

Before Hello, a caller could make a daemon hold a 20 MiB frame, and a lack of descriptors would have kept the peer thread busy with the same waiting connection. Frames before the end of the Hello exchange are limited to 4 KiB, and accepting pauses for 500 ms after such a failure; the pause has no test.

--- a/Source/Core/Peering/FrameCodec.cpp
+++ b/Source/Core/Peering/FrameCodec.cpp
@@ -120,7 +120,7 @@
         return Common::failure(ErrorCode::InvalidInput, "read frame header", this->peer,
                                "unknown link class " + std::to_string(linkClassValue));
     }
-    if (length > maxMessageBytes) {
+    if (length > this->limit) {
         return Common::failure(ErrorCode::TooLarge, "read frame header", this->peer,
                                "message of " + std::to_string(length) + " bytes");
     }
--- a/Source/Core/Peering/Link.cpp
+++ b/Source/Core/Peering/Link.cpp
@@ -20,6 +20,8 @@
 // A link with a flood of input must not keep the thread from the other links.
 constexpr int readsPerEvent = 16;
 constexpr std::size_t buffersPerWrite = 64;
+// An unknown caller must not be able to fill the memory before it has said who it is.
+constexpr std::size_t maxHelloBytes = 4'096;
 
 } // namespace
 
@@ -48,7 +50,9 @@
     : linkId(id), linkOrigin(origin), descriptor(std::move(socket)),
       sendQueue(std::make_shared<SendQueue>(sendBufferBytes)), reader(protocolVersion),
       started(now), established(now), lastFrame(now), lastProgress(now)
-{ }
+{
+    this->reader.setLimit(maxHelloBytes);
+}
 
 void Link::setPeerText(const std::string &text)
 {
@@ -64,6 +68,7 @@
 void Link::markEstablished(const PeerIdentity &identity, LinkClass linkClass, Common::Instant now)
 {
     this->linkPhase = Phase::Up;
+    this->reader.setLimit(maxMessageBytes);
     this->peerIdentity = identity;
     this->ownClass = linkClass;
     this->established = now;
--- a/Source/Core/Peering/PeerLoop.cpp
+++ b/Source/Core/Peering/PeerLoop.cpp
@@ -20,6 +20,8 @@
 /// full mesh that reconnects at the same time stay below it.
 constexpr std::size_t maxAnonymousLinks = 1'024;
 constexpr int acceptsPerEvent = 64;
+/// Wait after an accept that failed for lack of descriptors or memory.
+constexpr absl::Duration acceptPause = absl::Milliseconds(500);
 
 Common::Error stopped(const std::string &peer)
 {
@@ -166,6 +168,9 @@
         return;
     }
     this->nextMaintenance = now + maintenancePeriod;
+    if (now >= this->acceptAgain) {
+        this->resumeAccepting(now);
+    }
     for (const LinkId id : this->links.ids()) {
         Link *link = this->links.find(id);
         if (link == nullptr) {
@@ -200,6 +205,9 @@
         FileDescriptor socket(
                 ::accept4(this->listener.value(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
         if (!socket.valid()) {
+            if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+                this->pauseAccepting(now);
+            }
             return;
         }
         if (this->links.anonymousLinks() >= maxAnonymousLinks
@@ -218,6 +226,23 @@
     }
 }
 
+void PeerLoop::pauseAccepting(Instant now)
+{
+    // The waiting connection would wake the thread again at once, as long as there is no descriptor
+    // for it.
+    this->log.error(systemError("accept peer link").toString());
+    this->poller.remove(this->listener);
+    this->acceptAgain = now + acceptPause;
+}
+
+void PeerLoop::resumeAccepting(Instant now)
+{
+    this->acceptAgain = Instant::infinite();
+    if (!this->draining && !this->poller.add(this->listener, listenerId, false)) {
+        this->acceptAgain = now + acceptPause;
+    }
+}
+
 void PeerLoop::dial(const DialPlan::Dial &dial, Instant now)
 {
     if (this->links.inUse(dial.target.vm, dial.linkClass)) {
--- a/Source/Core/Peering/PeerLoop.h
+++ b/Source/Core/Peering/PeerLoop.h
@@ -39,6 +39,8 @@
     absl::Duration waitTime(Common::Instant now) const;
 
     void acceptLinks(Common::Instant now);
+    void pauseAccepting(Common::Instant now);
+    void resumeAccepting(Common::Instant now);
     void dial(const DialPlan::Dial &dial, Common::Instant now);
     void finishConnect(Link &link, Common::Instant now);
     void flushLink(Link &link, Common::Instant now);
@@ -65,6 +67,7 @@
     DialPlan dialPlan;
     LinkId lastLinkId;
     Common::Instant nextMaintenance;
+    Common::Instant acceptAgain = Common::Instant::infinite(); // Infinite unless paused.
     bool draining = false;
     Common::Instant drainDeadline;
 
--- a/Source/Core/Peering/Poller.cpp
+++ b/Source/Core/Peering/Poller.cpp
@@ -54,6 +54,11 @@
     return {};
 }
 
+void Poller::remove(const FileDescriptor &descriptor)
+{
+    ::epoll_ctl(this->epoll.value(), EPOLL_CTL_DEL, descriptor.value(), nullptr);
+}
+
 void Poller::modify(const FileDescriptor &descriptor, std::uint64_t id, bool writable)
 {
     epoll_event event = interest(id, writable);
--- a/Source/Core/Peering/Poller.h
+++ b/Source/Core/Peering/Poller.h
@@ -25,6 +25,7 @@
 
     /// `id` identifies the descriptor in events and must not be wakeId.
     Common::Result<void> add(const FileDescriptor &descriptor, std::uint64_t id, bool writable);
+    void remove(const FileDescriptor &descriptor);
     void modify(const FileDescriptor &descriptor, std::uint64_t id, bool writable);
 
     /// Returns when a descriptor is ready, after wake(), or after `timeout`. The result is valid
--- a/Source/UnitTests/Peering/PeerTransportTest.cpp
+++ b/Source/UnitTests/Peering/PeerTransportTest.cpp
@@ -311,6 +311,21 @@
     REQUIRE(a.bothUp("b", 2));
 }
 
+// Guards against unknown callers that make the daemon hold large frames.
+TEST_CASE("A large frame before Hello closes the link")
+{
+    TransportSettings settings = settingsOf(identity("a", 1));
+    settings.handshakeTimeout = absl::InfiniteDuration();
+    Vm a(settings);
+    const RawPeer bad(a.transport->port());
+    // Only the header and a part are sent: the link is closed without waiting for the rest.
+    const std::string frame
+            = encodeFrame(protocolVersion, LinkClass::Control, *notice(1, 1'000'000));
+    bad.write(frame.substr(0, 1'000));
+    bad.waitForClose();
+    REQUIRE(a.transport->counters().linksUp == 0);
+}
+
 // Guards against senders that block on a peer which does not read.
 TEST_CASE("A peer that does not read fills its buffer and loses its link")
 {
--- a/include/currantfall/Peering/FrameCodec.h
+++ b/include/currantfall/Peering/FrameCodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -54,6 +55,11 @@
     Common::Result<void> finish() const;
 
     void setPeer(std::string name) { this->peer = std::move(name); }
+    /// Lowers or raises the length limit for the frames that follow, up to maxMessageBytes.
+    void setLimit(std::size_t messageBytes)
+    {
+        this->limit = std::min(messageBytes, maxMessageBytes);
+    }
 
 private:
     Common::Result<void> readHeader();
@@ -61,6 +67,7 @@
 
     std::uint16_t expectedVersion;
     std::string peer;
+    std::size_t limit = maxMessageBytes;
     std::string buffer;
     std::size_t position = 0; // Bytes of the buffer that were consumed.
     bool headerRead = false;
