--- a/include/currantfall/Admission/AdmissionQueue.h
+++ b/include/currantfall/Admission/AdmissionQueue.h
@@ -9,10 +9,13 @@
 #include <absl/container/flat_hash_map.h>
 #include <tl/expected.hpp>
 
+#include "currantfall/Admission/AdaptiveLifo.h"
 #include "currantfall/Admission/Discipline.h"
 #include "currantfall/Admission/RankedFair.h"
 #include "currantfall/Admission/ServiceTimeEstimator.h"
 #include "currantfall/Admission/StartWindow.h"
+#include "currantfall/Admission/StrictPriority.h"
+#include "currantfall/Admission/WeightedFair.h"
 
 namespace Currantfall::Admission {
 
@@ -60,6 +63,10 @@
     /// Removes a queued request. Returns false if it is not queued (any more).
     bool cancel(RequestId id);
 
+    /// Drops every queued request, for example because the servers have another owner now. The
+    /// following next() reports them.
+    void dropAll(Common::Reason reason);
+
     /// May be below the number of slots in use; no request starts then until enough have ended.
     void setSlots(Common::Instant now, std::size_t slots);
     /// Applies another document, except for its slots. Queued requests stay.
@@ -84,25 +91,22 @@
         QueueEntry entry;
         Common::Instant latestStart;
     };
-    struct Running
-    {
-        Common::RankIndex rank = 0;
-        Common::ServiceName service;
-    };
     using ExpiryKey = std::pair<absl::Duration, RequestId>;
 
+    /// Nothing if the request can start early enough.
+    std::optional<Refusal> lateness(Common::Instant now, const QueuedRequest &request) const;
     bool fits(const QueuedRequest &request) const;
     bool makeRoom(const QueueEntry &entry);
-    void forget(RequestId id);
+    Waiting takeWaiting(RequestId id);
     void dropExpired(Common::Instant now);
-    void drop(const QueueEntry &entry, Common::Reason reason);
-    absl::Duration meanServiceTime() const;
+    void report(const QueuedRequest &request, Common::Reason reason);
+    absl::Duration timePerStart() const;
 
     QueueSettings settings;
     Discipline discipline;
     absl::flat_hash_map<RequestId, Waiting> waiting;
     std::set<ExpiryKey> expiries;
-    absl::flat_hash_map<RequestId, Running> running;
+    absl::flat_hash_map<RequestId, Common::ServiceName> running;
     absl::flat_hash_map<Common::ServiceName, ServiceTimeEstimator> estimators;
     ServiceTimeEstimator overall;
     StartWindow recentStarts;
@@ -111,6 +115,11 @@
     std::uint64_t lastSequence = 0;
 };
 
+extern template class BasicAdmissionQueue<RankedFair>;
+extern template class BasicAdmissionQueue<StrictPriority>;
+extern template class BasicAdmissionQueue<WeightedFair>;
+extern template class BasicAdmissionQueue<AdaptiveLifo>;
+
 using AdmissionQueue = BasicAdmissionQueue<RankedFair>;
 
 } // namespace Currantfall::Admission
--- a/include/currantfall/Admission/Discipline.h
+++ b/include/currantfall/Admission/Discipline.h
@@ -42,6 +42,10 @@
     double higher = 0.0;
     /// Requests of the own rank.
     double own = 0.0;
+    /// Part of the starts that the own rank gets whatever the higher ranks do.
+    double floor = 0.0;
+    /// Part of the starts that lower ranks with work get whatever the own rank does.
+    double lowerFloors = 0.0;
 };
 
 /// The order in which queued requests start. A discipline only orders; AdmissionQueue accounts for
--- a/include/currantfall/Admission/EntryLimiter.h
+++ b/include/currantfall/Admission/EntryLimiter.h
@@ -60,15 +60,22 @@
         std::size_t bytes = 0;
     };
 
-    bool fitsRank(Common::RankIndex rank, std::size_t bytes) const;
-    bool fitsFlow(const FlowKey &flow, std::size_t bytes) const;
+    /// What the rank may still take; negative after a document with lower limits.
+    struct Room
+    {
+        double requests = 0.0;
+        double bytes = 0.0;
+    };
+
+    Room roomOf(Common::RankIndex rank) const;
+    bool fitsFlow(const FlowKey &flow, std::size_t bytes, const Room &room) const;
     FlowKey limitedFlow(const FlowKey &flow) const;
-    double shareOf(const FlowKey &flow) const;
-    void add(const Held &held);
+    double relativeWeight(const Common::TenantName &tenant) const;
 
     EntryLimiterSettings settings;
     std::vector<double> reserves;
     absl::flat_hash_map<Common::TenantName, double> weights;
+    double meanWeight = 1.0;
     Usage total;
     std::vector<Usage> byRank;
     absl::flat_hash_map<FlowKey, Usage> byFlow;
--- a/include/currantfall/Admission/FairQueue.h
+++ b/include/currantfall/Admission/FairQueue.h
@@ -47,8 +47,7 @@
     double weightOf(const FlowKey &key) const;
     Flows::iterator longest();
     QueueEntry takeNewest(Flows::iterator flow);
-    void unorder(const Flows::iterator &flow);
-    void erase(const Flows::iterator &flow);
+    void forgetOne();
 
     absl::flat_hash_map<Common::TenantName, double> weights;
     Flows flows;
--- a/include/currantfall/Admission/QueuedRequest.h
+++ b/include/currantfall/Admission/QueuedRequest.h
@@ -22,6 +22,8 @@
     Common::TenantName tenant;
     Common::ServiceName service;
 
+    // clang-tidy 14 takes the literal zero of rewritten comparisons for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const FlowKey &left, const FlowKey &right) = default;
 
     template<typename State>
--- a/include/currantfall/Common/Names.h
+++ b/include/currantfall/Common/Names.h
@@ -18,6 +18,8 @@
     const std::string &value() const { return this->text; }
     bool empty() const { return this->text.empty(); }
 
+    // clang-tidy 14 takes the literal zero of rewritten comparisons for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const Name &left, const Name &right) = default;
 
     template<typename State>
