--- a/include/currantfall/Placement/OwnershipTable.h
+++ b/include/currantfall/Placement/OwnershipTable.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
@@ -17,6 +18,10 @@
 /// How long a new owner waits for the previous one to stop.
 inline constexpr absl::Duration ownershipLease = absl::Seconds(2);
 
+/// The daemon calls pause() after a longer gap. It is less than the lease by two heartbeat
+/// intervals, because the next owner hears of the end of a pause that much later.
+inline constexpr absl::Duration longestUnreportedPause = absl::Milliseconds(1500);
+
 enum class OwnershipState {
     NotOwned,  ///< Another VM owns the server, or none does.
     Waiting,   ///< This VM is the owner and waits for the previous one's lease to end.
@@ -49,9 +54,9 @@
     /// `self` becomes the owner of a server at the earliest one lease after `started`.
     OwnershipTable(Common::VmName self, Common::Instant started);
 
-    /// Computes owners for a document and member view. `members` lists this VM as well, and every
-    /// member that is not known to be dead; members that are suspect or leaving own nothing.
-    /// Returns what has changed for this VM since the last call.
+    /// Computes owners for a document and member view; called when either has changed. `members`
+    /// lists this VM as well, and every member that is not known to be dead; members that are
+    /// suspect or leaving own nothing. Returns what has changed for this VM since the last call.
     std::vector<OwnershipChange> update(Common::Instant now,
                                         const Configuration::Environment &environment,
                                         const std::vector<MemberHeard> &members);
@@ -59,14 +64,15 @@
     /// Waits that have ended by `now`.
     std::vector<OwnershipChange> advance(Common::Instant now);
 
-    /// The previous owner runs nothing on the server any more. Ignored unless `vm` with this
-    /// incarnation is the owner that is waited for.
+    /// A previous owner runs nothing on the server any more. It may arrive up to one lease before
+    /// this VM learns that the owner has changed.
     std::vector<OwnershipChange> applyRelease(Common::Instant now,
                                               const Common::BackendServerName &backendServer,
                                               const Common::VmName &vm,
                                               Common::Incarnation incarnation);
 
-    /// The daemon was paused for longer than the lease: every owned server waits a lease again.
+    /// The daemon was paused for longer than `longestUnreportedPause`: nothing is owned for another
+    /// lease, within which the peers are heard again.
     std::vector<OwnershipChange> pause(Common::Instant now);
 
     /// The daemon finished its last request on a server in state Releasing and has sent the
@@ -85,33 +91,54 @@
     Common::Instant nextDue() const;
 
 private:
+    /// A VM that may still start work on a server of which it is no longer the owner.
+    struct Claim
+    {
+        Common::Incarnation incarnation = 0;
+        Common::Instant learned;
+        Common::Instant until;
+    };
+    /// A release that arrived before this VM learned that the owner has changed.
+    struct EarlyRelease
+    {
+        Common::VmName vm;
+        Common::Incarnation incarnation = 0;
+        Common::Instant received;
+    };
     struct Server
     {
-        Common::ServiceName service;
         std::size_t slots = 0;
-        std::size_t position = 0;
         std::optional<Common::VmName> owner;
         Common::Incarnation ownerIncarnation = 0;
-        /// The previous owner, while its lease is waited out.
-        std::optional<Common::VmName> previousOwner;
-        Common::Incarnation previousIncarnation = 0;
-        Common::Instant waitEnds;
+        std::map<Common::VmName, Claim> claims;
+        std::optional<EarlyRelease> earlyRelease;
         OwnershipState state = OwnershipState::NotOwned;
     };
+    struct Known
+    {
+        Common::Instant lastHeard;
+        Common::Incarnation incarnation = 0;
+        bool live = false;
+    };
     using Servers = std::map<Common::BackendServerName, Server>;
 
-    void changeOwner(Common::Instant now, Server &server, const MemberHeard *owner,
-                     const absl::flat_hash_map<Common::VmName, const MemberHeard *> &byName);
-    void removeMissing(const Configuration::Environment &environment,
-                       std::vector<OwnershipChange> &changes);
-    const std::vector<const Servers::value_type *>
-    inDocumentOrder(const Common::ServiceName &service) const;
+    void learn(const std::vector<MemberHeard> &members);
+    void changeOwner(Common::Instant now, Server &server, const PlacementMember *owner);
+    void addSilentClaim(Common::Instant now, Server &server, const PlacementMember &suspect);
+    void extendClaims(Server &server);
+    bool wasReleased(Common::Instant now, const Server &server) const;
+    Common::Instant waitEnds(const Server &server) const;
+    /// Recomputes the state from owner, claims and time.
+    void assess(Common::Instant now, const Common::BackendServerName &name, Server &server,
+                std::vector<OwnershipChange> &changes);
 
     Common::VmName self;
-    Common::Instant firstOwnership;
+    /// No server becomes owned before.
+    Common::Instant notBefore;
     Servers servers;
-    /// Last time each member was heard, also after it is gone from the list.
-    absl::flat_hash_map<Common::VmName, Common::Instant> lastHeard;
+    absl::flat_hash_map<Common::ServiceName, std::vector<Common::BackendServerName>> byService;
+    /// Also members that are no longer listed.
+    absl::flat_hash_map<Common::VmName, Known> known;
 };
 
 } // namespace Currantfall::Placement
--- a/include/currantfall/Placement/RequestRouter.h
+++ b/include/currantfall/Placement/RequestRouter.h
@@ -43,8 +43,10 @@
 {
 public:
     /// Targets, best first: own queue, owners in the zone, in the region, then other regions with
-    /// credits in document order. A group whose members have free slots is preferred to a nearer
-    /// one of the same region that has none. `members` lists this VM with its current load.
+    /// credits in document order. Owners with free slots come before nearer ones of the region that
+    /// have none, and other regions before owners whose queue is longer than their slots. Within a
+    /// group, the less loaded of two drawn at random comes first, because loads lag and the least
+    /// loaded one would get everything. `members` lists this VM with its current load.
     static std::vector<RouteTarget> route(const Configuration::Environment &environment,
                                           const std::vector<PlacementMember> &members,
                                           const RouteQuery &query);
