--- a/include/currantfall/Credits/CreditGranter.h
+++ b/include/currantfall/Credits/CreditGranter.h
@@ -5,7 +5,6 @@
 #include <map>
 #include <optional>
 
-#include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
 
 #include "currantfall/Common/Names.h"
@@ -23,33 +22,37 @@
     absl::Duration interval = absl::Seconds(1);
     /// Time over which the grantable part of cold slots grows from zero to all.
     absl::Duration slowStart = absl::Seconds(10);
-    /// Body bytes/s that traffic of other regions may bring over the link, of which this VM grants
-    /// one part in `grantingVms`.
+    /// Body bytes/s of the link: `shiftCap` of it may be used by traffic of other regions, of which
+    /// this granter grants one part in `granters`. With several links, the smallest one counts.
     double linkBytesPerSecond = 0.0;
     double shiftCap = 0.0;
-    std::size_t grantingVms = 1;
+    /// Granters of the region: its VMs times its services.
+    std::size_t granters = 1;
 };
 
 /// Grants requests of other regions on the slots that this VM owns for one service.
 ///
 /// A grant names a number of concurrent requests and a rate. It replaces the holder's previous
 /// grant; the granter counts the larger of both until the previous one has expired, because the
-/// answer may be lost.
+/// answer may be lost. If holders want more than there is, each gets its max-min fair share.
 class CreditGranter
 {
 public:
     explicit CreditGranter(CreditGranterSettings settings);
 
-    /// Slots and how many of them are free or run requests on credits. Newly owned slots are cold.
+    /// Slots, and how many of them no work of the own region uses: those that are free or run
+    /// requests on credits. Newly owned slots are cold.
     void setSlots(Common::Instant now, std::size_t total, std::size_t free);
     void reconfigure(CreditGranterSettings settings);
 
-    /// Answers a holder. Nothing if the request is older than one that was answered already.
+    /// Answers a holder. Nothing if the request is not newer than one that was answered already and
+    /// whose grant has not expired.
     std::optional<CreditGrant> request(Common::Instant now, const Common::VmName &holder,
                                        const CreditRequest &request);
 
     /// Checks and accounts for a request that arrives on a credit. False if the credit is unknown,
-    /// expired or used up; the request is `not-run` then.
+    /// expired or used up; the request is `not-run` then. `bytes` have already used the link; the
+    /// holder keeps them within its rate.
     [[nodiscard]] bool begin(Common::Instant now, const Common::VmName &holder, CreditId credit,
                              std::size_t bytes);
     /// A request that began on a credit has ended.
@@ -59,11 +62,12 @@
     std::size_t outstanding(Common::Instant now) const;
     /// Requests in progress on credits.
     std::size_t inProgress() const { return this->running; }
+    /// Body bytes received on credits.
+    std::uint64_t bytesReceived() const { return this->received; }
 
 private:
     struct Grant
     {
-        CreditId id = 0;
         std::size_t concurrent = 0;
         double bytesPerSecond = 0.0;
         Common::Instant expires;
@@ -71,27 +75,35 @@
     struct Holder
     {
         std::uint64_t sequence = 0;
-        std::uint64_t generation = 0;
+        double wanted = 0.0;
+        double wantedBytesPerSecond = 0.0;
         std::map<CreditId, Grant> grants;
         std::size_t inProgress = 0;
-        absl::flat_hash_map<CreditId, std::size_t> inProgressOf;
     };
+    using Holders = std::map<Common::VmName, Holder>;
 
     void expire(Common::Instant now);
+    void advanceInterval(Common::Instant now);
+    double warmSlots(Common::Instant now) const;
     std::size_t grantable(Common::Instant now) const;
-    std::size_t heldBy(const Holder &holder) const;
-    double bytesHeldBy(const Holder &holder) const;
+    std::size_t concurrentFor(Common::Instant now, const Common::VmName &name,
+                              const Holder &holder) const;
+    double rateFor(Common::Instant now, const Common::VmName &name, const Holder &holder) const;
+    static std::size_t heldBy(Common::Instant now, const Holder &holder);
+    static double rateOf(Common::Instant now, const Holder &holder);
 
     CreditGranterSettings settings;
     std::size_t totalSlots = 0;
     std::size_t freeSlots = 0;
     std::size_t running = 0;
+    std::uint64_t received = 0;
     CreditId lastCredit = 0;
-    Common::Instant coldSince;
-    std::size_t warmSlots = 0;
-    Common::Instant intervalStart;
-    std::size_t grownInInterval = 0;
-    std::map<Common::VmName, Holder> holders;
+    double warmAtChange = 0.0;
+    Common::Instant changed;
+    Common::Instant intervalEnds;
+    /// Growth that is still allowed in this interval; parts of a slot add up over intervals.
+    double allowance = 0.0;
+    Holders holders;
 };
 
 } // namespace Currantfall::Credits
--- a/include/currantfall/Credits/CreditTerms.h
+++ b/include/currantfall/Credits/CreditTerms.h
@@ -23,7 +23,7 @@
     std::uint64_t sequence = 0;
     /// Concurrent requests that the holder could use.
     std::size_t wanted = 0;
-    /// Body bytes/s that the holder could use.
+    /// Body bytes/s that the holder could use; zero if it does not know.
     double wantedBytesPerSecond = 0.0;
 
     friend bool operator==(const CreditRequest &left, const CreditRequest &right) = default;
