--- a/Source/UnitTests/Credits/CreditsTest.cpp
+++ b/Source/UnitTests/Credits/CreditsTest.cpp
@@ -47,6 +47,17 @@
     REQUIRE(granter.outstanding(at(1300)) == 7);
 }
 
+TEST_CASE("A rate that was granted counts until its grant has expired, also after a smaller one")
+{
+    CreditGranter granter(warmSettings());
+    granter.setSlots(at(0), 10, 10);
+    REQUIRE(granter.request(at(0), first, { 1, 2 })->bytesPerSecond == 1000.0);
+    REQUIRE(granter.request(at(0), second, { 1, 2 })->bytesPerSecond == 0.0);
+    REQUIRE(granter.request(at(300), first, { 2, 2 })->bytesPerSecond == 500.0);
+    REQUIRE(granter.request(at(300), second, { 2, 2 })->bytesPerSecond == 0.0);
+    REQUIRE(granter.request(at(1250), second, { 3, 2 })->bytesPerSecond == 500.0);
+}
+
 TEST_CASE("Grants grow by one step per interval, and by parts of a slot over several intervals")
 {
     CreditGranterSettings settings = warmSettings();
