Correct the cancellation step of the queue model test

RC_ASSERT overloads ||, so that its right side ran for requests that the queue had not cancelled and removed them from the model. The queue was right. Change: the assertion is behind an if; it is as strict as before.

--- a/Source/UnitTests/Admission/AdmissionQueueProperties.cpp
+++ b/Source/UnitTests/Admission/AdmissionQueueProperties.cpp
@@ -110,9 +110,10 @@
             return;
         }
         const RequestId id = *rc::gen::inRange<RequestId>(1, this->lastId + 1);
-        const bool cancelled = this->queue.cancel(id);
         // A displaced request stays in the model until next() reports it.
-        RC_ASSERT(!cancelled || this->waiting.erase(id) == 1U);
+        if (this->queue.cancel(id)) {
+            RC_ASSERT(this->waiting.erase(id) == 1U);
+        }
     }
 
     void end()
