currantfall-load: lock the lookup cache with std::mutex

ThreadSanitizer reported races in LookupCache because Debian's libabsl is not instrumented, so it does not see absl::Mutex. The remaining reports of loadgenerator-tests come from Common::BoundedRing for the same reason.

--- a/Source/Load/LookupCache.cpp
+++ b/Source/Load/LookupCache.cpp
@@ -37,7 +37,7 @@
 Common::Result<std::vector<Entry>> LookupCache::entries(const std::string &service)
 {
     {
-        const absl::MutexLock lock(&this->mutex);
+        const std::lock_guard lock(this->mutex);
         Cached &cached = this->cache[service];
         const bool fresh = Common::monotonicNow() < cached.expiry || cached.refreshing;
         if (fresh && !cached.entries.empty()) {
@@ -46,7 +46,7 @@
         cached.refreshing = true;
     }
     Common::Result<Cached> found = this->lookUp(service);
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard lock(this->mutex);
     Cached &cached = this->cache[service];
     cached.refreshing = false;
     if (found) {
--- a/Source/Load/LookupCache.h
+++ b/Source/Load/LookupCache.h
@@ -2,10 +2,10 @@
 
 #include <cstddef>
 #include <map>
+#include <mutex>
 #include <string>
 #include <vector>
 
-#include <absl/synchronization/mutex.h>
 #include <absl/time/time.h>
 
 #include "Load/Settings.h"
@@ -43,7 +43,8 @@
 
     std::vector<Endpoint> lookups;
     absl::Duration timeout;
-    absl::Mutex mutex;
+    /// Not an absl::Mutex: ThreadSanitizer does not see the locks of the uninstrumented library.
+    std::mutex mutex;
     std::map<std::string, Cached> cache;
 };
 
