--- a/Source/Core/Execution/Deputy.cpp
+++ b/Source/Core/Execution/Deputy.cpp
@@ -169,8 +169,10 @@
 {
     this->advance(now);
     if (!this->namesSelf(key.prefix())) {
-        return Common::outcomeUnknown(Common::Reason::IssuerUnreachable,
-                                      "the issuer is unreachable and its deputy has restarted");
+        return Common::outcomeUnknown(
+                Common::Reason::IssuerUnreachable,
+                "the issuer is unreachable and this run of this VM is not its "
+                "deputy");
     }
     EpochNotes *const epoch = this->findEpoch(key.prefix());
     if (epoch == nullptr) {
