--- a/Source/Core/Telemetry/MetricsRegistry.cpp
+++ b/Source/Core/Telemetry/MetricsRegistry.cpp
@@ -8,9 +8,10 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/strings/str_cat.h>
 
-#include "PrometheusText.h"
 #include "currantfall/Telemetry/LatencyHistogram.h"
 
+#include "PrometheusText.h"
+
 namespace Currantfall::Telemetry {
 
 namespace {
--- a/Source/Standins/Platform/Main.cpp
+++ b/Source/Standins/Platform/Main.cpp
@@ -7,9 +7,10 @@
 #include <absl/strings/numbers.h>
 #include <nlohmann/json.hpp>
 
-#include "PlatformServer.h"
 #include "currantfall/Common/CommandLine.h"
 
+#include "PlatformServer.h"
+
 namespace {
 
 using namespace Currantfall;
--- a/Source/Standins/Platform/PlatformServer.cpp
+++ b/Source/Standins/Platform/PlatformServer.cpp
@@ -7,9 +7,10 @@
 #include <absl/strings/numbers.h>
 #include <nlohmann/json.hpp>
 
-#include "ConnectionDrop.h"
 #include "currantfall/Common/Time.h"
 
+#include "ConnectionDrop.h"
+
 namespace Currantfall::Standins {
 
 namespace {
--- a/Source/Standins/Platform/PlatformServer.h
+++ b/Source/Standins/Platform/PlatformServer.h
@@ -3,11 +3,12 @@
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
-#include <httplib.h>
 #include <map>
 #include <mutex>
 #include <string>
 
+#include <httplib.h>
+
 #include "FaultPlan.h"
 #include "RateLimit.h"
 #include "Store.h"
--- a/Source/Tool/Commands.h
+++ b/Source/Tool/Commands.h
@@ -3,9 +3,10 @@
 #include <ostream>
 #include <string>
 
+#include "currantfall/Platform/RevisionStore.h"
+
 #include "Output.h"
 #include "ToolSettings.h"
-#include "currantfall/Platform/RevisionStore.h"
 
 namespace Currantfall::Tool {
 
--- a/Source/Tool/Daemons.cpp
+++ b/Source/Tool/Daemons.cpp
@@ -2,13 +2,15 @@
 
 #include <algorithm>
 #include <atomic>
-#include <httplib.h>
 #include <thread>
 #include <utility>
 
-#include "Commands.h"
+#include <httplib.h>
+
 #include "currantfall/Common/Time.h"
 
+#include "Commands.h"
+
 namespace Currantfall::Tool {
 
 namespace {
--- a/Source/Tool/Daemons.h
+++ b/Source/Tool/Daemons.h
@@ -4,11 +4,12 @@
 #include <string>
 #include <vector>
 
-#include "ToolSettings.h"
-#include "VmStatus.h"
 #include "currantfall/Platform/HostPort.h"
 #include "currantfall/Platform/PlatformClient.h"
 
+#include "ToolSettings.h"
+#include "VmStatus.h"
+
 namespace Currantfall::Tool {
 
 /// Offset of the admin port from the port base of an entry VM.
--- a/Source/Tool/DiffCommand.cpp
+++ b/Source/Tool/DiffCommand.cpp
@@ -1,8 +1,9 @@
-#include "Commands.h"
-#include "Documents.h"
 #include "currantfall/Common/Time.h"
 #include "currantfall/Configuration/Differences.h"
 
+#include "Commands.h"
+#include "Documents.h"
+
 namespace Currantfall::Tool {
 
 namespace {
--- a/Source/Tool/Documents.h
+++ b/Source/Tool/Documents.h
@@ -3,11 +3,12 @@
 #include <optional>
 #include <string>
 
-#include "Output.h"
-#include "ToolSettings.h"
 #include "currantfall/Configuration/Environment.h"
 #include "currantfall/Platform/PlatformClient.h"
 
+#include "Output.h"
+#include "ToolSettings.h"
+
 namespace Currantfall::Tool {
 
 /// A checked document and its bytes.
--- a/Source/Tool/DrainCommand.cpp
+++ b/Source/Tool/DrainCommand.cpp
@@ -1,13 +1,14 @@
 #include <algorithm>
 #include <utility>
 
+#include "currantfall/Common/Time.h"
+#include "currantfall/Drain/HeadroomCheck.h"
+
 #include "Commands.h"
 #include "Daemons.h"
 #include "Documents.h"
 #include "DrainHolders.h"
 #include "LoadSurvey.h"
-#include "currantfall/Common/Time.h"
-#include "currantfall/Drain/HeadroomCheck.h"
 
 namespace Currantfall::Tool {
 
--- a/Source/Tool/DrainHolders.h
+++ b/Source/Tool/DrainHolders.h
@@ -5,9 +5,10 @@
 
 #include <nlohmann/json.hpp>
 
-#include "Daemons.h"
 #include "currantfall/Platform/EnvironmentRow.h"
 
+#include "Daemons.h"
+
 namespace Currantfall::Tool {
 
 /// What still holds the target of a drain, from the reports of the listed VMs.
--- a/Source/Tool/LoadSurvey.h
+++ b/Source/Tool/LoadSurvey.h
@@ -2,10 +2,11 @@
 
 #include <vector>
 
-#include "Daemons.h"
 #include "currantfall/Configuration/Environment.h"
 #include "currantfall/Drain/HeadroomCheck.h"
 
+#include "Daemons.h"
+
 namespace Currantfall::Tool {
 
 /// The load per zone and service as reported by the VMs of each zone. The load of VMs that did not
--- a/Source/UnitTests/Admission/AdmissionQueueProperties.cpp
+++ b/Source/UnitTests/Admission/AdmissionQueueProperties.cpp
@@ -1,9 +1,9 @@
 #include <map>
 #include <numeric>
-#include <rapidcheck.h>
 
 #include <absl/container/flat_hash_set.h>
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 #include "currantfall/Admission/AdmissionQueue.h"
 
--- a/Source/UnitTests/Admission/LimitsTest.cpp
+++ b/Source/UnitTests/Admission/LimitsTest.cpp
@@ -1,6 +1,5 @@
-#include <rapidcheck.h>
-
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 #include "currantfall/Admission/CircuitBreaker.h"
 #include "currantfall/Admission/ConcurrencyLimit.h"
--- a/Source/UnitTests/Credits/CreditsTest.cpp
+++ b/Source/UnitTests/Credits/CreditsTest.cpp
@@ -1,8 +1,8 @@
 #include <array>
 #include <functional>
-#include <rapidcheck.h>
 
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 #include "currantfall/Credits/CreditGranter.h"
 #include "currantfall/Credits/CreditHolder.h"
--- a/Source/UnitTests/Placement/OwnershipTableTest.cpp
+++ b/Source/UnitTests/Placement/OwnershipTableTest.cpp
@@ -2,9 +2,9 @@
 
 #include <array>
 #include <memory>
-#include <rapidcheck.h>
 
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 #include "PlacementFixture.h"
 
--- a/Source/UnitTests/Placement/RoutingTest.cpp
+++ b/Source/UnitTests/Placement/RoutingTest.cpp
@@ -3,11 +3,12 @@
 
 #include <catch2/catch.hpp>
 
-#include "PlacementFixture.h"
 #include "currantfall/Placement/DirectPowerOfTwo.h"
 #include "currantfall/Placement/LookupPlanner.h"
 #include "currantfall/Placement/RequestRouter.h"
 
+#include "PlacementFixture.h"
+
 using namespace Currantfall::Common;
 using namespace Currantfall::Placement;
 using namespace Currantfall::Placement::Testing;
--- a/Source/UnitTests/Telemetry/MetricsRegistryTest.cpp
+++ b/Source/UnitTests/Telemetry/MetricsRegistryTest.cpp
@@ -4,10 +4,10 @@
 #include <chrono>
 #include <cmath>
 #include <iostream>
-#include <rapidcheck.h>
 #include <thread>
 
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 #include "currantfall/Telemetry/LatencyHistogram.h"
 
--- a/Tests/Platform/PlatformFixture.h
+++ b/Tests/Platform/PlatformFixture.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <httplib.h>
 #include <memory>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include "Support/ProcessFixture.h"
