Avoid a false warning of GCC 12 in the Admission tests

Cause: at -O3, GCC 12 reports -Wrestrict for a literal plus std::to_string, which -Werror makes an error.

--- a/Source/UnitTests/Admission/AdmissionQueueProperties.cpp
+++ b/Source/UnitTests/Admission/AdmissionQueueProperties.cpp
@@ -72,7 +72,7 @@
 private:
     void offer()
     {
-        const auto tenant = "t" + std::to_string(*rc::gen::inRange(0, 4));
+        const auto tenant = std::string("t").append(std::to_string(*rc::gen::inRange(0, 4)));
         const RequestId id = ++this->lastId;
         const QueuedRequest request { id,
                                       *rc::gen::inRange<RankIndex>(0, 4),
@@ -208,7 +208,7 @@
         std::vector<TenantWeight> tenants;
         tenants.reserve(weights.size());
         for (std::size_t index = 0; index < weights.size(); ++index) {
-            tenants.push_back({ TenantName("t" + std::to_string(index)),
+            tenants.push_back({ TenantName(std::string("t").append(std::to_string(index))),
                                 static_cast<double>(weights[index]) });
         }
         FairQueue queue(tenants);
