Measure pauses from the last heartbeat; verify load by request id

Cause: an owner must stop before its lease ends in its peers' view; the model of slot ownership holds only if a pause counts from the last heartbeat sent. The load tool asked the stand-in for executions in a format that it does not have.

--- a/Source/Daemon/ClusterFlow.cpp
+++ b/Source/Daemon/ClusterFlow.cpp
@@ -52,7 +52,8 @@
 
 ClusterFlow::ClusterFlow(SteeringContext &context, Membership::MemberTable table, Hooks hooks)
     : context(context), table(std::move(table)), hooks(std::move(hooks)),
-      owners(std::make_unique<Placement::OwnershipTable>(context.self.vm, context.now))
+      owners(std::make_unique<Placement::OwnershipTable>(context.self.vm, context.now)),
+      lastAdvance(context.now)
 {
     this->context.members = this->table.view();
 }
@@ -118,14 +119,17 @@
             this->context.sendControl(peer, message);
         }
     }
-    const bool pausedNow = this->paused();
-    if (pausedNow && !this->wasPaused) {
-        this->context.log.warn("this process was paused for longer than the lease; "
-                               "its ownership of backend servers has lapsed");
+    // Peers may count this VM as silent since its last heartbeat, which was up to a period before
+    // the last call; the shorter bound makes this VM stop before its lease ends in their view.
+    const absl::Duration gap = this->context.now - this->lastAdvance;
+    this->lastAdvance = this->context.now;
+    if (gap > Placement::longestUnreportedPause) {
+        this->context.log.warn("this process was paused; its ownership of backend servers and its "
+                               "credits have lapsed");
         this->context.metrics.addToCounter("currantfall_pauses_total");
         this->applyChanges(this->owners->pause(this->context.now));
+        this->hooks.onPause();
     }
-    this->wasPaused = pausedNow;
     this->applyView();
     this->applyChanges(this->owners->advance(this->context.now));
     this->sendReleases();
--- a/Source/Daemon/ClusterFlow.h
+++ b/Source/Daemon/ClusterFlow.h
@@ -23,6 +23,8 @@
         std::function<Membership::ReportedState()> ownState;
         std::function<void()> onTopologyChanged;
         std::function<void()> onOwnershipChanged;
+        /// This process was paused for so long that leases and credits have lapsed.
+        std::function<void()> onPause;
         /// Requests in flight on a backend server.
         std::function<std::size_t(const Common::BackendServerName &)> inFlight;
     };
@@ -58,7 +60,6 @@
     const Placement::OwnershipTable &ownership() const { return *this->owners; }
     /// Whether this VM is one of the two of its zone that read the platform often.
     bool readsPlatformOften() const;
-    bool paused() const { return this->table.pausedSince().has_value(); }
 
 private:
     ClusterFlow(SteeringContext &context, Membership::MemberTable table, Hooks hooks);
@@ -78,7 +79,7 @@
     std::vector<Placement::PlacementMember> placement;
     std::vector<Peering::PeerAddress> peers;
     std::vector<Common::BackendServerName> releasing;
-    bool wasPaused = false;
+    Common::Instant lastAdvance;
 };
 
 } // namespace Currantfall::Daemon
--- a/Source/Daemon/Steering.cpp
+++ b/Source/Daemon/Steering.cpp
@@ -71,6 +71,7 @@
         this->keyed->onMembersChanged();
     };
     hooks.onOwnershipChanged = [this] { this->scheduler->reconfigure(); };
+    hooks.onPause = [this] { this->credits->onPause(); };
     hooks.inFlight = [this](const Common::BackendServerName &server) {
         return this->scheduler->inFlight(server);
     };
@@ -137,17 +138,12 @@
 
 void Steering::run()
 {
-    bool paused = false;
     while (!this->finished) {
         auto event = this->events.popWithin(this->waitTime());
         this->context.now = Common::monotonicNow();
         // Detects a pause before the event is handled, so that a lapsed lease or credit is not
         // used.
         this->cluster->advance();
-        if (this->cluster->paused() && !paused) {
-            this->credits->onPause();
-        }
-        paused = this->cluster->paused();
         if (event) {
             std::visit([this](auto &value) { this->handle(value); }, *event);
         }
--- a/Source/Load/Caller.cpp
+++ b/Source/Load/Caller.cpp
@@ -108,7 +108,7 @@
         const nlohmann::json echo = nlohmann::json::parse(response.body);
         const bool same = echo.at("request") == requestId && echo.at("method") == request.method
                           && echo.at("path") == this->requestClass.path
-                          && echo.at("body_size") == request.body.size()
+                          && echo.at("body_bytes") == request.body.size()
                           && sameHash(echo.at("body_hash").get<std::string>(), request.body);
         // A server that is called directly may belong to any service.
         const bool sameService = !isSteered || echo.at("service") == this->requestClass.service;
--- a/Source/Load/LoadRun.cpp
+++ b/Source/Load/LoadRun.cpp
@@ -163,6 +163,7 @@
 } // namespace
 
 Common::Result<Executions> readExecutions(const std::vector<Endpoint> &servers,
+                                          const std::vector<std::string> &requestIds,
                                           absl::Duration timeout)
 {
     const std::string step = "read executions";
@@ -170,14 +171,16 @@
     for (const Endpoint &server : servers) {
         httplib::Client client(server.address, server.port);
         client.set_read_timeout(absl::ToChronoMilliseconds(timeout));
-        const httplib::Result reply = client.Get("/_control/executions?detail=1");
+        const std::string question = nlohmann::json { { "requests", requestIds } }.dump();
+        const httplib::Result reply
+                = client.Post("/_control/executions", question, "application/json");
         if (!reply || reply->status != 200) {
             return Common::failure(Common::ErrorCode::Unavailable, step, server.toString());
         }
         try {
             const nlohmann::json body = nlohmann::json::parse(reply->body);
-            for (const auto &[id, count] : body.at("runs").items()) {
-                all[id] += count.get<std::uint64_t>();
+            for (const auto &[id, counts] : body.at("requests").items()) {
+                all[id] += counts.at("ran").get<std::uint64_t>();
             }
         } catch (const nlohmann::json::exception &error) {
             return Common::failure(Common::ErrorCode::InvalidInput, step, server.toString(),
@@ -210,7 +213,16 @@
         return report;
     }
     absl::SleepFor(settings.settle);
-    const Common::Result<Executions> executions = readExecutions(settings.verify, settings.timeout);
+    std::vector<std::string> requestIds;
+    for (const Phase &phase : report.phases) {
+        for (const ClassResult &result : phase.classes) {
+            for (const RequestRecord &record : result.records) {
+                requestIds.push_back(record.id);
+            }
+        }
+    }
+    const Common::Result<Executions> executions
+            = readExecutions(settings.verify, requestIds, settings.timeout);
     if (!executions) {
         return tl::unexpected<Common::Error>(executions.error());
     }
--- a/Source/Load/LoadRun.h
+++ b/Source/Load/LoadRun.h
@@ -35,8 +35,9 @@
 /// does not answer.
 Common::Result<LoadReport> runLoad(const Settings &settings);
 
-/// Asks all stand-ins for their executions by request id.
+/// Asks all stand-ins how often the requests ran.
 Common::Result<Executions> readExecutions(const std::vector<Endpoint> &servers,
+                                          const std::vector<std::string> &requestIds,
                                           absl::Duration timeout);
 
 } // namespace Currantfall::Load
--- a/Source/Load/Main.cpp
+++ b/Source/Load/Main.cpp
@@ -2,6 +2,8 @@
 #include <iostream>
 #include <string>
 
+#include <absl/synchronization/mutex.h>
+
 #include "Load/LoadRun.h"
 #include "Load/ReportText.h"
 #include "Load/Settings.h"
@@ -19,6 +21,8 @@
 
 int main(int count, char **arguments)
 {
+    // Debian builds Abseil with deadlock detection, which takes a global lock in every Lock().
+    absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
     const bool wantsHelp = std::any_of(arguments, arguments + count, [](const char *argument) {
         return std::string(argument) == "--help";
     });
--- a/Source/UnitTests/LoadGenerator/LoadRunTest.cpp
+++ b/Source/UnitTests/LoadGenerator/LoadRunTest.cpp
@@ -33,10 +33,14 @@
         this->server.Get("/v1/lookup", [this](const httplib::Request &, httplib::Response &reply) {
             reply.set_content(this->lookupReply(), "application/json");
         });
-        this->server.Get("/_control/executions", [this](const httplib::Request &,
-                                                        httplib::Response &reply) {
+        this->server.Post("/_control/executions", [this](const httplib::Request &,
+                                                         httplib::Response &reply) {
             const std::lock_guard lock(this->mutex);
-            reply.set_content(nlohmann::json { { "runs", this->runs } }.dump(), "application/json");
+            nlohmann::json counts = nlohmann::json::object();
+            for (const auto &[id, ran] : this->runs) {
+                counts[id] = { { "started", ran }, { "ran", ran } };
+            }
+            reply.set_content(nlohmann::json { { "requests", counts } }.dump(), "application/json");
         });
         const auto serve = [this](const httplib::Request &request, httplib::Response &reply) {
             this->serve(request, reply);
@@ -71,7 +75,7 @@
                                     { "method", request.method },
                                     { "path", steered ? request.path.substr(5) : request.path },
                                     { "request", id },
-                                    { "body_size", request.body.size() },
+                                    { "body_bytes", request.body.size() },
                                     { "body_hash", absl::StrCat(absl::Hex(hash)) } };
         reply.set_header("Currantfall-Outcome", "answered");
         reply.set_content(echo.dump(), "application/json");
