Bound the time for asking all daemons

With thousands of dead VMs, asking each for its full time limit could take minutes and outlast the deadline of a drain.

--- a/Source/Tool/Daemons.cpp
+++ b/Source/Tool/Daemons.cpp
@@ -7,6 +7,8 @@
 
 #include <httplib.h>
 
+#include "currantfall/Common/Time.h"
+
 #include "Commands.h"
 
 namespace Currantfall::Tool {
@@ -66,21 +68,30 @@
     return daemons;
 }
 
-std::vector<DaemonReport> askDaemons(const std::vector<Daemon> &daemons, absl::Duration timeout)
+std::vector<DaemonReport> askDaemons(const std::vector<Daemon> &daemons,
+                                     const ToolSettings &settings)
 {
     std::vector<DaemonReport> reports;
     reports.reserve(daemons.size());
     for (const Daemon &daemon : daemons) {
-        reports.push_back({ daemon, Common::failure(Common::ErrorCode::Unavailable, "read status",
-                                                    daemon.admin.toString(), "not asked") });
+        reports.push_back(
+                { daemon, Common::failure(Common::ErrorCode::Unavailable, "read status",
+                                          daemon.admin.toString(),
+                                          "the time limit was reached before it was asked") });
     }
     std::atomic<std::size_t> next = 0;
+    const Common::Instant deadline = Common::monotonicNow() + settings.timeout / 2;
     const auto work = [&] {
         for (std::size_t i = next++; i < reports.size(); i = next++) {
-            reports[i].status = askDaemon(reports[i].daemon, timeout);
+            const absl::Duration remaining = deadline - Common::monotonicNow();
+            if (remaining <= absl::ZeroDuration()) {
+                return;
+            }
+            reports[i].status
+                    = askDaemon(reports[i].daemon, std::min(remaining, settings.daemonTimeout()));
         }
     };
-    constexpr std::size_t maxThreads = 32;
+    constexpr std::size_t maxThreads = 64;
     std::vector<std::thread> threads;
     for (std::size_t i = 0; i < std::min(maxThreads, reports.size()); ++i) {
         threads.emplace_back(work);
--- a/Source/Tool/Daemons.h
+++ b/Source/Tool/Daemons.h
@@ -38,8 +38,11 @@
 /// The daemons of --daemon or, without it, of the platform's list.
 Common::Result<std::vector<Daemon>> findDaemons(const ToolSettings &settings);
 
-/// Asks all daemons at the same time; the reports have the order of `daemons`.
-std::vector<DaemonReport> askDaemons(const std::vector<Daemon> &daemons, absl::Duration timeout);
+/// Asks the daemons, many at the same time, and ends within half of --timeout-ms, so that a drain
+/// still has time for its write. Those that were not reached by then count as not heard from. The
+/// reports have the order of `daemons`.
+std::vector<DaemonReport> askDaemons(const std::vector<Daemon> &daemons,
+                                     const ToolSettings &settings);
 
 /// The body of a successful GET. Errors: Unavailable without an answer, Refused for other statuses.
 Common::Result<std::string> fetch(const Platform::HostPort &server, const std::string &path,
--- a/Source/Tool/DrainCommand.cpp
+++ b/Source/Tool/DrainCommand.cpp
@@ -34,7 +34,7 @@
 Common::Result<std::vector<DaemonReport>> askAll(const Run &run)
 {
     return findDaemons(run.settings).map([&](const std::vector<Daemon> &daemons) {
-        return askDaemons(daemons, run.settings.daemonTimeout());
+        return askDaemons(daemons, run.settings);
     });
 }
 
--- a/Source/Tool/StatusCommand.cpp
+++ b/Source/Tool/StatusCommand.cpp
@@ -175,7 +175,7 @@
     if (!daemons) {
         return output.fail(daemons.error());
     }
-    overview.reports = askDaemons(*daemons, settings.daemonTimeout());
+    overview.reports = askDaemons(*daemons, settings);
     if (!daemons->empty() && overview.notHeard().size() == daemons->size()) {
         code = ExitCode::Unreachable;
     }
