--- a/Source/Core/Membership/MemberTableOutput.cpp
+++ b/Source/Core/Membership/MemberTableOutput.cpp
@@ -132,7 +132,9 @@
     if (candidates.empty()) {
         candidates = std::move(suspects);
         const double turn = absl::FDivDuration(this->lastCall.sinceOrigin(), partnerRotation);
-        key += "#" + std::to_string(static_cast<std::int64_t>(turn));
+        // Appended in two steps: "#" + a temporary string gives a false -Wrestrict in g++ 12.
+        key += '#';
+        key += std::to_string(static_cast<std::int64_t>(turn));
     }
     const auto nameOf = [](const VmName &vm) -> const std::string & { return vm.value(); };
     return Common::topCandidates(key, std::move(candidates), partnersPerZone, nameOf);
