--- a/Source/Daemon/ClusterFlow.cpp
+++ b/Source/Daemon/ClusterFlow.cpp
@@ -43,7 +43,9 @@
 Common::Result<ClusterFlow> ClusterFlow::create(SteeringContext &context,
                                                 const Membership::Identity &self, Hooks hooks)
 {
-    auto table = Membership::MemberTable::create(context.now, self, {});
+    Membership::MembershipSettings settings;
+    settings.briefDigests = true;
+    auto table = Membership::MemberTable::create(context.now, self, settings);
     if (!table) {
         return tl::unexpected(table.error());
     }
--- a/Source/Daemon/WireConversion.cpp
+++ b/Source/Daemon/WireConversion.cpp
@@ -209,6 +209,10 @@
     Wire::MemberDigestT message;
     message.sent_ms = static_cast<std::uint64_t>(absl::ToInt64Milliseconds(digest.sentAt));
     message.interval_ms = toMilliseconds(digest.interval);
+    message.zone = digest.zone.value();
+    message.base = digest.base;
+    message.brief = digest.brief;
+    message.rest_age_ms = toMilliseconds(digest.restAge);
     message.entries.reserve(digest.entries.size());
     for (const Membership::DigestEntry &entry : digest.entries) {
         message.entries.push_back(entryToWire(entry));
@@ -221,6 +225,10 @@
     Membership::Digest digest;
     digest.sentAt = absl::Milliseconds(message.sent_ms);
     digest.interval = absl::Milliseconds(message.interval_ms);
+    digest.zone = Common::ZoneName(message.zone);
+    digest.base = message.base;
+    digest.brief = message.brief;
+    digest.restAge = absl::Milliseconds(message.rest_age_ms);
     digest.entries.reserve(message.entries.size());
     for (const auto &entry : message.entries) {
         if (entry != nullptr) {
