Split key forwarding from KeyedFlow; keep one retry budget

Change: KeyForwarder takes keys to their issuer or deputy; Admission/RetryBudget is removed, its test moves to the budget of Execution with that budget's reserve (2) and capacity (100). Conclusion: no change of behaviour.

--- a/Source/Daemon/KeyedFlow.cpp
+++ b/Source/Daemon/KeyedFlow.cpp
@@ -17,8 +17,6 @@
 using Membership::MemberState;
 
 constexpr absl::Duration tickInterval = absl::Milliseconds(50);
-// Time for a link to the issuer, and then to the deputy, to come up.
-constexpr absl::Duration linkTimeout = absl::Milliseconds(800);
 constexpr absl::Duration handoverTimeout = absl::Seconds(2);
 constexpr std::size_t recordsPerHandover = 500;
 
@@ -26,7 +24,7 @@
 
 KeyedFlow::KeyedFlow(SteeringContext &context, ClusterFlow &cluster, Dispatcher &dispatcher)
     : context(context), cluster(cluster), dispatcher(dispatcher), issuer(context.self, {}),
-      deputy(context.self, {})
+      deputy(context.self, {}), forwarder(context, cluster, this->deputy)
 {
     this->context.timers.subscribeEvery(this->context.now, tickInterval,
                                         [this](Common::Instant) { this->tick(); });
@@ -44,7 +42,7 @@
         this->begin(std::move(request), *key, std::move(done));
         return;
     }
-    this->startRemote(std::move(request), *key, std::move(done));
+    this->forwarder.start(std::move(request), *key, std::move(done));
 }
 
 void KeyedFlow::onForwardRequest(const Common::VmName &from, SharedRequest request,
@@ -65,14 +63,7 @@
 bool KeyedFlow::onForwardReply(const Common::VmName &from, const std::string &attempt,
                                const Common::Answer &answer)
 {
-    const auto found = this->remotes.find(attempt);
-    if (found == this->remotes.end()) {
-        return false;
-    }
-    if (found->second.phase == Phase::ToIssuer && found->second.peer == from) {
-        this->finishRemote(attempt, answer);
-    }
-    return true;
+    return this->forwarder.onForwardReply(from, attempt, answer);
 }
 
 void KeyedFlow::onIntentNote(const Execution::VmRun &from, const std::string &text)
@@ -137,11 +128,7 @@
 void KeyedFlow::onKeyReply(const Common::VmName &from, const std::string &attempt,
                            const Common::Answer &answer)
 {
-    const auto found = this->remotes.find(attempt);
-    if (found != this->remotes.end() && found->second.phase == Phase::ToDeputy
-        && found->second.peer == from) {
-        this->finishRemote(attempt, answer);
-    }
+    this->forwarder.onKeyReply(from, attempt, answer);
 }
 
 void KeyedFlow::onHandover(const Execution::VmRun &from,
@@ -176,25 +163,7 @@
             this->complete(completion);
         }
     }
-    std::vector<std::string> interrupted;
-    for (const auto &[attempt, remote] : this->remotes) {
-        const auto used = remote.phase == Phase::ToIssuer ? linkClassOf(remote.request->rank)
-                                                          : Peering::LinkClass::Control;
-        if (remote.peer == peer && remote.sent && used == linkClass) {
-            interrupted.push_back(attempt);
-        }
-    }
-    for (const std::string &attempt : interrupted) {
-        Remote &remote = this->remotes.at(attempt);
-        if (remote.phase == Phase::ToIssuer) {
-            // Repeating the key at the issuer is safe: it joins the execution or gets its record.
-            remote.sent = false;
-            remote.phaseEnds = this->context.now + linkTimeout;
-        } else {
-            this->finishRemote(attempt, Common::outcomeUnknown(Reason::IssuerUnreachable,
-                                                               "the link to the deputy was lost"));
-        }
-    }
+    this->forwarder.onLinkDown(peer, linkClass);
 }
 
 void KeyedFlow::onMembersChanged()
@@ -243,13 +212,7 @@
     if (this->currentDeputy) {
         this->cluster.requestPeer(this->currentDeputy->vm);
     }
-    std::vector<std::string> open;
-    for (const auto &entry : this->remotes) {
-        open.push_back(entry.first);
-    }
-    for (const std::string &attempt : open) {
-        this->trySend(attempt);
-    }
+    this->forwarder.retry();
     if (this->closed && !this->handoverSent && this->issuer.runningCount() == 0
         && this->pendingRuns.empty()) {
         this->sendHandover();
@@ -323,115 +286,6 @@
     this->context.sendControl(note.deputy.vm, std::move(message));
 }
 
-void KeyedFlow::startRemote(SharedRequest request, const IdempotencyKey &key, AnswerHandler done)
-{
-    const std::string attempt = this->context.self.vm.value() + "."
-                                + std::to_string(this->context.self.incarnation) + ".k"
-                                + std::to_string(++this->lastAttempt);
-    Remote remote { std::move(request),
-                    key,
-                    std::move(done),
-                    Phase::ToIssuer,
-                    key.prefix().issuer.vm,
-                    false,
-                    this->context.now + linkTimeout };
-    this->remotes.emplace(attempt, std::move(remote));
-    if (!this->issuerMayAnswer(key.prefix().issuer)) {
-        this->enterDeputyPhase(attempt);
-        return;
-    }
-    this->trySend(attempt);
-}
-
-void KeyedFlow::trySend(const std::string &attempt)
-{
-    const auto found = this->remotes.find(attempt);
-    if (found == this->remotes.end()) {
-        return;
-    }
-    Remote &remote = found->second;
-    if (this->context.now >= remote.request->deadline) {
-        this->finishRemote(attempt,
-                           Common::outcomeUnknown(Reason::TimedOut,
-                                                  "no answer about the key before the deadline"));
-        return;
-    }
-    if (remote.phase == Phase::ToIssuer && !this->issuerMayAnswer(remote.key.prefix().issuer)) {
-        this->enterDeputyPhase(attempt);
-        return;
-    }
-    if (remote.sent) {
-        return;
-    }
-    if (remote.phase == Phase::ToIssuer) {
-        remote.sent = this->context.sendOn(
-                remote.peer, linkClassOf(remote.request->rank),
-                toWire(attempt, *remote.request, true, 0, this->context.now));
-    } else {
-        Peering::Wire::KeyQueryT query;
-        query.key = remote.key.toString();
-        query.attempt = attempt;
-        remote.sent = this->context.sendControl(remote.peer, std::move(query));
-    }
-    if (remote.sent) {
-        return;
-    }
-    this->cluster.requestPeer(remote.peer);
-    if (this->context.now < remote.phaseEnds) {
-        return;
-    }
-    if (remote.phase == Phase::ToIssuer) {
-        this->enterDeputyPhase(attempt);
-        return;
-    }
-    this->finishRemote(attempt, Common::outcomeUnknown(Reason::IssuerUnreachable,
-                                                       "neither issuer nor deputy can be reached"));
-}
-
-void KeyedFlow::enterDeputyPhase(const std::string &attempt)
-{
-    Remote &remote = this->remotes.at(attempt);
-    const auto &deputyRun = remote.key.prefix().deputy;
-    if (!deputyRun) {
-        this->finishRemote(attempt,
-                           Common::outcomeUnknown(Reason::IssuerUnreachable,
-                                                  "the issuer can't be reached and the key names "
-                                                  "no deputy"));
-        return;
-    }
-    if (deputyRun->vm == this->context.self.vm) {
-        const Common::Answer answer = this->deputy.query(this->context.now, remote.key);
-        this->finishRemote(attempt, answer);
-        return;
-    }
-    remote.phase = Phase::ToDeputy;
-    remote.peer = deputyRun->vm;
-    remote.sent = false;
-    remote.phaseEnds = this->context.now + linkTimeout;
-    this->trySend(attempt);
-}
-
-void KeyedFlow::finishRemote(const std::string &attempt, Common::Answer answer)
-{
-    const auto found = this->remotes.find(attempt);
-    if (found == this->remotes.end()) {
-        return;
-    }
-    const AnswerHandler done = std::move(found->second.done);
-    this->remotes.erase(found);
-    done(std::move(answer));
-}
-
-bool KeyedFlow::issuerMayAnswer(const Execution::VmRun &issuerRun) const
-{
-    const Membership::Member *member = this->context.members->find(issuerRun.vm);
-    if (member == nullptr || issuerRun.vm == this->context.self.vm) {
-        return false;
-    }
-    return member->state != MemberState::Suspect
-           && (member->incarnation == 0 || member->incarnation == issuerRun.incarnation);
-}
-
 void KeyedFlow::chooseDeputy()
 {
     if (this->currentDeputy) {
--- a/Source/Daemon/KeyedFlow.h
+++ b/Source/Daemon/KeyedFlow.h
@@ -12,6 +12,7 @@
 
 #include "ClusterFlow.h"
 #include "Dispatcher.h"
+#include "KeyForwarder.h"
 #include "SteeringContext.h"
 
 namespace Currantfall::Daemon {
@@ -58,23 +59,6 @@
     std::size_t runningCount() const { return this->issuer.runningCount(); }
 
 private:
-    enum class Phase {
-        ToIssuer,
-        ToDeputy,
-    };
-
-    /// A key on its way to its issuer or deputy on another VM.
-    struct Remote
-    {
-        SharedRequest request;
-        Execution::IdempotencyKey key;
-        AnswerHandler done;
-        Phase phase = Phase::ToIssuer;
-        Common::VmName peer;
-        bool sent = false;
-        Common::Instant phaseEnds;
-    };
-
     void tick();
     void begin(SharedRequest request, const Execution::IdempotencyKey &key, AnswerHandler done);
     void recordIntent(const Execution::IdempotencyKey &key, const Execution::VmRun &deputy);
@@ -82,13 +66,6 @@
     void complete(const Execution::Completion &completion);
     void sendResultNote(const Execution::DeputyNote &note);
 
-    void startRemote(SharedRequest request, const Execution::IdempotencyKey &key,
-                     AnswerHandler done);
-    void trySend(const std::string &attempt);
-    void enterDeputyPhase(const std::string &attempt);
-    void finishRemote(const std::string &attempt, Common::Answer answer);
-    bool issuerMayAnswer(const Execution::VmRun &issuer) const;
-
     void chooseDeputy();
     std::optional<Execution::VmRun> bestDeputy() const;
     void sendHandover();
@@ -98,16 +75,15 @@
     Dispatcher &dispatcher;
     Execution::Issuer issuer;
     Execution::Deputy deputy;
+    KeyForwarder forwarder;
     std::optional<Execution::VmRun> currentDeputy;
     absl::flat_hash_set<Common::VmName> linked;
     absl::flat_hash_map<Common::VmName, std::string> announced; // Prefixes noted at the deputy.
     absl::flat_hash_map<Execution::WaiterId, AnswerHandler> waiters;
     absl::flat_hash_map<std::string, SharedRequest>
-            pendingRuns;                              // By key, until the intent is noted.
-    absl::flat_hash_map<std::string, Remote> remotes; // By attempt.
+            pendingRuns; // By key, until the intent is noted.
     absl::flat_hash_set<Common::VmName> handoversOpen;
     Execution::WaiterId lastWaiter = 0;
-    std::uint64_t lastAttempt = 0;
     bool closed = false;
     bool handoverSent = false;
     Common::Instant handoverEnds;
--- a/Source/UnitTests/Admission/LimitsTest.cpp
+++ b/Source/UnitTests/Admission/LimitsTest.cpp
@@ -4,7 +4,6 @@
 #include "currantfall/Admission/CircuitBreaker.h"
 #include "currantfall/Admission/ConcurrencyLimit.h"
 #include "currantfall/Admission/EntryLimiter.h"
-#include "currantfall/Admission/RetryBudget.h"
 
 using namespace Currantfall::Admission;
 using namespace Currantfall::Common;
@@ -94,23 +93,6 @@
     }));
 }
 
-TEST_CASE("Retries stay within a tenth of first attempts, also after a long time without failures")
-{
-    RetryBudget budget;
-    int retries = 0;
-    for (int request = 0; request < 1000; ++request) {
-        budget.recordFirstAttempt();
-        while (budget.tryRetry()) {
-            ++retries;
-        }
-    }
-    REQUIRE(retries == 103);
-    for (int request = 0; request < 100000; ++request) {
-        budget.recordFirstAttempt();
-    }
-    REQUIRE(budget.available() == 50.0);
-}
-
 TEST_CASE("A dead backend server gets one probe at a time, at growing intervals")
 {
     CircuitBreaker breaker;
--- a/Source/UnitTests/Execution/AttemptTest.cpp
+++ b/Source/UnitTests/Execution/AttemptTest.cpp
@@ -100,6 +100,28 @@
             == std::vector<std::string> { "s2", "s3", "s1" });
 }
 
+TEST_CASE("Retries stay within a tenth of first attempts, also after a long time without failures")
+{
+    RetryBudget budget;
+    int retries = 0;
+    for (int request = 0; request < 1000; ++request) {
+        budget.onFirstAttempt();
+        while (budget.tryTake()) {
+            ++retries;
+        }
+    }
+    // The reserve of two, and a tenth.
+    REQUIRE(retries == 102);
+    for (int request = 0; request < 100000; ++request) {
+        budget.onFirstAttempt();
+    }
+    retries = 0;
+    while (budget.tryTake()) {
+        ++retries;
+    }
+    REQUIRE(retries == 100);
+}
+
 TEST_CASE("Only idempotent requests are hedged, once, after the p95 and within the deadline")
 {
     RetryBudget budget(0.1, 1.0, 5.0);
