Look for due ownership changes only when one is due

Documents that take over 0.5 s to check were fetched from the store a second time. Change: ClusterFlow keeps the due time; the store is not asked while a delivered document is checked.

--- a/Source/Daemon/ClusterFlow.cpp
+++ b/Source/Daemon/ClusterFlow.cpp
@@ -133,13 +133,16 @@
         this->hooks.onPause();
     }
     this->applyView();
-    this->applyChanges(this->owners->advance(this->context.now));
+    if (this->ownershipDue <= this->context.now) {
+        this->applyChanges(this->owners->advance(this->context.now));
+        this->ownershipDue = this->owners->nextDue();
+    }
     this->sendReleases();
 }
 
 Common::Instant ClusterFlow::nextDue() const
 {
-    return std::min(this->table.nextDue(), this->owners->nextDue());
+    return std::min(this->table.nextDue(), this->ownershipDue);
 }
 
 void ClusterFlow::requestPeer(const Common::VmName &vm)
@@ -231,6 +234,7 @@
         heard.push_back(std::move(entry));
     }
     this->applyChanges(this->owners->update(this->context.now, *this->context.environment, heard));
+    this->ownershipDue = this->owners->nextDue();
 }
 
 void ClusterFlow::applyChanges(const std::vector<Placement::OwnershipChange> &changes)
@@ -238,6 +242,7 @@
     if (changes.empty()) {
         return;
     }
+    this->ownershipDue = this->owners->nextDue();
     for (const Placement::OwnershipChange &change : changes) {
         if (change.state == OwnershipState::Releasing) {
             this->releasing.push_back(change.backendServer);
--- a/Source/Daemon/ClusterFlow.h
+++ b/Source/Daemon/ClusterFlow.h
@@ -80,6 +80,8 @@
     std::vector<Peering::PeerAddress> peers;
     std::vector<Common::BackendServerName> releasing;
     Common::Instant lastAdvance;
+    /// Cached, because the ownership table looks at every backend server to find it.
+    Common::Instant ownershipDue = Common::Instant::infinite();
 };
 
 } // namespace Currantfall::Daemon
--- a/Source/Daemon/ConfigurationFlow.cpp
+++ b/Source/Daemon/ConfigurationFlow.cpp
@@ -73,6 +73,7 @@
         this->fetchFromStore();
         return;
     }
+    this->contentArrived = hash;
     this->hooks.load(std::move(content));
 }
 
@@ -101,7 +102,9 @@
     const Common::Revision wanted = this->pending->revision();
     this->context.timers.subscribeOnce(
             this->context.now + peerTimeout, [this, wanted](Common::Instant) {
-                if (this->pending && this->pending->revision() == wanted) {
+                // A large document may still be read and checked; it need not come again.
+                if (this->pending && this->pending->revision() == wanted
+                    && this->contentArrived != this->pending->document()) {
                     this->fetchFromStore();
                 }
             });
--- a/Source/Daemon/ConfigurationFlow.h
+++ b/Source/Daemon/ConfigurationFlow.h
@@ -59,6 +59,7 @@
     std::optional<Platform::EnvironmentRow> inForce;
     std::optional<Platform::EnvironmentRow> pending;
     std::optional<LoadedDocument> document; // Of the row in force, or newer.
+    std::string contentArrived;             // Hash of the last document that a peer delivered.
     std::map<Common::VmName, Common::Instant> lastNotice;
 };
 
