--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -9,6 +9,21 @@
 constexpr Common::RankIndex mostRanks = 7;
 constexpr std::size_t lookupConnections = 400;
 
+void describeMetrics(Telemetry::MetricsRegistry &metrics)
+{
+    metrics.describe("currantfall_backend_attempts_total", "Attempts at backend servers.");
+    metrics.describe("currantfall_backend_sheds_total", "Requests shed by backend servers.");
+    metrics.describe("currantfall_dropped_answers_total",
+                     "Late, duplicate or mismatched answers of other VMs.");
+    metrics.describe("currantfall_forwards_total", "Requests sent to an owner on another VM.");
+    metrics.describe("currantfall_lookups_total", "Lookups answered or refused.");
+    metrics.describe("currantfall_pauses_total", "Pauses after which leases had lapsed.");
+    metrics.describe("currantfall_requests_in_progress", "Callers that wait for an answer.");
+    metrics.describe("currantfall_retries_total", "Attempts after the first one of a request.");
+    metrics.describe("currantfall_revision", "Configuration revision in force.");
+    metrics.describe("currantfall_slot_overruns", "Starts above a backend server's slots.");
+}
+
 Common::Incarnation newIncarnation()
 {
     return static_cast<Common::Incarnation>(absl::ToUnixMicros(absl::Now()));
@@ -46,7 +61,9 @@
 Daemon::Daemon(const Settings &settings, Common::Incarnation incarnation)
     : settings(settings), incarnation(incarnation), log(Common::Log::forComponent("daemon")),
       memory(settings.bodyMemory)
-{ }
+{
+    describeMetrics(this->metrics);
+}
 
 Daemon::~Daemon()
 {
