--- a/Source/UnitTests/Membership/MembershipBenchmark.cpp
+++ b/Source/UnitTests/Membership/MembershipBenchmark.cpp
@@ -102,6 +102,17 @@
     return encodeFrame(Peering::protocolVersion, Peering::LinkClass::Control, message).size();
 }
 
+Identity identity(int index, int zones)
+{
+    const int zone = index % zones;
+    return { VmName("vm-" + std::to_string(10'000 + index)),
+             Common::ZoneName("zone-" + std::to_string(zone)),
+             Common::RegionName("region-" + std::to_string(zone % 16)),
+             1,
+             "127.100.100.100",
+             7000 };
+}
+
 /// One VM's table, fed with the messages of all others.
 class Load
 {
@@ -189,17 +200,6 @@
     std::size_t largestDigestFrame = 0;
 
 private:
-    static Identity identity(int index, int zones)
-    {
-        const int zone = index % zones;
-        return { VmName("vm-" + std::to_string(10'000 + index)),
-                 Common::ZoneName("zone-" + std::to_string(zone)),
-                 Common::RegionName("region-" + std::to_string(zone % 16)),
-                 1,
-                 "127.100.100.100",
-                 7000 };
-    }
-
     /// Links to partners in other zones come up when the table asks for them.
     void connect(std::int64_t now)
     {
@@ -334,16 +334,18 @@
         int members;
         int zones;
         bool briefDigests;
+        double digestBytesPerSecond;
     };
-    const std::vector<Size> sizes = { { 10, 1, false },
-                                      { 100, 1, false },
-                                      { 300, 1, false },
-                                      { 5'000, 55, false },
-                                      { 5'000, 55, true } };
-    for (const auto &[members, zones, briefDigests] : sizes) {
+    constexpr double smallBudget = 2 * fullBytesPerSecond;
+    const double daemonBudget = MembershipSettings().digestBytesPerSecond;
+    const std::vector<Size> sizes
+            = { { 10, 1, false, smallBudget },    { 100, 1, false, smallBudget },
+                { 300, 1, false, smallBudget },   { 5'000, 55, false, smallBudget },
+                { 5'000, 55, true, smallBudget }, { 4'600, 55, false, daemonBudget } };
+    for (const auto &[members, zones, briefDigests, digestBytesPerSecond] : sizes) {
         MembershipSettings settings;
         settings.briefDigests = briefDigests;
-        settings.digestBytesPerSecond = 2 * fullBytesPerSecond;
+        settings.digestBytesPerSecond = digestBytesPerSecond;
         int self = 0;
         auto created = std::make_unique<Load>(self, members, zones, settings);
         // With several zones, measure a VM that is a digest partner.
@@ -364,6 +366,7 @@
         const nlohmann::ordered_json line = {
             { "members", members },
             { "brief_digests", briefDigests },
+            { "digest_budget_bytes_per_s", digestBytesPerSecond },
             { "zone_members", load.mates.size() + 1 },
             { "cpu_us_per_heartbeat", microsecondsPer(load.heartbeatCpu, load.heartbeatsIn) },
             { "cpu_us_per_digest_entry", microsecondsPer(load.digestCpu, load.digestEntriesIn) },
@@ -381,3 +384,25 @@
         std::cout << line.dump() << std::endl;
     }
 }
+
+TEST_CASE("Cost of the platform's list by number of members", "[.benchmark]")
+{
+    constexpr int calls = 20;
+    for (const int members : { 100, 1'000, 4'600 }) {
+        std::vector<ListedVm> rows;
+        for (int index = 0; index < members; ++index) {
+            const Identity peer = identity(index, 55);
+            rows.push_back({ peer.vm, peer.zone, peer.region, peer.address, peer.portBase, false });
+        }
+        MemberTable table = std::move(*MemberTable::create(at(0), identity(0, 55), {}));
+        table.applyPlatformList(at(0), rows);
+        const double before = cpuSeconds();
+        for (int call = 1; call <= calls; ++call) {
+            table.applyPlatformList(at(call), rows);
+        }
+        const nlohmann::ordered_json line
+                = { { "members", members },
+                    { "cpu_us_per_platform_list", microsecondsPer(cpuSeconds() - before, calls) } };
+        std::cout << line.dump() << std::endl;
+    }
+}
