--- a/Source/Load/Main.cpp
+++ b/Source/Load/Main.cpp
@@ -17,19 +17,26 @@
 constexpr int exitInvalidSettings = 2;
 constexpr int exitUnreachable = 3;
 
+bool isGiven(int count, char **arguments, const std::string &flag)
+{
+    return std::any_of(arguments, arguments + count,
+                       [&flag](const char *argument) { return flag == argument; });
+}
+
 } // namespace
 
 int main(int count, char **arguments)
 {
     // Debian builds Abseil with deadlock detection, which takes a global lock in every Lock().
     absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
-    const bool wantsHelp = std::any_of(arguments, arguments + count, [](const char *argument) {
-        return std::string(argument) == "--help";
-    });
-    if (wantsHelp) {
+    if (isGiven(count, arguments, "--help")) {
         std::cout << Load::Settings::help();
         return exitSuccess;
     }
+    if (isGiven(count, arguments, "--version")) {
+        std::cout << "currantfall-load " CURRANTFALL_VERSION "\n";
+        return exitSuccess;
+    }
     const Common::Result<Load::Settings> settings = Load::Settings::parse(count, arguments);
     if (!settings) {
         std::cerr << settings.error().toString() << "\n";
--- a/Source/Load/Settings.cpp
+++ b/Source/Load/Settings.cpp
@@ -51,7 +51,7 @@
             "connections", "of each class", cxxopts::value<std::size_t>()->default_value("32"))(
             "alternate", "pairs of a direct and a steered phase",
             cxxopts::value<std::size_t>()->default_value("0"))("json", "report as JSON")(
-            "help", "this text");
+            "help", "this text")("version", "print the version");
     return all;
 }
 
