Refuse keyed requests at an entry VM without claiming not-run

Cause: a VM that refused a keyed request for lack of room, or without a document, said not-run although another copy of the request could have run elsewhere (invariant I4). Found by reading the code. Change: such refusals are outcome-unknown if the request has a key; only the issuer or the deputy says not-run. Conclusion: I4 holds for refusals before steering.

--- a/Source/Daemon/CallerServer.cpp
+++ b/Source/Daemon/CallerServer.cpp
@@ -93,14 +93,27 @@
     return in.has_header("Transfer-Encoding") ? bodyLimit : 0;
 }
 
+/// A refusal by this VM alone. It proves nothing about a request with a key, since another copy of
+/// it may have run: only the key's issuer or deputy may say `not-run` then.
+Answer refuseHere(const httplib::Request &in, Reason reason, const std::string &message,
+                  absl::Duration retryAfter)
+{
+    if (!in.has_header("Idempotency-Key")) {
+        return Common::notRun(reason, message, retryAfter);
+    }
+    Answer answer = Common::outcomeUnknown(reason, message + "; repeat the request with its key");
+    answer.retryAfter = retryAfter;
+    return answer;
+}
+
 } // namespace
 
 Common::Result<std::unique_ptr<CallerServer>>
-CallerServer::start(Settings settings, const Published<RoutingSnapshot> &routing,
-                    BodyMemory &memory, Submit submit)
+CallerServer::start(Settings settings, const Published<RoutingSnapshot> &routing, EntryGate &gate,
+                    Submit submit)
 {
     auto created = std::unique_ptr<CallerServer>(
-            new CallerServer(std::move(settings), routing, memory, std::move(submit)));
+            new CallerServer(std::move(settings), routing, gate, std::move(submit)));
     created->installHandlers();
     const Settings &used = created->settings;
     const auto started = created->listener.start(used.address, used.port, "listen for callers");
@@ -111,7 +124,7 @@
 }
 
 CallerServer::CallerServer(Settings settings, const Published<RoutingSnapshot> &routing,
-                           BodyMemory &memory, Submit submit)
+                           EntryGate &gate, Submit submit)
     : settings(std::move(settings)), routing(routing), memory(memory), submit(std::move(submit)),
       log(Common::Log::forComponent("caller")),
       listener(this->settings.connections, keepAliveIdleSeconds)
@@ -165,8 +178,8 @@
     const auto snapshot = this->routing.read();
     if (snapshot->environment == nullptr) {
         dropBody(reader);
-        return Common::notRun(Reason::NoConfiguration, "no environment document is in force yet",
-                              absl::Seconds(1));
+        return refuseHere(in, Reason::NoConfiguration, "no environment document is in force yet",
+                          absl::Seconds(1));
     }
     const Target target = parseTarget(in.target);
     const Configuration::Service *service = snapshot->environment->findService(target.service);
@@ -187,10 +200,12 @@
         return Common::notRun(Reason::BodyTooLarge,
                               "the body limit is " + std::to_string(service->bodyLimit) + " bytes");
     }
-    const auto reserved = this->memory.reserve(service->rank, length);
-    if (!reserved) {
+    const Common::TenantName tenant = tenantOf(in, *snapshot->environment);
+    const auto permit = this->gate.tryEnter(service->rank, { tenant, service->name }, length);
+    if (!permit) {
         dropBody(reader);
-        return Common::notRun(Reason::Overloaded, "no memory for the body", absl::Seconds(1));
+        return refuseHere(in, permit.error().reason, "this VM holds too many requests",
+                          permit.error().retryAfter);
     }
     auto request = std::make_shared<Request>();
     if (!readBody(reader, service->bodyLimit, request->body)) {
@@ -201,7 +216,7 @@
     request->id = requestId;
     request->service = service->name;
     request->rank = service->rank;
-    request->tenant = tenantOf(in, *snapshot->environment);
+    request->tenant = tenant;
     request->method = in.method;
     request->path = target.pathWithQuery;
     request->headers = endToEndHeaders(in.headers);
@@ -210,7 +225,7 @@
     request->deadline = arrival + timeout;
     auto completion = std::make_shared<Completion>();
     if (!this->submit(std::move(request), completion)) {
-        return Common::notRun(Reason::Overloaded, "the steering queue is full", absl::Seconds(1));
+        return refuseHere(in, Reason::Overloaded, "the steering queue is full", absl::Seconds(1));
     }
     return completion->await(timeout + completionGrace);
 }
--- a/Source/Daemon/CallerServer.h
+++ b/Source/Daemon/CallerServer.h
@@ -11,7 +11,7 @@
 #include "currantfall/Common/Error.h"
 #include "currantfall/Common/Log.h"
 
-#include "BodyMemory.h"
+#include "EntryGate.h"
 #include "HttpListener.h"
 #include "Request.h"
 #include "RoutingSnapshot.h"
@@ -37,11 +37,11 @@
     using Submit = std::function<bool(SharedRequest, std::shared_ptr<Completion>)>;
 
     static Common::Result<std::unique_ptr<CallerServer>>
-    start(Settings settings, const Published<RoutingSnapshot> &routing, BodyMemory &memory,
+    start(Settings settings, const Published<RoutingSnapshot> &routing, EntryGate &gate,
           Submit submit);
 
 private:
-    CallerServer(Settings settings, const Published<RoutingSnapshot> &routing, BodyMemory &memory,
+    CallerServer(Settings settings, const Published<RoutingSnapshot> &routing, EntryGate &gate,
                  Submit submit);
 
     void installHandlers();
@@ -53,7 +53,7 @@
 
     Settings settings;
     const Published<RoutingSnapshot> &routing;
-    BodyMemory &memory;
+    EntryGate &gate;
     Submit submit;
     Common::Log log;
     std::atomic<std::uint64_t> lastRequest { 0 };
--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -60,7 +60,7 @@
 
 Daemon::Daemon(const Settings &settings, Common::Incarnation incarnation)
     : settings(settings), incarnation(incarnation), log(Common::Log::forComponent("daemon")),
-      memory(settings.bodyMemory)
+      gate(settings.connectionsPerRank * mostRanks, settings.bodyMemory)
 {
     describeMetrics(this->metrics);
 }
@@ -161,6 +161,9 @@
     };
     outputs.fetchDocument = [this](const std::string &hash) { this->platform->fetch(hash); };
     outputs.loadDocument = [this](std::string content) { this->loader->load(std::move(content)); };
+    outputs.configureGate = [this](const Configuration::Environment &environment) {
+        this->gate.reconfigure(environment);
+    };
     outputs.setPlatformReads = [this](bool often) { this->platform->setReadsOften(often); };
     this->steering->start(std::move(outputs));
     return {};
@@ -175,7 +178,7 @@
         auto caller = CallerServer::start({ this->settings.vm.value(), this->settings.address,
                                             this->settings.rankPort(rank), rank,
                                             this->settings.connectionsPerRank },
-                                          this->steering->routing(), this->memory, submit);
+                                          this->steering->routing(), this->gate, submit);
         if (!caller) {
             return tl::unexpected(caller.error());
         }
--- a/Source/Daemon/Daemon.h
+++ b/Source/Daemon/Daemon.h
@@ -8,8 +8,8 @@
 #include "currantfall/Telemetry/MetricsRegistry.h"
 
 #include "AdminService.h"
-#include "BodyMemory.h"
 #include "CallerServer.h"
+#include "EntryGate.h"
 #include "LookupService.h"
 #include "PlatformReader.h"
 #include "Settings.h"
@@ -39,7 +39,7 @@
     Common::Incarnation incarnation;
     Common::Log log;
     Telemetry::MetricsRegistry metrics;
-    BodyMemory memory;
+    EntryGate gate;
     std::unique_ptr<Steering> steering;
     std::unique_ptr<Peering::PeerTransport> transport;
     std::unique_ptr<PlatformReader> platform;
--- a/Source/Daemon/Steering.cpp
+++ b/Source/Daemon/Steering.cpp
@@ -188,6 +188,7 @@
         ranks.push_back(rank.name);
     }
     this->context.metrics.setKnownNames(services, tenants, ranks);
+    this->outputs.configureGate(environment);
     auto blocks = Configuration::ClientBlockTable::fromEnvironment(environment);
     if (blocks) {
         this->clientBlocks
--- a/Source/Daemon/Steering.h
+++ b/Source/Daemon/Steering.h
@@ -35,6 +35,7 @@
         std::function<void(const std::string &hash)> fetchDocument;
         std::function<void(std::string content)> loadDocument;
         std::function<void(bool often)> setPlatformReads;
+        std::function<void(const Configuration::Environment &)> configureGate;
     };
 
     static Common::Result<std::unique_ptr<Steering>> create(const Settings &settings,
--- a/Source/Daemon/SteeringMessages.cpp
+++ b/Source/Daemon/SteeringMessages.cpp
@@ -64,8 +64,11 @@
                                                     : this->context.environment->findService(
                                                             Common::ServiceName(message.service));
     if (service == nullptr) {
-        const auto refusal = Common::notRun(Common::Reason::NoCapacity,
-                                            "this VM's document does not have the service");
+        // As the issuer of a key this VM may have run it under an earlier document.
+        const std::string text = "this VM's document does not have the service";
+        const auto refusal = message.to_issuer
+                                     ? Common::outcomeUnknown(Common::Reason::NoCapacity, text)
+                                     : Common::notRun(Common::Reason::NoCapacity, text);
         this->context.sendControl(from.vm, toWire(attempt, refusal));
         return;
     }
