--- a/Source/Daemon/CallerServer.cpp
+++ b/Source/Daemon/CallerServer.cpp
@@ -125,7 +125,7 @@
 
 CallerServer::CallerServer(Settings settings, const Published<RoutingSnapshot> &routing,
                            EntryGate &gate, Submit submit)
-    : settings(std::move(settings)), routing(routing), memory(memory), submit(std::move(submit)),
+    : settings(std::move(settings)), routing(routing), gate(gate), submit(std::move(submit)),
       log(Common::Log::forComponent("caller")),
       listener(this->settings.connections, keepAliveIdleSeconds)
 { }
--- a/Source/Daemon/Main.cpp
+++ b/Source/Daemon/Main.cpp
@@ -42,7 +42,9 @@
     const auto daemon = Daemon::Daemon::start(*invocation->settings);
     if (!daemon) {
         Common::Log::forComponent("daemon").error(daemon.error().toString());
-        return exitFailed;
+        const bool invalid
+                = daemon.error().code() == make_error_code(Common::ErrorCode::InvalidInput);
+        return invalid ? exitInvalidInput : exitFailed;
     }
     int received = 0;
     sigwait(&signals, &received);
