Fix what lint and ThreadSanitizer found

Cause: the first whole lint run reported nine findings in the daemon and its tests; ThreadSanitizer found a use after free in the drain test, which iterated over a part of a temporary document. Change: each finding; the refused event in Steering::post is not moved from, which lint can't see.

--- a/Source/Daemon/CallerResponse.cpp
+++ b/Source/Daemon/CallerResponse.cpp
@@ -60,7 +60,7 @@
     }
 }
 
-void writeAnswer(Common::Answer answer, const std::string &requestId, httplib::Response &out)
+void writeAnswer(const Common::Answer &answer, const std::string &requestId, httplib::Response &out)
 {
     out.status = statusOf(answer);
     out.set_header(outcomeHeader, toString(answer.outcome));
@@ -78,13 +78,13 @@
             out.headers.emplace(header.name, header.value);
         }
     }
-    out.set_content(std::move(answer.body), contentTypeOf(answer.headers));
+    out.set_content(answer.body, contentTypeOf(answer.headers));
 }
 
 Common::TenantName tenantOf(const httplib::Request &in,
                             const Configuration::Environment &environment)
 {
-    const Common::TenantName named(in.get_header_value("Currantfall-Tenant"));
+    Common::TenantName named(in.get_header_value("Currantfall-Tenant"));
     if (environment.findTenant(named) != nullptr) {
         return named;
     }
--- a/Source/Daemon/CallerResponse.h
+++ b/Source/Daemon/CallerResponse.h
@@ -16,7 +16,8 @@
 int statusOf(const Common::Answer &answer);
 
 /// Writes an answer with the headers and the JSON body of the caller interface.
-void writeAnswer(Common::Answer answer, const std::string &requestId, httplib::Response &out);
+void writeAnswer(const Common::Answer &answer, const std::string &requestId,
+                 httplib::Response &out);
 
 /// The tenant that the request names, or the first of the document if it names none or an unknown
 /// one.
--- a/Source/Daemon/CallerServer.cpp
+++ b/Source/Daemon/CallerServer.cpp
@@ -164,11 +164,11 @@
                          httplib::Response &out)
 {
     const std::string requestId = this->nextRequestId();
-    Answer answer = this->process(in, reader, requestId);
+    const Answer answer = this->process(in, reader, requestId);
     if (answer.outcome != Common::Outcome::Answered) {
         this->log.debug(answer.message, in.remote_addr, requestId);
     }
-    writeAnswer(std::move(answer), requestId, out);
+    writeAnswer(answer, requestId, out);
 }
 
 Answer CallerServer::process(const httplib::Request &in, const httplib::ContentReader *reader,
--- a/Source/Daemon/HttpHeaders.cpp
+++ b/Source/Daemon/HttpHeaders.cpp
@@ -36,13 +36,14 @@
 std::vector<Common::Header> endToEndHeaders(const httplib::Headers &headers)
 {
     std::vector<Common::Header> result;
-    for (const auto &[name, value] : headers) {
+    for (const auto &header : headers) {
+        const std::string &name = header.first;
         const bool dropped
                 = std::any_of(notForwarded.begin(), notForwarded.end(), [&name](const char *other) {
                       return absl::EqualsIgnoreCase(name, other);
                   });
         if (!dropped) {
-            result.push_back({ name, value });
+            result.push_back({ name, header.second });
         }
     }
     return result;
--- a/Source/Daemon/KeyedFlow.cpp
+++ b/Source/Daemon/KeyedFlow.cpp
@@ -138,7 +138,7 @@
     if (last) {
         Peering::Wire::HandoverReplyT reply;
         reply.issuer_incarnation = from.incarnation;
-        this->context.sendControl(from.vm, std::move(reply));
+        this->context.sendControl(from.vm, reply);
     }
 }
 
--- a/Source/Daemon/Settings.cpp
+++ b/Source/Daemon/Settings.cpp
@@ -17,7 +17,7 @@
 constexpr std::uint16_t peerPortOffset = 8;
 constexpr std::uint16_t adminPortOffset = 9;
 constexpr long greatestPort = std::numeric_limits<std::uint16_t>::max();
-constexpr std::size_t bytesPerMebibyte = 1024 * 1024;
+constexpr std::size_t bytesPerMebibyte = std::size_t { 1024 } * 1024;
 constexpr const char *environmentPrefix = "CURRANTFALL_";
 constexpr const char *step = "read settings";
 
--- a/Source/Daemon/Steering.cpp
+++ b/Source/Daemon/Steering.cpp
@@ -117,7 +117,8 @@
 
 void Steering::post(Event event)
 {
-    while (!this->events.tryPush(std::move(event))) {
+    // A refused event is not moved from.
+    while (!this->events.tryPush(std::move(event))) { // NOLINT(bugprone-use-after-move)
         if (this->events.closed()) {
             return;
         }
--- a/Tests/Deployment/DeploymentFixture.cpp
+++ b/Tests/Deployment/DeploymentFixture.cpp
@@ -211,18 +211,11 @@
 void DeploymentFixture::writeDocument()
 {
     std::string text = readFile(CURRANTFALL_EXAMPLES "/bellringer.yaml");
-    // The example has zone N at 127.1N.
-    for (std::size_t zone = 1; zone <= this->zones.size(); ++zone) {
-        const std::string number = std::to_string(zone);
-        text = std::regex_replace(text, std::regex("127\\.1" + number + "\\."),
-                                  "127." + std::to_string(this->octet) + "_" + number + ".");
-    }
-    for (std::size_t zone = 1; zone <= this->zones.size(); ++zone) {
-        text = std::regex_replace(text,
-                                  std::regex("127\\." + std::to_string(this->octet) + "_"
-                                             + std::to_string(zone) + "\\."),
-                                  "127." + std::to_string(this->octet + static_cast<int>(zone))
-                                          + ".");
+    // The example has zone N at 127.1N. The new octets are at least 40, so that no replacement is
+    // replaced again.
+    for (int zone = 1; zone <= static_cast<int>(this->zones.size()); ++zone) {
+        const std::regex before("127\\.1" + std::to_string(zone) + "\\.");
+        text = std::regex_replace(text, before, "127." + std::to_string(this->octet + zone) + ".");
     }
     std::ofstream(this->document) << text;
     json list = json::parse(readFile(CURRANTFALL_EXAMPLES "/bellringer-vms.json"));
--- a/Tests/Deployment/FailureTest.cpp
+++ b/Tests/Deployment/FailureTest.cpp
@@ -35,6 +35,7 @@
                          const std::vector<CallRecord> &records)
 {
     std::vector<std::string> ids;
+    ids.reserve(records.size());
     for (const CallRecord &record : records) {
         ids.push_back(record.requestId);
     }
@@ -157,7 +158,8 @@
     });
     const auto startedIn = [&](const std::string &zone) {
         std::size_t started = 0;
-        for (const json &server : deployment.executionSummary().at("servers")) {
+        const json summary = deployment.executionSummary();
+        for (const json &server : summary.at("servers")) {
             const std::string name = server.at("server");
             if (name.find(zone) != std::string::npos) {
                 started += server.at("started").get<std::size_t>();
