Refuse waiting requests in one place; drop unused state

Cause: OwnerScheduler took a request out of its waiting list and refused it in three places; a flight's parked flag was written and never read. Change: refuseWaiting() serves cancellation, moved servers and dropped requests; the flag is gone.

--- a/Source/Daemon/Dispatcher.cpp
+++ b/Source/Daemon/Dispatcher.cpp
@@ -155,7 +155,6 @@
     if (this->context.now + parkingInterval >= flight.parkedUntil) {
         return false;
     }
-    flight.parked = true;
     ++this->parkedFlights;
     this->context.timers.subscribeOnce(this->context.now + parkingInterval,
                                        [this, id, answer](Common::Instant) {
@@ -164,7 +163,6 @@
                                            if (found == this->flights.end()) {
                                                return;
                                            }
-                                           found->second.parked = false;
                                            found->second.targets = 0;
                                            found->second.triedVms.clear();
                                            this->tryNext(id, answer);
--- a/Source/Daemon/Dispatcher.h
+++ b/Source/Daemon/Dispatcher.h
@@ -53,7 +53,6 @@
         Common::VmName remote; // Empty while the attempt is on this VM.
         Credits::CreditId credit = 0;
         Common::TimerService::SubscriptionId timer = 0;
-        bool parked = false;
         Common::Instant parkedUntil; // Set when the request is parked for the first time.
     };
 
--- a/Source/Daemon/OwnerScheduler.cpp
+++ b/Source/Daemon/OwnerScheduler.cpp
@@ -66,9 +66,7 @@
     if (queued != this->waiting.end()) {
         const ServiceQueue &queue = this->queues.at(queued->second.request->service);
         queue.queue->cancel(ticket);
-        const ResultHandler done = std::move(queued->second.done);
-        this->waiting.erase(queued);
-        this->finish(done, Common::notRun(Reason::Cancelled, "cancelled in the queue"));
+        this->refuseWaiting(ticket, Common::notRun(Reason::Cancelled, "cancelled in the queue"));
         return;
     }
     const auto attempt = this->attemptOf.find(ticket);
@@ -256,17 +254,24 @@
         }
     }
     for (const Ticket ticket : stranded) {
-        const auto found = this->waiting.find(ticket);
-        if (found == this->waiting.end()) {
-            continue;
-        }
         queue.queue->cancel(ticket);
-        const ResultHandler done = std::move(found->second.done);
-        this->waiting.erase(found);
-        this->finish(done, Common::notRun(Reason::NoCapacity, "the backend servers have moved"));
+        this->refuseWaiting(ticket,
+                            Common::notRun(Reason::NoCapacity, "the backend servers have moved"));
     }
 }
 
+void OwnerScheduler::refuseWaiting(Ticket ticket, Common::Answer answer)
+{
+    const auto found = this->waiting.find(ticket);
+    if (found == this->waiting.end()) {
+        return;
+    }
+    // The entry is gone before the handler runs, which may offer or cancel requests.
+    const ResultHandler done = std::move(found->second.done);
+    this->waiting.erase(found);
+    this->finish(done, std::move(answer));
+}
+
 void OwnerScheduler::startReady(const Common::ServiceName &service)
 {
     while (true) {
@@ -276,15 +281,9 @@
         }
         const Admission::Selection selection = found->second.queue->next(this->context.now);
         for (const Admission::DroppedRequest &dropped : selection.dropped) {
-            const auto entry = this->waiting.find(dropped.request.id);
-            if (entry == this->waiting.end()) {
-                continue;
-            }
-            const ResultHandler done = std::move(entry->second.done);
-            this->waiting.erase(entry);
-            this->finish(done,
-                         Common::notRun(dropped.refusal.reason, "dropped from the owner's queue",
-                                        dropped.refusal.retryAfter));
+            this->refuseWaiting(dropped.request.id, Common::notRun(dropped.refusal.reason,
+                                                                   "dropped from the owner's queue",
+                                                                   dropped.refusal.retryAfter));
         }
         if (!selection.start) {
             return;
--- a/Source/Daemon/OwnerScheduler.h
+++ b/Source/Daemon/OwnerScheduler.h
@@ -99,6 +99,8 @@
     void updateServers();
     void updateQueues();
     void refuseStranded(const Common::ServiceName &service, ServiceQueue &queue);
+    /// Ends a request that has left the queue without being started.
+    void refuseWaiting(Ticket ticket, Common::Answer answer);
     void startReady(const Common::ServiceName &service);
     void start(ServiceQueue &queue, Admission::RequestId id);
     Server *chooseServer(const ServiceQueue &queue,
