Count what a drain still holds, and the last VM, in the headroom check

Cause: two operators could drain two zones that did not both fit. And the drain of a region's last VM passed although the region's backend servers then have no owner, because documents list no VMs.

Change: load that a drained zone still reports counts against the next drain; a drained zone without a report counts nothing, since its load is in the reports of the others. The last VM of a region is checked as a drain of the region.

The unit test of the second drain fails without the change.

--- a/Source/Core/Drain/ServicePlan.cpp
+++ b/Source/Core/Drain/ServicePlan.cpp
@@ -31,6 +31,7 @@
         ZonePlan &plan = this->zones[indexes.at(server.zone.value())];
         const bool drainedBefore = isBackendServerDrained(environment, before, server);
         const bool drainedAfter = isBackendServerDrained(environment, after, server);
+        plan.documentSlots += server.slots;
         plan.slotsBefore += drainedBefore ? 0 : server.slots;
         plan.slots += drainedAfter ? 0 : server.slots;
     }
@@ -46,7 +47,8 @@
 {
     for (ZonePlan &plan : this->zones) {
         if (plan.zone == load.zone) {
-            plan.demand += load.fraction * static_cast<double>(plan.slotsBefore);
+            const std::size_t slots = plan.slotsBefore > 0 ? plan.slotsBefore : plan.documentSlots;
+            plan.demand += load.fraction * static_cast<double>(slots);
         }
     }
 }
--- a/Source/Core/Drain/ServicePlan.h
+++ b/Source/Core/Drain/ServicePlan.h
@@ -21,7 +21,8 @@
     /// True if the new drain takes slots of the service.
     bool losesSlots() const;
 
-    /// Adds the demand of a zone.
+    /// Adds the demand of a zone. A zone that is drained already still has demand if its VMs
+    /// report some: they have not adopted the drain yet.
     void addLoad(const ServiceLoad &load);
 
     /// Places all demand on the slots that are left. Returns the places where it is too much.
@@ -32,6 +33,7 @@
     {
         Common::ZoneName zone;
         const Configuration::Region *region = nullptr;
+        std::size_t documentSlots = 0; ///< Without any drain.
         std::size_t slotsBefore = 0;
         std::size_t slots = 0; ///< Left during the new drain.
         double demand = 0.0;   ///< Demand that has no slot yet.
--- a/Source/Tool/DrainCommand.cpp
+++ b/Source/Tool/DrainCommand.cpp
@@ -8,6 +8,7 @@
 #include "Daemons.h"
 #include "Documents.h"
 #include "DrainHolders.h"
+#include "HeadroomTarget.h"
 #include "LoadSurvey.h"
 
 namespace Currantfall::Tool {
@@ -76,7 +77,9 @@
         drains.push_back(drain.target);
     }
     const auto verdict = Drain::HeadroomCheck::create().and_then([&](const auto &check) {
-        return check.evaluate(environment, drains, run.target, serviceLoads(reports, environment));
+        return check.evaluate(environment, drains,
+                              headroomTarget(run.target, environment, drains, reports),
+                              serviceLoads(reports, environment, drains));
     });
     if (!verdict) {
         return refuseUnlessForced(run, verdict.error());
--- a/Source/Tool/LoadSurvey.cpp
+++ b/Source/Tool/LoadSurvey.cpp
@@ -82,7 +82,8 @@
 } // namespace
 
 std::vector<Drain::ServiceLoad> serviceLoads(const std::vector<DaemonReport> &reports,
-                                             const Configuration::Environment &environment)
+                                             const Configuration::Environment &environment,
+                                             const std::vector<Drain::DrainTarget> &drains)
 {
     const Fractions reported = reportedFractions(reports);
     std::vector<Drain::ServiceLoad> loads;
@@ -93,11 +94,13 @@
         }
         for (const Common::ZoneName &zone : zones) {
             const auto own = reported.find({ zone, service.name });
-            const double fraction
-                    = own == reported.end()
-                              ? highestInRegion(reported, environment.regionOf(zone), service.name)
-                              : own->second;
-            loads.push_back({ zone, service.name, fraction });
+            if (own != reported.end()) {
+                loads.push_back({ zone, service.name, own->second });
+            } else if (!Drain::isZoneDrained(environment, drains, zone)) {
+                loads.push_back(
+                        { zone, service.name,
+                          highestInRegion(reported, environment.regionOf(zone), service.name) });
+            }
         }
     }
     return loads;
--- a/Source/UnitTests/Drain/HeadroomCheckTest.cpp
+++ b/Source/UnitTests/Drain/HeadroomCheckTest.cpp
@@ -95,6 +95,24 @@
     REQUIRE_FALSE(evaluate(document, second, loads, { first }).allowed());
 }
 
+// Guards against a second drain that is checked before the VMs of the first one's zone have given
+// up their load: two operators could start both within a second.
+TEST_CASE("The load that a drained zone still reports counts against a second drain")
+{
+    const auto document = environment();
+    const auto zoneOf = [&document](std::size_t region) {
+        return DrainTarget { DrainKind::Zone, document.regions[region].zones.front().value() };
+    };
+    const auto loads = evenLoad(document, 0.6);
+    REQUIRE(evaluate(document, zoneOf(1), loads).allowed());
+    REQUIRE_FALSE(evaluate(document, zoneOf(1), loads, { zoneOf(0) }).allowed());
+    // Once the load has moved, the drained zone has no report.
+    auto moved = evenLoad(document, 0.6);
+    std::erase_if(moved,
+                  [&](const ServiceLoad &load) { return load.zone.value() == zoneOf(0).name; });
+    REQUIRE(evaluate(document, zoneOf(1), moved, { zoneOf(0) }).allowed());
+}
+
 TEST_CASE("The last slots of a service can't be drained while it has load")
 {
     auto document = environment();
--- a/Tests/Platform/DrainTest.cpp
+++ b/Tests/Platform/DrainTest.cpp
@@ -73,6 +73,18 @@
     REQUIRE(fleet.platform.row("production")["drains"].size() == 1);
 }
 
+// Guards against a drain that leaves the backend servers of a region without an owner: documents
+// list no VMs, so that the check had counted their slots as remaining.
+TEST_CASE("A drain of a region's last VM needs the headroom of the region")
+{
+    Fleet fleet(6);
+    REQUIRE(fleet.run({ "drain", "start", "vm", "vm-is-a" }).exitCode == 0);
+    const ToolResult refused = fleet.run({ "drain", "start", "vm", "vm-is-b" });
+    REQUIRE(refused.exitCode == 1);
+    REQUIRE(refused.errors.find("would be overloaded") != std::string::npos);
+    REQUIRE(fleet.platform.row("production")["drains"].size() == 1);
+}
+
 TEST_CASE("A drain is refused while too few VMs report their load")
 {
     Fleet fleet(0);
@@ -102,11 +114,14 @@
     };
     ProcessFixture ana = start("ana", "lm-a");
     ProcessFixture ben = start("ben", "ok-a");
-    const int first = finish(ana).exitCode;
-    const int second = finish(ben).exitCode;
-    REQUIRE(std::min(first, second) == 0);
+    const ToolResult first = finish(ana);
+    const ToolResult second = finish(ben);
+    INFO("ana: " << first.exitCode << " " << first.errors);
+    INFO("ben: " << second.exitCode << " " << second.errors);
+    REQUIRE(std::min(first.exitCode, second.exitCode) == 0);
     // The other one lost the race or, if it read the row later, found no headroom.
-    REQUIRE((std::max(first, second) == 4 || std::max(first, second) == 1));
+    const int other = std::max(first.exitCode, second.exitCode);
+    REQUIRE((other == 4 || other == 1));
     REQUIRE(fleet.platform.row("production")["drains"].size() == 1);
 }
 
--- a/include/currantfall/Drain/HeadroomCheck.h
+++ b/include/currantfall/Drain/HeadroomCheck.h
@@ -16,8 +16,9 @@
 {
     Common::ZoneName zone;
     Common::ServiceName service;
-    /// Demand as a fraction of the slots in the zone that are not drained yet. Above 1 if requests
-    /// are queued or refused.
+    /// Demand as a fraction of the slots in the zone that are not drained yet; of all its slots if
+    /// the zone is drained, but its VMs still report load. Above 1 if requests are queued or
+    /// refused.
     double fraction = 0.0;
 
     friend bool operator==(const ServiceLoad &left, const ServiceLoad &right) = default;
