--- /dev/null
+++ b/Tests/Deployment/CallChecks.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "DeploymentFixture.h"
+
+namespace Currantfall::Tests {
+
+inline constexpr std::size_t callerThreads = 6;
+/// Calls before a failure is brought about.
+inline constexpr std::size_t callsBefore = 60;
+/// Calls after the deployment has settled.
+inline constexpr std::size_t callsAfter = 120;
+
+/// Waits for this many further calls.
+void waitForCalls(const Callers &callers, std::size_t more);
+
+std::map<std::string, std::size_t> countOutcomes(const std::vector<CallRecord> &records);
+
+/// Requires that every request was answered; a failure shows what the others were told.
+void requireAllAnswered(const std::vector<CallRecord> &records);
+
+/// Requires that no request ran twice, that every not-run is true, that every answered request ran,
+/// and that no answer was wrong.
+void requireTrueOutcomes(const DeploymentFixture &deployment,
+                         const std::vector<CallRecord> &records);
+
+} // namespace Currantfall::Tests
--- a/Tests/Deployment/FailureTest.cpp
+++ b/Tests/Deployment/FailureTest.cpp
@@ -1,76 +1,11 @@
-#include <algorithm>
-#include <map>
-
 #include <catch2/catch.hpp>
 
+#include "CallChecks.h"
 #include "DeploymentFixture.h"
 
 using namespace Currantfall::Tests;
 using nlohmann::json;
 
-namespace {
-
-constexpr std::size_t callerThreads = 6;
-constexpr std::size_t callsBefore = 60;
-constexpr std::size_t callsAfter = 120;
-
-void waitForCalls(const Callers &callers, std::size_t more)
-{
-    const std::size_t wanted = callers.completed() + more;
-    waitUntil([&] { return callers.completed() >= wanted; });
-}
-
-std::map<std::string, std::size_t> countOutcomes(const std::vector<CallRecord> &records)
-{
-    std::map<std::string, std::size_t> counts;
-    for (const CallRecord &record : records) {
-        ++counts[record.outcome];
-    }
-    return counts;
-}
-
-/// Requires that every request was answered; a failure shows what the others were told.
-void requireAllAnswered(const std::vector<CallRecord> &records)
-{
-    CHECK_FALSE(records.empty());
-    for (const CallRecord &record : records) {
-        if (record.outcome != "answered") {
-            INFO(record.requestId << " in " << record.zone << ": " << record.detail);
-            CHECK(record.outcome == "answered");
-        }
-    }
-}
-
-/// Requires that no request ran twice, that every not-run is true, that every answered request ran,
-/// and that no answer was wrong.
-void requireTrueOutcomes(const DeploymentFixture &deployment,
-                         const std::vector<CallRecord> &records)
-{
-    std::vector<std::string> ids;
-    ids.reserve(records.size());
-    for (const CallRecord &record : records) {
-        ids.push_back(record.requestId);
-    }
-    const json executions = deployment.executions(ids);
-    for (const CallRecord &record : records) {
-        INFO(record.requestId << " " << record.outcome);
-        const json &counts = executions.at(record.requestId);
-        const int ran = counts.at("ran").get<int>();
-        CHECK_FALSE(record.wrong);
-        if (record.keyed) {
-            CHECK(counts.at("started").get<int>() <= 1);
-        }
-        if (record.outcome == "not-run") {
-            CHECK(ran == 0);
-        }
-        if (record.outcome == "answered" && record.status == 200) {
-            CHECK(ran >= 1);
-        }
-    }
-}
-
-} // namespace
-
 TEST_CASE("A graceful shutdown of an entry VM is not noticed by callers")
 {
     DeploymentFixture deployment;
@@ -154,39 +89,3 @@
     deployment.waitReady(deployment.vm("entry-2"));
     CHECK(deployment.status(deployment.vm("entry-2")).at("revision") == 1);
 }
-
-TEST_CASE("A drained availability zone gets no new work and cuts no request")
-{
-    DeploymentFixture deployment;
-    Callers bookings(deployment, callerThreads, true);
-    Callers queries(deployment, callerThreads, false);
-    waitForCalls(bookings, callsBefore);
-    REQUIRE(deployment.runTool({ "drain", "start", "zone", "ok-a" }) == 0);
-    // Each VM of the zone reports only its own backend servers.
-    for (const std::string name : { "entry-5", "entry-6" }) {
-        waitUntil([&] {
-            const json drains = deployment.status(deployment.vm(name)).value("drains", json());
-            return drains.size() == 1 && drains[0]["held"] == 0;
-        });
-    }
-    const auto startedIn = [&](const std::string &zone) {
-        std::size_t started = 0;
-        const json summary = deployment.executionSummary();
-        for (const json &server : summary.at("servers")) {
-            const std::string name = server.at("server");
-            if (name.find(zone) != std::string::npos) {
-                started += server.at("started").get<std::size_t>();
-            }
-        }
-        return started;
-    };
-    const std::size_t before = startedIn("ok-a");
-    waitForCalls(bookings, callsAfter);
-    CHECK(startedIn("ok-a") == before);
-    REQUIRE(deployment.runTool({ "drain", "finish", "zone", "ok-a" }) == 0);
-    const auto bookingRecords = bookings.finish();
-    const auto queryRecords = queries.finish();
-    requireAllAnswered(bookingRecords);
-    requireAllAnswered(queryRecords);
-    requireTrueOutcomes(deployment, bookingRecords);
-}
