Keep an unknown outcome when a retry is refused

Cause: an idempotent request whose first attempt ran without an answer (outcome-unknown) and whose retry was shed got the retry's not-run, although it had run. With slotview-lm-a-1 running every request and closing the connection, and all other slotview servers draining, the first query of the new test was such a false not-run (ran 1).

Change: the Dispatcher keeps the unknown answer of an attempt and returns it instead of a later not-run. New process-level tests drive truncating, mismatching, closing and hanging backend servers with keyed and idempotent callers. The fixture changes the behaviour of backend servers by name, sums metrics over the VMs, and can run some backend servers in a process of their own. Request ids differ between Callers instances, because the backend servers count executions by id over the whole test.

--- a/Source/Daemon/Dispatcher.cpp
+++ b/Source/Daemon/Dispatcher.cpp
@@ -256,6 +256,9 @@
         this->finish(id, std::move(answer));
         return;
     }
+    if (answer.outcome == Outcome::OutcomeUnknown) {
+        flight.unknown = answer;
+    }
     const bool otherServerHere = !server.empty()
                                  && this->scheduler.loadOf(flight.request->service).totalSlots > 0
                                  && flight.triedServers.empty();
@@ -329,6 +332,9 @@
     if (found == this->flights.end()) {
         return;
     }
+    if (answer.outcome == Outcome::NotRun && found->second.unknown) {
+        answer = std::move(*found->second.unknown);
+    }
     const AnswerHandler done = std::move(found->second.done);
     this->context.timers.unsubscribe(found->second.timer);
     this->attempts.abandon(id);
--- a/Source/Daemon/Dispatcher.h
+++ b/Source/Daemon/Dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,8 @@
         Credits::CreditId credit = 0;
         Common::TimerService::SubscriptionId timer = 0;
         Common::Instant parkedUntil; // Set when the request is parked for the first time.
+        // Answer of an attempt that may have run; a later not-run does not hold for the request.
+        std::optional<Common::Answer> unknown;
     };
 
     struct Forwarded
--- /dev/null
+++ b/Tests/Deployment/BackendFaultTest.cpp
@@ -0,0 +1,87 @@
+#include <catch2/catch.hpp>
+#include <httplib.h>
+
+#include "DeploymentFixture.h"
+#include "Outcomes.h"
+
+using namespace Currantfall::Tests;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t callerThreads = 4;
+constexpr std::size_t callsPerFault = 60;
+// Each VM may use two retries per service before it has earned any.
+constexpr double reservedRetries = 2.0 * 10;
+
+/// Drives both kinds of callers until each has completed `calls` more.
+struct Traffic
+{
+    explicit Traffic(const DeploymentFixture &deployment)
+        : bookings(deployment, callerThreads, true), queries(deployment, callerThreads, false)
+    { }
+
+    void run(std::size_t calls) const
+    {
+        waitForCalls(this->bookings, calls);
+        waitForCalls(this->queries, calls);
+    }
+
+    Callers bookings;
+    Callers queries;
+};
+
+/// Runs both kinds of callers under one behaviour of all backend servers.
+void requireTrueUnder(const DeploymentFixture &deployment, const json &behaviour)
+{
+    INFO(behaviour.dump());
+    const double retriesBefore = deployment.metric("currantfall_retries_total");
+    deployment.setBackendBehaviour(behaviour, "-");
+    Traffic traffic(deployment);
+    traffic.run(callsPerFault);
+    const auto bookings = traffic.bookings.finish();
+    const auto queries = traffic.queries.finish();
+    requireTrueOutcomes(deployment, bookings);
+    requireTrueOutcomes(deployment, queries);
+    CHECK(countOutcomes(queries)["answered"] > 0);
+    const double retries = deployment.metric("currantfall_retries_total") - retriesBefore;
+    const auto requests = static_cast<double>(bookings.size() + queries.size());
+    // A hanging server is noticed at the deadline, when there is no time for a retry.
+    CHECK((retries > 0 || behaviour["hang"] != 0));
+    CHECK(retries <= 0.1 * requests + 2 * reservedRetries);
+}
+
+} // namespace
+
+// Guards against passing on what a faulty backend server sends, and against repeating what it ran.
+TEST_CASE("Faulty backend servers cause no wrong answer, false not-run or double execution")
+{
+    const DeploymentFixture deployment;
+    const json healthy {
+        { "truncate", 0 }, { "mismatch", 0 }, { "close_after_run", 0 }, { "hang", 0 }
+    };
+    for (const auto &[fault, fraction] : { std::pair { "truncate", 0.3 },
+                                           { "mismatch", 0.3 },
+                                           { "close_after_run", 0.3 },
+                                           { "hang", 0.05 } }) {
+        json behaviour = healthy;
+        behaviour[fault] = fraction;
+        requireTrueUnder(deployment, behaviour);
+    }
+    CHECK(deployment.slotOverruns() == 0);
+}
+
+// Guards against a final not-run from the retry after a first attempt that has run.
+TEST_CASE("A shed retry does not turn an unknown outcome into not-run")
+{
+    const DeploymentFixture deployment;
+    deployment.setBackendBehaviour({ { "draining", true } }, "slotview-");
+    deployment.setBackendBehaviour({ { "draining", false }, { "close_after_run", 1 } },
+                                   "slotview-lm-a-1");
+    Callers queries(deployment, callerThreads, false);
+    waitForCalls(queries, callsPerFault);
+    const auto records = queries.finish();
+    requireTrueOutcomes(deployment, records);
+    CHECK(countOutcomes(records)["answered"] == 0);
+    CHECK(countOutcomes(records)["outcome-unknown"] > 0);
+}
--- a/Tests/Deployment/DeploymentFixture.cpp
+++ b/Tests/Deployment/DeploymentFixture.cpp
@@ -46,7 +46,8 @@
 
 } // namespace
 
-DeploymentFixture::DeploymentFixture(const std::vector<std::string> &without)
+DeploymentFixture::DeploymentFixture(const std::vector<std::string> &without,
+                                     const std::vector<std::string> &separate)
     : octet(firstOctet + octetStep * static_cast<int>(getpid() % octetChoices)),
       directory("/tmp/currantfall-" + std::to_string(getpid())),
       document(this->directory + "/environment.yaml"), zones { "lm-a", "lm-b", "ok-a",
@@ -60,9 +61,16 @@
                                        std::to_string(platformPort), "--vms",
                                        this->directory + "/vms.json" });
     this->platformProcess->waitListening();
-    this->backendProcess = std::make_unique<ProcessFixture>(
-            STANDIN_BACKEND_PATH,
-            std::vector<std::string> { "--environment", this->document, "--log-level", "warn" });
+    std::vector<std::string> common;
+    for (const auto &[name, address] : this->backendAddresses) {
+        if (std::find(separate.begin(), separate.end(), name) == separate.end()) {
+            common.push_back(name);
+        }
+    }
+    this->backendProcess = this->startBackends(common);
+    if (!separate.empty()) {
+        this->separateProcess = this->startBackends(separate);
+    }
     if (this->runTool({ "promote", this->document }) != 0) {
         throw std::runtime_error("the document could not be promoted");
     }
@@ -139,6 +147,16 @@
     client.Post("/_control/behaviour", behaviour.dump(), "application/json");
 }
 
+void DeploymentFixture::setBackendBehaviour(const json &behaviour, const std::string &part) const
+{
+    for (const auto &[name, address] : this->backendAddresses) {
+        if (name.find(part) != std::string::npos) {
+            httplib::Client client("http://" + address);
+            client.Post("/_control/behaviour", behaviour.dump(), "application/json");
+        }
+    }
+}
+
 json DeploymentFixture::status(const EntryVm &vm) const
 {
     return getJson(vm.address, adminPort, "/status");
@@ -196,6 +214,23 @@
     return overruns;
 }
 
+double DeploymentFixture::metric(const std::string &name, const std::string &label) const
+{
+    double total = 0.0;
+    for (const EntryVm &vm : this->vms) {
+        httplib::Client client(vm.address, adminPort);
+        const auto response = client.Get("/metrics");
+        std::istringstream lines(response ? response->body : std::string());
+        for (std::string line; std::getline(lines, line);) {
+            const bool matches = line.starts_with(name + "{") || line.starts_with(name + " ");
+            if (matches && line.find(label) != std::string::npos) {
+                total += std::stod(line.substr(line.rfind(' ')));
+            }
+        }
+    }
+    return total;
+}
+
 std::string DeploymentFixture::clientIn(const std::string &zone) const
 {
     const auto found = std::find(this->zones.begin(), this->zones.end(), zone);
@@ -218,6 +253,10 @@
         text = std::regex_replace(text, before, "127." + std::to_string(this->octet + zone) + ".");
     }
     std::ofstream(this->document) << text;
+    const std::regex server("name: ([a-z0-9-]+), zone: [a-z0-9-]+, address: \"([0-9.:]+)\"");
+    for (std::sregex_iterator match(text.begin(), text.end(), server), end; match != end; ++match) {
+        this->backendAddresses[(*match)[1]] = (*match)[2];
+    }
     json list = json::parse(readFile(CURRANTFALL_EXAMPLES "/bellringer-vms.json"));
     for (json &row : list) {
         std::string address = row["address"];
@@ -229,9 +268,22 @@
     std::ofstream(this->directory + "/vms.json") << list.dump();
 }
 
+std::unique_ptr<ProcessFixture>
+DeploymentFixture::startBackends(const std::vector<std::string> &servers) const
+{
+    std::vector<std::string> arguments { "--environment", this->document, "--log-level", "warn" };
+    for (const std::string &server : servers) {
+        arguments.push_back("--server");
+        arguments.push_back(server);
+    }
+    return std::make_unique<ProcessFixture>(STANDIN_BACKEND_PATH, arguments);
+}
+
 Callers::Callers(const DeploymentFixture &deployment, std::size_t threads, bool keyed)
-    : deployment(deployment), keyed(keyed)
+    : deployment(deployment), keyed(keyed), idPrefix(keyed ? "booking-" : "query-")
 {
+    static std::atomic<int> instances { 0 };
+    this->idPrefix += std::to_string(++instances) + "-";
     for (std::size_t index = 0; index < threads; ++index) {
         this->threads.emplace_back([this, index] { this->run(index); });
     }
@@ -267,8 +319,7 @@
 CallRecord Callers::call(std::size_t index, std::uint64_t number, const std::string &zone)
 {
     CallRecord record;
-    record.requestId = (this->keyed ? "booking-" : "query-") + std::to_string(index) + "-"
-                       + std::to_string(number);
+    record.requestId = this->idPrefix + std::to_string(index) + "-" + std::to_string(number);
     record.keyed = this->keyed;
     record.outcome = "unreachable";
     const json found = this->deployment.lookup(this->keyed ? "bellbook" : "slotview", zone);
--- a/Tests/Deployment/DeploymentFixture.h
+++ b/Tests/Deployment/DeploymentFixture.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -30,8 +31,9 @@
 {
 public:
     /// Starts everything and waits until every backend server has an owner. VMs named in `without`
-    /// are listed but not started.
-    explicit DeploymentFixture(const std::vector<std::string> &without = {});
+    /// are listed but not started. Backend servers named in `separate` get a process of their own.
+    explicit DeploymentFixture(const std::vector<std::string> &without = {},
+                               const std::vector<std::string> &separate = {});
     ~DeploymentFixture();
 
     EntryVm &vm(const std::string &name);
@@ -43,6 +45,9 @@
     ProcessFixture &platform() { return *this->platformProcess; }
     void setPlatformFaults(const nlohmann::json &faults) const;
     void setBackendBehaviour(const nlohmann::json &behaviour) const;
+    /// Changes the behaviour of the backend servers whose name contains `part`.
+    void setBackendBehaviour(const nlohmann::json &behaviour, const std::string &part) const;
+    ProcessFixture &separateBackends() { return *this->separateProcess; }
 
     nlohmann::json status(const EntryVm &vm) const;
     nlohmann::json lookup(const std::string &service, const std::string &zone) const;
@@ -54,6 +59,8 @@
     nlohmann::json executions(const std::vector<std::string> &requestIds) const;
     nlohmann::json executionSummary() const;
     std::size_t slotOverruns() const;
+    /// Sum of a metric over all VMs and over the series whose labels contain `label`.
+    double metric(const std::string &name, const std::string &label = {}) const;
 
     const std::string &documentPath() const { return this->document; }
     const std::vector<std::string> &zoneNames() const { return this->zones; }
@@ -63,6 +70,7 @@
 private:
     std::string addressOf(int second, int third, int fourth) const;
     void writeDocument();
+    std::unique_ptr<ProcessFixture> startBackends(const std::vector<std::string> &servers) const;
 
     int octet;
     std::string directory;
@@ -70,7 +78,9 @@
     std::vector<std::string> zones;
     std::vector<EntryVm> vms;
     std::unique_ptr<ProcessFixture> platformProcess;
+    std::map<std::string, std::string> backendAddresses; // By name.
     std::unique_ptr<ProcessFixture> backendProcess;
+    std::unique_ptr<ProcessFixture> separateProcess;
 };
 
 /// What became of one logical request.
@@ -101,6 +111,7 @@
 
     const DeploymentFixture &deployment;
     bool keyed;
+    std::string idPrefix; // Differs between the instances of a test program.
     std::atomic<bool> stopping { false };
     std::atomic<std::size_t> completedCalls { 0 };
     std::mutex mutex;
