Stop sending work to backend servers that refuse or fail every request

Cause: the circuit breaker opened for connect failures only. A server that refuses all work, or closes connections without an answer, failed fast, had the fewest requests in use, and was therefore chosen first. An attempt that was not sent, or was cancelled, also closed the breaker again, and a retry "to another server of this VM" could go to the same one.

Change: an attempt has a verdict about its server. Lost connections, answers that can't be used, timeouts after twice the usual service time, and sheds while nothing else runs count as failures; three in a row open the breaker. Requests that are not idempotent use a server whose breaker probes only if no other is free. A retry stays on this VM only if it owns another usable server. Transfer codings other than chunked don't prove the end of an answer.

--- a/Source/Core/Admission/CircuitBreaker.cpp
+++ b/Source/Core/Admission/CircuitBreaker.cpp
@@ -22,7 +22,7 @@
         return false;
     }
     if (this->probing) {
-        this->connectFailed(now);
+        this->failed(now);
         return false;
     }
     this->probing = true;
@@ -35,7 +35,7 @@
     this->probing = false;
 }
 
-void CircuitBreaker::connectSucceeded()
+void CircuitBreaker::succeeded()
 {
     this->failures = 0;
     this->opened = false;
@@ -43,7 +43,7 @@
     this->openTime = this->settings.initialOpenTime;
 }
 
-void CircuitBreaker::connectFailed(Common::Instant now)
+void CircuitBreaker::failed(Common::Instant now)
 {
     if (this->opened && !this->probing) {
         // An attempt from before the breaker opened.
--- a/Source/Daemon/BackendConnection.cpp
+++ b/Source/Daemon/BackendConnection.cpp
@@ -24,7 +24,8 @@
 /// False if the end of the answer can't be told from a lost connection.
 bool hasVerifiableEnd(const httplib::Request &request, const httplib::Response &response)
 {
-    return response.has_header("Content-Length") || response.has_header("Transfer-Encoding")
+    return response.has_header("Content-Length")
+           || response.get_header_value("Transfer-Encoding") == "chunked"
            || response.status == statusNoContent || response.status == statusNotModified
            || request.method == "HEAD";
 }
@@ -48,18 +49,26 @@
     return out;
 }
 
-BackendResult failedResult(httplib::Error error, const std::string &address, bool cancelled)
+BackendResult unusableResult(const std::string &message)
 {
     BackendResult result;
+    result.verdict = ServerVerdict::Failed;
+    result.answer = Common::outcomeUnknown(Reason::BackendServerFailed, message);
+    return result;
+}
+
+BackendResult failedResult(httplib::Error error, const std::string &address, bool cancelled)
+{
     const std::string message = address + ": " + httplib::to_string(error);
+    BackendResult result = unusableResult(message);
     if (error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout
         || error == httplib::Error::BindIPAddress) {
-        result.connectFailed = true;
+        // No byte was sent.
         result.answer = Common::notRun(Reason::BackendServerFailed, message);
-        return result;
+    } else if (cancelled) {
+        result.verdict = ServerVerdict::Unjudged;
+        result.answer = Common::outcomeUnknown(Reason::Cancelled, message);
     }
-    const Reason reason = cancelled ? Reason::Cancelled : Reason::BackendServerFailed;
-    result.answer = Common::outcomeUnknown(reason, message);
     return result;
 }
 
@@ -67,11 +76,12 @@
 {
     BackendResult result;
     if (response.get_header_value("Currantfall-Shed") == "not-run") {
-        result.shed = true;
+        result.verdict = ServerVerdict::Shed;
         result.answer
                 = Common::notRun(Reason::BackendServerShed, "the backend server shed the request");
         return result;
     }
+    result.verdict = ServerVerdict::Answered;
     result.answer.outcome = Outcome::Answered;
     result.answer.status = response.status;
     result.answer.headers = endToEndHeaders(response.headers);
@@ -108,13 +118,14 @@
     }
     BackendResult result = this->exchange(attempt, request, remaining);
     result.serviceTime = Common::monotonicNow() - start;
-    const bool abandoned = result.answer.reason == Reason::Cancelled
-                           || result.answer.reason == Reason::BackendServerFailed;
+    if (result.verdict == ServerVerdict::Failed && result.serviceTime >= remaining) {
+        result.verdict = ServerVerdict::TimedOut;
+    }
     {
         const Common::MutexLock lock(&this->mutex);
         this->current.clear();
     }
-    if (abandoned && !result.connectFailed) {
+    if (result.answer.outcome == Outcome::OutcomeUnknown) {
         this->requestCancellation(attempt);
     }
     return result;
@@ -142,21 +153,13 @@
         return failedResult(error, this->address, this->wasCancelled());
     }
     if (!hasVerifiableEnd(out, response)) {
-        BackendResult result;
-        result.answer = Common::outcomeUnknown(
-                Reason::BackendServerFailed,
-                this->address + ": the answer has neither a length nor chunked encoding");
-        return result;
+        return unusableResult(this->address
+                              + ": the answer has neither a length nor chunked encoding");
     }
     // A connection that got out of step delivers the answer to another request.
     if (response.has_header("Currantfall-Attempt")
         && response.get_header_value("Currantfall-Attempt") != attempt) {
-        BackendResult result;
-        result.answer = Common::outcomeUnknown(Reason::BackendServerFailed,
-                                               this->address
-                                                       + ": the answer belongs to another "
-                                                         "attempt");
-        return result;
+        return unusableResult(this->address + ": the answer belongs to another attempt");
     }
     return answeredResult(response);
 }
--- a/Source/Daemon/BackendConnection.h
+++ b/Source/Daemon/BackendConnection.h
@@ -12,12 +12,20 @@
 
 namespace Currantfall::Daemon {
 
+/// What an attempt tells about its backend server.
+enum class ServerVerdict {
+    Unjudged, ///< Nothing: it was not sent, or was cancelled.
+    Answered,
+    Shed,     ///< The backend server says that it did not run the request.
+    Failed,   ///< No connection, a lost connection, or an answer that can't be used.
+    TimedOut, ///< No answer by the request's deadline.
+};
+
 /// What one attempt at a backend server came to.
 struct BackendResult
 {
     Common::Answer answer;
-    bool connectFailed = false; ///< No connection; no byte was sent.
-    bool shed = false;          ///< The backend server says that it did not run the request.
+    ServerVerdict verdict = ServerVerdict::Unjudged;
     absl::Duration serviceTime = absl::ZeroDuration();
 };
 
--- a/Source/Daemon/Dispatcher.cpp
+++ b/Source/Daemon/Dispatcher.cpp
@@ -259,12 +259,13 @@
     if (answer.outcome == Outcome::OutcomeUnknown) {
         flight.unknown = answer;
     }
-    const bool otherServerHere = !server.empty()
-                                 && this->scheduler.loadOf(flight.request->service).totalSlots > 0
-                                 && flight.triedServers.empty();
+    const bool firstHere = flight.triedServers.empty();
     if (!server.empty()) {
         flight.triedServers.push_back(server);
     }
+    const bool otherServerHere
+            = !server.empty() && firstHere
+              && this->scheduler.hasUntriedServer(flight.request->service, flight.triedServers);
     if (!otherServerHere) {
         flight.triedVms.push_back(vm);
     }
--- a/Source/Daemon/OwnerScheduler.cpp
+++ b/Source/Daemon/OwnerScheduler.cpp
@@ -14,6 +14,8 @@
 constexpr absl::Duration tickInterval = absl::Milliseconds(20);
 // Queue length per slot. Longer queues only hold requests that the deadline check refuses anyway.
 constexpr std::size_t queuedPerSlot = 64;
+// A timeout counts against the server only if the request had this many times the usual time.
+constexpr double timeoutFactor = 2.0;
 constexpr std::size_t maxQueuedBytes = std::size_t { 64 } * 1024 * 1024;
 
 } // namespace
@@ -86,21 +88,16 @@
     this->running.erase(found);
     this->attemptOf.erase(ended.ticket);
     const BackendResult &result = completion.result;
+    const auto queue = this->queues.find(ended.service);
     const auto server = this->servers.find(ended.server);
     if (server != this->servers.end()) {
-        Server &state = server->second;
-        if (result.connectFailed) {
-            state.breaker.connectFailed(this->context.now);
-        } else {
-            state.breaker.connectSucceeded();
-        }
-        if (result.shed) {
-            state.limit.shed(this->context.now, state.inUse);
-            this->context.metrics.addToCounter("currantfall_backend_sheds_total");
-        }
-        --state.inUse;
+        const absl::Duration usual
+                = queue == this->queues.end()
+                          ? absl::InfiniteDuration()
+                          : queue->second.queue->expectedServiceTime(ended.service);
+        this->judge(server->second, result, usual);
+        --server->second.inUse;
     }
-    const auto queue = this->queues.find(ended.service);
     if (queue != this->queues.end()) {
         const bool measured = result.answer.outcome == Common::Outcome::Answered;
         if (measured) {
@@ -114,6 +111,52 @@
     this->startReady(ended.service);
 }
 
+void OwnerScheduler::judge(Server &server, const BackendResult &result, absl::Duration usual)
+{
+    switch (result.verdict) {
+    case ServerVerdict::Answered:
+        server.breaker.succeeded();
+        return;
+    case ServerVerdict::Failed:
+        server.breaker.failed(this->context.now);
+        return;
+    case ServerVerdict::TimedOut:
+        // A request that came with little time left says nothing about the server.
+        if (result.serviceTime > usual * timeoutFactor) {
+            server.breaker.failed(this->context.now);
+            return;
+        }
+        break;
+    case ServerVerdict::Shed:
+        server.limit.shed(this->context.now, server.inUse);
+        this->context.metrics.addToCounter("currantfall_backend_sheds_total");
+        // The limit can't fall below one request, and a server that refuses this one as well would
+        // attract work, because refusals end early.
+        if (server.inUse <= 1
+            || server.breaker.state(this->context.now)
+                       != Admission::CircuitBreaker::State::Closed) {
+            server.breaker.failed(this->context.now);
+            return;
+        }
+        break;
+    case ServerVerdict::Unjudged:
+        break;
+    }
+    server.breaker.attemptNotMade();
+}
+
+bool OwnerScheduler::hasUntriedServer(const Common::ServiceName &service,
+                                      const std::vector<Common::BackendServerName> &tried) const
+{
+    const auto found = this->queues.find(service);
+    return found != this->queues.end()
+           && std::any_of(found->second.servers.begin(), found->second.servers.end(),
+                          [&](const Common::BackendServerName &name) {
+                              return std::find(tried.begin(), tried.end(), name) == tried.end()
+                                     && this->usableSlots(this->servers.at(name)) > 0;
+                          });
+}
+
 std::vector<Membership::ServiceLoad> OwnerScheduler::loads() const
 {
     std::vector<Membership::ServiceLoad> result;
@@ -301,7 +344,7 @@
     }
     Waiting ready = std::move(entry->second);
     this->waiting.erase(entry);
-    Server *const server = this->chooseServer(queue, ready.avoid);
+    Server *const server = this->chooseServer(queue, ready);
     const std::string attempt = this->context.self.vm.value() + "."
                                 + std::to_string(this->context.self.incarnation) + ".b"
                                 + std::to_string(id);
@@ -325,9 +368,8 @@
     this->attemptOf.emplace(id, attempt);
 }
 
-OwnerScheduler::Server *
-OwnerScheduler::chooseServer(const ServiceQueue &queue,
-                             const std::vector<Common::BackendServerName> &avoid)
+OwnerScheduler::Server *OwnerScheduler::chooseServer(const ServiceQueue &queue,
+                                                     const Waiting &waiting)
 {
     std::vector<Server *> usable;
     for (const Common::BackendServerName &name : queue.servers) {
@@ -336,8 +378,13 @@
             usable.push_back(&server);
         }
     }
-    const auto avoided = [&avoid](const Server *server) {
-        return std::find(avoid.begin(), avoid.end(), server->settings.name) != avoid.end();
+    const std::vector<Common::BackendServerName> &avoid = waiting.avoid;
+    // A probe is likely to fail, and only an idempotent request can be repeated then.
+    const auto avoided = [&](const Server *server) {
+        const bool probe = server->breaker.state(this->context.now)
+                           != Admission::CircuitBreaker::State::Closed;
+        return (probe && !waiting.request->idempotent)
+               || std::find(avoid.begin(), avoid.end(), server->settings.name) != avoid.end();
     };
     std::stable_sort(usable.begin(), usable.end(), [&](const Server *left, const Server *right) {
         if (avoided(left) != avoided(right)) {
--- a/Source/Daemon/OwnerScheduler.h
+++ b/Source/Daemon/OwnerScheduler.h
@@ -55,6 +55,9 @@
 
     /// Work on the target's backend servers.
     Drain::HeldWork held(const Drain::DrainTarget &target) const;
+    /// True if a backend server that is not in `tried` could start a request of the service.
+    bool hasUntriedServer(const Common::ServiceName &service,
+                          const std::vector<Common::BackendServerName> &tried) const;
     std::size_t inFlight(const Common::BackendServerName &server) const;
     std::size_t inFlight() const { return this->running.size(); }
     std::size_t slotOverruns() const { return this->overruns; }
@@ -103,8 +106,9 @@
     void refuseWaiting(Ticket ticket, Common::Answer answer);
     void startReady(const Common::ServiceName &service);
     void start(ServiceQueue &queue, Admission::RequestId id);
-    Server *chooseServer(const ServiceQueue &queue,
-                         const std::vector<Common::BackendServerName> &avoid);
+    Server *chooseServer(const ServiceQueue &queue, const Waiting &waiting);
+    /// Opens or closes the server's breaker, or lowers its limit. `usual`: high service time.
+    void judge(Server &server, const BackendResult &result, absl::Duration usual);
     std::size_t usableSlots(const Server &server) const;
     std::size_t usableSlots(const ServiceQueue &queue) const;
     Admission::QueueSettings queueSettings(const ServiceQueue &queue) const;
--- a/Source/UnitTests/Admission/LimitsTest.cpp
+++ b/Source/UnitTests/Admission/LimitsTest.cpp
@@ -98,28 +98,28 @@
     CircuitBreaker breaker;
     for (int failure = 0; failure < 3; ++failure) {
         REQUIRE(breaker.tryAttempt(at(0)));
-        breaker.connectFailed(at(0));
+        breaker.failed(at(0));
     }
     REQUIRE(!breaker.tryAttempt(at(499)));
     REQUIRE(breaker.tryAttempt(at(500)));
     REQUIRE(!breaker.tryAttempt(at(500)));
-    breaker.connectFailed(at(510));
+    breaker.failed(at(510));
     REQUIRE(breaker.nextAttempt(at(510)) == at(1510));
     REQUIRE(breaker.tryAttempt(at(1510)));
     // The probe never reports: it counts as failed, and the server is probed again later.
     REQUIRE(!breaker.tryAttempt(at(3510)));
     REQUIRE(breaker.tryAttempt(at(5510)));
-    breaker.connectSucceeded();
+    breaker.succeeded();
     REQUIRE(breaker.state(at(5510)) == CircuitBreaker::State::Closed);
 }
 
-TEST_CASE("Connect failures that are not consecutive don't open the breaker")
+TEST_CASE("Failures that are not consecutive don't open the breaker")
 {
     CircuitBreaker breaker;
     for (int round = 0; round < 10; ++round) {
-        breaker.connectFailed(at(0));
-        breaker.connectFailed(at(0));
-        breaker.connectSucceeded();
+        breaker.failed(at(0));
+        breaker.failed(at(0));
+        breaker.succeeded();
     }
     REQUIRE(breaker.tryAttempt(at(0)));
 }
--- a/Tests/Deployment/BackendFaultTest.cpp
+++ b/Tests/Deployment/BackendFaultTest.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::size_t callerThreads = 4;
 constexpr std::size_t callsPerFault = 60;
+constexpr std::size_t callsPerStorm = 300;
 // Each VM may use two retries per service before it has earned any.
 constexpr double reservedRetries = 2.0 * 10;
 
@@ -85,3 +86,45 @@
     CHECK(countOutcomes(records)["answered"] == 0);
     CHECK(countOutcomes(records)["outcome-unknown"] > 0);
 }
+
+// Guards against retries that multiply the load when part of the backend servers fails: attempts
+// stay below 1.1 times the requests, and few callers notice.
+TEST_CASE("A failing third of the backend servers causes no retry storm")
+{
+    const std::vector<std::string> third { "-lm-a-2", "-lm-b-2", "-ok-a-2", "-is-b-1" };
+    std::vector<std::string> separate;
+    for (const std::string service : { "slotview", "bellbook", "scrollcast", "oldnews" }) {
+        for (const std::string &server : third) {
+            separate.push_back(service + server);
+        }
+    }
+    DeploymentFixture deployment({}, separate);
+    const auto change = [&](const json &behaviour) {
+        for (const std::string &server : third) {
+            deployment.setBackendBehaviour(behaviour, server);
+        }
+    };
+    std::size_t requests = 0;
+    const auto requireFewFailures = [&](const std::string &failure) {
+        INFO(failure);
+        Traffic traffic(deployment);
+        traffic.run(callsPerStorm);
+        auto records = traffic.queries.finish();
+        CHECK(countOutcomes(records)["answered"] >= records.size() * 9 / 10);
+        requests += records.size();
+        records = traffic.bookings.finish();
+        CHECK(countOutcomes(records)["answered"] >= records.size() * 8 / 10);
+        requests += records.size();
+        const auto allowed = 1.1 * static_cast<double>(requests) + 2 * reservedRetries;
+        CHECK(deployment.metric("currantfall_backend_attempts_total") <= allowed);
+    };
+    change({ { "draining", true } });
+    requireFewFailures("refusing");
+    change({ { "draining", false }, { "close_after_run", 1 } });
+    requireFewFailures("closing");
+    change({ { "close_after_run", 0 } });
+    requireFewFailures("recovered");
+    deployment.separateBackends().kill();
+    requireFewFailures("dead");
+    CHECK(deployment.slotOverruns() == 0);
+}
--- a/include/currantfall/Admission/CircuitBreaker.h
+++ b/include/currantfall/Admission/CircuitBreaker.h
@@ -8,7 +8,8 @@
 
 namespace Currantfall::Admission {
 
-/// Stops connection attempts to a backend server that does not accept them.
+/// Stops attempts at a backend server that fails one after the other: does not accept connections,
+/// refuses all work, or does not answer.
 class CircuitBreaker
 {
 public:
@@ -20,7 +21,7 @@
 
     struct Settings
     {
-        /// Consecutive connect failures that open the breaker.
+        /// Consecutive failures that open the breaker.
         std::size_t failuresToOpen = 3;
         absl::Duration initialOpenTime = absl::Milliseconds(500);
         /// The open time doubles up to this after each failed probe.
@@ -35,10 +36,10 @@
     /// True if an attempt may be made now. In the half-open state this takes the only probe, so it
     /// is called only directly before an attempt.
     [[nodiscard]] bool tryAttempt(Common::Instant now);
-    /// Gives an attempt back that was allowed and not made.
+    /// Gives an attempt back that was allowed and has told nothing about the server.
     void attemptNotMade();
-    void connectSucceeded();
-    void connectFailed(Common::Instant now);
+    void succeeded();
+    void failed(Common::Instant now);
 
     State state(Common::Instant now) const;
     /// When the next attempt can be allowed; `now` if it already is.
