--- a/Source/Daemon/Dispatcher.cpp
+++ b/Source/Daemon/Dispatcher.cpp
@@ -256,12 +256,16 @@
         this->finish(id, std::move(answer));
         return;
     }
-    const bool otherServerHere = !server.empty()
-                                 && this->scheduler.loadOf(flight.request->service).totalSlots > 0
-                                 && flight.triedServers.empty();
+    if (answer.outcome == Outcome::OutcomeUnknown) {
+        flight.unknown = answer;
+    }
+    const bool firstHere = flight.triedServers.empty();
     if (!server.empty()) {
         flight.triedServers.push_back(server);
     }
+    const bool otherServerHere
+            = !server.empty() && firstHere
+              && this->scheduler.hasUntriedServer(flight.request->service, flight.triedServers);
     if (!otherServerHere) {
         flight.triedVms.push_back(vm);
     }
@@ -329,6 +333,9 @@
     if (found == this->flights.end()) {
         return;
     }
+    if (answer.outcome == Outcome::NotRun && found->second.unknown) {
+        answer = std::move(*found->second.unknown);
+    }
     const AnswerHandler done = std::move(found->second.done);
     this->context.timers.unsubscribe(found->second.timer);
     this->attempts.abandon(id);
--- a/Tests/Deployment/DrainTest.cpp
+++ b/Tests/Deployment/DrainTest.cpp
@@ -4,8 +4,8 @@
 
 #include <catch2/catch.hpp>
 
-#include "CallChecks.h"
 #include "DeploymentFixture.h"
+#include "Outcomes.h"
 
 using namespace Currantfall::Tests;
 using nlohmann::json;
--- a/Tests/Deployment/CallChecks.cpp
+++ b/Tests/Deployment/Outcomes.cpp
@@ -1,4 +1,4 @@
-#include "CallChecks.h"
+#include "Outcomes.h"
 
 #include <catch2/catch.hpp>
 
