--- a/Source/Core/Common/Log.cpp
+++ b/Source/Core/Common/Log.cpp
@@ -1,5 +1,6 @@
 #include "currantfall/Common/Log.h"
 
+#include <cstdio>
 #include <utility>
 
 #include <absl/time/clock.h>
@@ -23,6 +24,11 @@
     return *logger;
 }
 
+std::string textOf(const nlohmann::ordered_json &line)
+{
+    return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 } // namespace
 
 Result<void> Log::setLevel(const std::string &level)
@@ -67,26 +73,42 @@
     this->write(spdlog::level::err, message, peer, request);
 }
 
-void Log::write(spdlog::level::level_enum level, const std::string &message,
-                const std::string &peer, const std::string &request) const
+void Log::critical(const std::string &message, const nlohmann::json &state) const
+{
+    nlohmann::ordered_json line = this->lineOf(spdlog::level::critical, message);
+    line["state"] = state;
+    // Not through the logger, whose level may be "off".
+    std::fputs((textOf(line) + "\n").c_str(), stderr);
+    std::fflush(stderr);
+}
+
+nlohmann::ordered_json Log::lineOf(spdlog::level::level_enum level,
+                                   const std::string &message) const
 {
-    spdlog::logger &logger = processLogger();
-    if (!logger.should_log(level)) {
-        return;
-    }
     const auto levelName = spdlog::level::to_string_view(level);
     nlohmann::ordered_json line;
     line["time"] = absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", absl::Now(), absl::UTCTimeZone());
     line["level"] = std::string(levelName.data(), levelName.size());
     line["component"] = this->component;
     line["message"] = message;
+    return line;
+}
+
+void Log::write(spdlog::level::level_enum level, const std::string &message,
+                const std::string &peer, const std::string &request) const
+{
+    spdlog::logger &logger = processLogger();
+    if (!logger.should_log(level)) {
+        return;
+    }
+    nlohmann::ordered_json line = this->lineOf(level, message);
     if (!peer.empty()) {
         line["peer"] = peer;
     }
     if (!request.empty()) {
         line["request"] = request;
     }
-    logger.log(level, "{}", line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    logger.log(level, "{}", textOf(line));
 }
 
 } // namespace Currantfall::Common
--- a/include/currantfall/Common/Log.h
+++ b/include/currantfall/Common/Log.h
@@ -3,6 +3,7 @@
 #include <memory>
 #include <string>
 
+#include <nlohmann/json.hpp>
 #include <spdlog/spdlog.h>
 
 #include "currantfall/Common/Error.h"
@@ -28,12 +29,17 @@
               const std::string &request = {}) const;
     void error(const std::string &message, const std::string &peer = {},
                const std::string &request = {}) const;
+    /// For the last line of a process that can't go on: written at every log level, with `state` as
+    /// a field.
+    void critical(const std::string &message, const nlohmann::json &state) const;
 
 private:
     explicit Log(std::string component);
 
     void write(spdlog::level::level_enum level, const std::string &message, const std::string &peer,
                const std::string &request) const;
+    nlohmann::ordered_json lineOf(spdlog::level::level_enum level,
+                                  const std::string &message) const;
 
     std::string component;
 };
