Check the invariants of each part at run time

Cause: slot overruns were only counted, and nothing checked the rest of the promises inside the daemon. Change: owner: slots in use never above the slots, work starts only on servers that are owned and not drained, only a used slot is freed. Credits: used before they lapse and within the grant; grants within the slots and the link's shift cap. Issuer: a key is executed at most once, not-run is never said of a key whose execution began without a proven not-run; both counted apart from the record's state. Retry budget never negative. Dispatcher: not-run is never said of a request one of whose attempts ended without a proven outcome. A request is completed once. The revision in force never decreases.

--- a/Source/Core/Credits/CreditGranter.cpp
+++ b/Source/Core/Credits/CreditGranter.cpp
@@ -7,12 +7,15 @@
 #include <utility>
 #include <vector>
 
+#include "currantfall/Common/Invariant.h"
+
 namespace Currantfall::Credits {
 
 namespace {
 
 // Sums of fractions of a slot may fall short of a whole one by rounding.
 constexpr double roundingError = 1e-9;
+constexpr const char *partName = "credit-granter";
 
 std::size_t wholeSlots(double slots)
 {
@@ -79,6 +82,7 @@
     }
     const CreditId id = ++this->lastCredit;
     entry.grants.emplace(id, grant);
+    this->requireWithinCaps(now, holder, grant);
     return CreditGrant { request.sequence, id, grant.concurrent, grant.bytesPerSecond,
                          creditValidity };
 }
@@ -99,6 +103,10 @@
     }
     ++entry->second.inProgress;
     ++this->running;
+    Common::requireInvariant(
+            now < grant->second.expires && entry->second.inProgress <= grant->second.concurrent,
+            partName, "a request begins on a credit that is in force and not used up",
+            [&] { return this->describe(now); });
     return true;
 }
 
@@ -108,6 +116,10 @@
     if (entry == this->holders.end() || entry->second.inProgress == 0) {
         return;
     }
+    Common::requireInvariant(this->running > 0, partName,
+                             "no more requests end on credits than began", [&] {
+                                 return nlohmann::json { { "holder", holder.value() } };
+                             });
     --entry->second.inProgress;
     --this->running;
 }
@@ -206,6 +218,46 @@
     return std::max(0.0, std::min(fair, total - heldByOthers));
 }
 
+void CreditGranter::requireWithinCaps(Common::Instant now, const Common::VmName &name,
+                                      const Grant &grant) const
+{
+    std::size_t slots = grant.concurrent;
+    double rate = grant.bytesPerSecond;
+    for (const auto &[otherName, other] : this->holders) {
+        if (otherName != name) {
+            slots += heldBy(now, other);
+            rate += rateOf(now, other);
+        }
+    }
+    const double cap = this->settings.linkBytesPerSecond * this->settings.shiftCap;
+    // What was granted before a cap or the slots were lowered stays granted; nothing is added.
+    Common::requireInvariant(grant.concurrent == 0 || slots <= this->totalSlots, partName,
+                             "credits are granted within the slots",
+                             [&] { return this->describe(now); });
+    Common::requireInvariant(grant.bytesPerSecond <= 0.0 || rate <= cap * (1.0 + roundingError),
+                             partName, "credits are granted within the shift cap of the link",
+                             [&] { return this->describe(now); });
+}
+
+nlohmann::json CreditGranter::describe(Common::Instant now) const
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto &[name, holder] : this->holders) {
+        list.push_back({ { "vm", name.value() },
+                         { "in_progress", holder.inProgress },
+                         { "held", heldBy(now, holder) },
+                         { "bytes_per_second", rateOf(now, holder) },
+                         { "grants", holder.grants.size() } });
+    }
+    return { { "slots", this->totalSlots },
+             { "free", this->freeSlots },
+             { "in_progress", this->running },
+             { "link_bytes_per_second", this->settings.linkBytesPerSecond },
+             { "shift_cap", this->settings.shiftCap },
+             { "granters", this->settings.granters },
+             { "holders", list } };
+}
+
 std::size_t CreditGranter::heldBy(Common::Instant now, const Holder &holder)
 {
     std::size_t result = holder.inProgress;
--- a/Source/Core/Credits/CreditHolder.cpp
+++ b/Source/Core/Credits/CreditHolder.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <iterator>
 
+#include "currantfall/Common/Invariant.h"
+
 namespace Currantfall::Credits {
 
 std::optional<CreditRequest> CreditHolder::ask(Common::Instant now, std::size_t wanted,
@@ -47,9 +49,23 @@
     this->tokensAtChange = saved - static_cast<double>(bytes);
     this->changed = now;
     ++this->used;
+    Common::requireInvariant(
+            now < this->expires && this->used <= this->concurrent && this->tokensAtChange >= 0.0,
+            "credit-holder", "a credit is used before it lapses and within what was granted",
+            [&] { return this->describe(now); });
     return this->credit;
 }
 
+nlohmann::json CreditHolder::describe(Common::Instant now) const
+{
+    return { { "credit", this->credit },
+             { "concurrent", this->concurrent },
+             { "used", this->used },
+             { "bytes_per_second", this->bytesPerSecond },
+             { "tokens", this->tokensAtChange },
+             { "expires_in_ms", absl::ToInt64Milliseconds(this->expires - now) } };
+}
+
 void CreditHolder::giveBack(CreditId)
 {
     if (this->used > 0) {
--- a/Source/Core/Execution/Issuer.cpp
+++ b/Source/Core/Execution/Issuer.cpp
@@ -6,10 +6,13 @@
 
 #include <xxhash.h>
 
+#include "currantfall/Common/Invariant.h"
+
 namespace Currantfall::Execution {
 
 namespace {
 
+constexpr const char *partName = "issuer";
 constexpr absl::Duration overloadRetryAfter = absl::Seconds(1);
 
 Common::Answer expiredAnswer()
@@ -101,8 +104,10 @@
     IssuedPrefix &prefix = this->issued.at(key.prefix().epoch);
     const auto found = prefix.records.find(key.unique());
     if (found == prefix.records.end()) {
-        return this->start(now, prefix, key.unique(),
-                           Record { fingerprint, State::IntentPending, { waiter }, {}, {} });
+        Record record;
+        record.fingerprint = fingerprint;
+        record.waiters.push_back(waiter);
+        return this->start(now, prefix, key.unique(), std::move(record));
     }
     Record &record = found->second;
     if (record.fingerprint != fingerprint) {
@@ -115,6 +120,7 @@
         record.waiters.push_back(waiter);
         return Join {};
     case State::Sealed:
+        this->requireNeverRan(key.unique(), record);
         return Refuse { record.answer };
     case State::Finished:
         break;
@@ -138,8 +144,7 @@
     }
     ++this->records;
     if (!prefix.prefix.deputy) {
-        record.state = State::Running;
-        ++this->running;
+        this->beginExecution(unique, record);
         prefix.records.emplace(unique, std::move(record));
         return Run {};
     }
@@ -160,6 +165,39 @@
     return record == prefix->second.records.end() ? nullptr : &record->second;
 }
 
+void Issuer::beginExecution(const std::string &unique, Record &record)
+{
+    ++record.executions;
+    ++this->running;
+    Common::requireInvariant(record.executions == 1 && record.state == State::IntentPending,
+                             partName, "a key is executed at most once",
+                             [&] { return this->describe(unique, record); });
+    record.state = State::Running;
+}
+
+void Issuer::requireNeverRan(const std::string &unique, const Record &record) const
+{
+    Common::requireInvariant(record.executions == 0 || record.resultWasNotRun, partName,
+                             "not-run is never said of a key that may have run",
+                             [&] { return this->describe(unique, record); });
+}
+
+nlohmann::json Issuer::describe(const std::string &unique, const Record &record) const
+{
+    return { { "vm", this->self.vm.value() },
+             { "incarnation", this->self.incarnation },
+             { "unique", unique },
+             { "state", static_cast<int>(record.state) },
+             { "executions", record.executions },
+             { "result_was_not_run", record.resultWasNotRun },
+             { "waiters", record.waiters.size() },
+             { "records", this->records },
+             { "running", this->running },
+             { "pending_intents", this->pendingIntents.size() },
+             { "last_epoch", this->lastEpoch },
+             { "closed", this->closed } };
+}
+
 void Issuer::endIntent(const IdempotencyKey &key, Record &record)
 {
     this->pendingIntents.erase(
@@ -186,8 +224,7 @@
     }
     if (reply.accepted) {
         this->endIntent(key, *record);
-        record->state = State::Running;
-        ++this->running;
+        this->beginExecution(key.unique(), *record);
         return Run {};
     }
     if (reply.sealed) {
@@ -234,6 +271,7 @@
     if (record.state == State::IntentPending) {
         this->endIntent(key, record);
     }
+    this->requireNeverRan(key.unique(), record);
     record.state = State::Sealed;
     this->keepAnswer(record, answer);
     Completion completion { std::move(record.waiters), std::move(answer), std::nullopt };
@@ -261,9 +299,12 @@
     if (record == nullptr || record->state != State::Running) {
         return std::nullopt;
     }
+    Common::requireInvariant(this->running > 0, partName, "only a running key gets a result",
+                             [&] { return this->describe(key.unique(), *record); });
     --this->running;
     std::optional<Completion> completion;
     if (answer.outcome == Common::Outcome::NotRun) {
+        record->resultWasNotRun = true;
         completion = this->seal(key, *record, answer);
     } else {
         record->state = State::Finished;
--- a/Source/Core/Execution/RetryPolicy.cpp
+++ b/Source/Core/Execution/RetryPolicy.cpp
@@ -2,10 +2,15 @@
 
 #include <algorithm>
 
+#include "currantfall/Common/Invariant.h"
+
 namespace Currantfall::Execution {
 
 namespace {
 
+// Ten additions of 0.1 give slightly less than 1.
+constexpr double rounding = 1e-9;
+
 bool isSafeToRepeat(const RetryQuestion &question)
 {
     if (question.idempotent) {
@@ -32,8 +37,6 @@
 
 bool RetryBudget::available() const
 {
-    // Ten additions of 0.1 give slightly less than 1.
-    constexpr double rounding = 1e-9;
     return this->tokens >= 1.0 - rounding;
 }
 
@@ -43,6 +46,12 @@
         return false;
     }
     this->tokens -= 1.0;
+    Common::requireInvariant(this->tokens >= -rounding, "retry-budget",
+                             "the retry budget is never negative", [this] {
+                                 return nlohmann::json { { "tokens", this->tokens },
+                                                         { "fraction", this->fraction },
+                                                         { "capacity", this->capacity } };
+                             });
     return true;
 }
 
--- a/Source/Daemon/Dispatcher.cpp
+++ b/Source/Daemon/Dispatcher.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "currantfall/Common/Invariant.h"
+
 #include "WireConversion.h"
 
 namespace Currantfall::Daemon {
@@ -252,6 +254,7 @@
     }
     Flight &flight = found->second;
     this->endAttempt(flight);
+    flight.mayHaveRun |= answer.outcome == Outcome::OutcomeUnknown;
     if (answer.outcome == Outcome::Answered) {
         this->finish(id, std::move(answer));
         return;
@@ -329,6 +332,9 @@
     if (found == this->flights.end()) {
         return;
     }
+    Common::requireInvariant(answer.outcome != Outcome::NotRun || !found->second.mayHaveRun,
+                             "dispatcher", "not-run is never said of a request that may have run",
+                             [&] { return describe(found->second, answer); });
     const AnswerHandler done = std::move(found->second.done);
     this->context.timers.unsubscribe(found->second.timer);
     this->attempts.abandon(id);
@@ -336,6 +342,23 @@
     done(std::move(answer));
 }
 
+nlohmann::json Dispatcher::describe(const Flight &flight, const Common::Answer &answer)
+{
+    std::vector<std::string> tried;
+    for (const Common::VmName &vm : flight.triedVms) {
+        tried.push_back(vm.value());
+    }
+    return { { "request", flight.request->id },
+             { "service", flight.request->service.value() },
+             { "idempotent", flight.request->idempotent },
+             { "key", flight.request->key },
+             { "may_have_run", flight.mayHaveRun },
+             { "tried_vms", tried },
+             { "outcome", Common::toString(answer.outcome) },
+             { "reason", Common::toString(answer.reason) },
+             { "message", answer.message } };
+}
+
 void Dispatcher::reply(const Common::VmName &to, Peering::LinkClass linkClass,
                        const std::string &attempt, const Common::Answer &answer)
 {
--- a/Source/Daemon/Dispatcher.h
+++ b/Source/Daemon/Dispatcher.h
@@ -53,6 +53,7 @@
         Common::VmName remote; // Empty while the attempt is on this VM.
         Credits::CreditId credit = 0;
         Common::TimerService::SubscriptionId timer = 0;
+        bool mayHaveRun = false;     // An attempt ended without a proven outcome.
         Common::Instant parkedUntil; // Set when the request is parked for the first time.
     };
 
@@ -73,6 +74,7 @@
     void onTimeout(FlightId id);
     void endAttempt(Flight &flight);
     void finish(FlightId id, Common::Answer answer);
+    static nlohmann::json describe(const Flight &flight, const Common::Answer &answer);
     void reply(const Common::VmName &to, Peering::LinkClass linkClass, const std::string &attempt,
                const Common::Answer &answer);
 
--- a/Source/Daemon/OwnerScheduler.cpp
+++ b/Source/Daemon/OwnerScheduler.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "currantfall/Common/Invariant.h"
+
 namespace Currantfall::Daemon {
 
 namespace {
@@ -10,6 +12,7 @@
 using Common::Reason;
 using Placement::OwnershipState;
 
+constexpr const char *partName = "owner";
 // Interval for queue expiries, breakers that may probe again, and limits that regrow.
 constexpr absl::Duration tickInterval = absl::Milliseconds(20);
 // Queue length per slot. Longer queues only hold requests that the deadline check refuses anyway.
@@ -98,6 +101,10 @@
             state.limit.shed(this->context.now, state.inUse);
             this->context.metrics.addToCounter("currantfall_backend_sheds_total");
         }
+        Common::requireInvariant(state.inUse > 0, partName, "only a slot in use is freed", [&] {
+            return nlohmann::json { { "server", ended.server.value() },
+                                    { "attempt", completion.attempt } };
+        });
         --state.inUse;
     }
     const auto queue = this->queues.find(ended.service);
@@ -318,6 +325,7 @@
     if (server->inUse > server->settings.slots) {
         ++this->overruns;
     }
+    this->requireStartAllowed(*server);
     this->context.metrics.addToCounter("currantfall_backend_attempts_total",
                                        { { "service", ready.request->service.value() } });
     this->running.emplace(attempt, Running { id, server->settings.name, ready.request->service,
@@ -325,6 +333,28 @@
     this->attemptOf.emplace(id, attempt);
 }
 
+void OwnerScheduler::requireStartAllowed(const Server &server) const
+{
+    const auto describe = [&] {
+        return nlohmann::json { { "server", server.settings.name.value() },
+                                { "slots", server.settings.slots },
+                                { "in_use", server.inUse },
+                                { "startable", server.startable },
+                                { "owned", this->ownership.state(server.settings.name)
+                                                   == OwnershipState::Owned },
+                                { "revision", this->context.revision },
+                                { "running", this->running.size() },
+                                { "waiting", this->waiting.size() } };
+    };
+    Common::requireInvariant(server.inUse <= server.settings.slots, partName,
+                             "slots in use are at most the slots of the backend server", describe);
+    Common::requireInvariant(
+            server.startable
+                    && this->ownership.state(server.settings.name) == OwnershipState::Owned,
+            partName, "work starts only on backend servers that are owned and not drained",
+            describe);
+}
+
 OwnerScheduler::Server *
 OwnerScheduler::chooseServer(const ServiceQueue &queue,
                              const std::vector<Common::BackendServerName> &avoid)
--- a/Source/Daemon/OwnerScheduler.h
+++ b/Source/Daemon/OwnerScheduler.h
@@ -101,6 +101,7 @@
     void refuseStranded(const Common::ServiceName &service, ServiceQueue &queue);
     /// Ends a request that has left the queue without being started.
     void refuseWaiting(Ticket ticket, Common::Answer answer);
+    void requireStartAllowed(const Server &server) const;
     void startReady(const Common::ServiceName &service);
     void start(ServiceQueue &queue, Admission::RequestId id);
     Server *chooseServer(const ServiceQueue &queue,
--- a/Source/Daemon/Request.cpp
+++ b/Source/Daemon/Request.cpp
@@ -2,11 +2,20 @@
 
 #include <utility>
 
+#include "currantfall/Common/Invariant.h"
+
 namespace Currantfall::Daemon {
 
 void Completion::complete(Common::Answer result)
 {
     const Common::MutexLock lock(&this->mutex);
+    Common::requireInvariant(!this->completed, "completion", "a request is completed once", [&] {
+        return nlohmann::json { { "first", Common::toString(this->answer.outcome) },
+                                { "second", Common::toString(result.outcome) },
+                                { "reason", Common::toString(result.reason) },
+                                { "message", result.message } };
+    });
+    this->completed = true;
     if (this->done) {
         return;
     }
--- a/Source/Daemon/Request.h
+++ b/Source/Daemon/Request.h
@@ -39,7 +39,7 @@
 class Completion
 {
 public:
-    /// Later calls than the first have no effect.
+    /// Has no effect if await() has given up. Called at most once.
     void complete(Common::Answer result);
 
     /// Waits until complete() has been called or `timeout` has passed; an answer that comes later
@@ -49,6 +49,7 @@
 private:
     Common::Mutex mutex;
     bool done = false;
+    bool completed = false; // Unlike `done`, not set when the waiting thread gives up.
     Common::Answer answer;
 };
 
--- a/Source/Daemon/Steering.cpp
+++ b/Source/Daemon/Steering.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "currantfall/Common/Invariant.h"
+
 namespace Currantfall::Daemon {
 
 namespace {
@@ -197,6 +199,12 @@
     } else {
         this->context.log.error(blocks.error().toString());
     }
+    Common::requireInvariant(
+            this->routingSnapshots.read()->revision < this->context.revision, "configuration",
+            "the revision in force never decreases", [this] {
+                return nlohmann::json { { "before", this->routingSnapshots.read()->revision },
+                                        { "now", this->context.revision } };
+            });
     this->routingSnapshots.publish(std::make_shared<const RoutingSnapshot>(
             RoutingSnapshot { this->context.environment, this->context.revision }));
     this->updateLeaving();
@@ -260,6 +268,10 @@
     const SharedRequest request = event.request;
     const auto done
             = [this, arrival, request, completion = event.completion](Common::Answer answer) {
+                  Common::requireInvariant(this->callersInProgress > 0, "steering",
+                                           "no more requests end than have arrived", [&request] {
+                                               return nlohmann::json { { "request", request->id } };
+                                           });
                   --this->callersInProgress;
                   const Configuration::Environment &environment = *this->context.environment;
                   const Common::RankName rank = request->rank < environment.ranks.size()
--- a/include/currantfall/Credits/CreditGranter.h
+++ b/include/currantfall/Credits/CreditGranter.h
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include <absl/time/time.h>
+#include <nlohmann/json.hpp>
 
 #include "currantfall/Common/Names.h"
 #include "currantfall/Common/Time.h"
@@ -89,6 +90,10 @@
     std::size_t concurrentFor(Common::Instant now, const Common::VmName &name,
                               const Holder &holder) const;
     double rateFor(Common::Instant now, const Common::VmName &name, const Holder &holder) const;
+    /// After a grant: it fits into what the slots and the link allow.
+    void requireWithinCaps(Common::Instant now, const Common::VmName &name,
+                           const Grant &grant) const;
+    nlohmann::json describe(Common::Instant now) const;
     static std::size_t heldBy(Common::Instant now, const Holder &holder);
     static double rateOf(Common::Instant now, const Holder &holder);
 
--- a/include/currantfall/Credits/CreditHolder.h
+++ b/include/currantfall/Credits/CreditHolder.h
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include <absl/time/time.h>
+#include <nlohmann/json.hpp>
 
 #include "currantfall/Common/Time.h"
 #include "currantfall/Credits/CreditTerms.h"
@@ -44,6 +45,7 @@
 
 private:
     double tokens(Common::Instant now) const;
+    nlohmann::json describe(Common::Instant now) const;
 
     std::uint64_t lastSequence = 0;
     std::uint64_t answeredSequence = 0;
--- a/include/currantfall/Execution/Issuer.h
+++ b/include/currantfall/Execution/Issuer.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
+#include <nlohmann/json.hpp>
 
 #include "currantfall/Common/Outcome.h"
 #include "currantfall/Common/Time.h"
@@ -155,6 +156,9 @@
         std::vector<WaiterId> waiters;
         Common::Answer answer;
         Common::Instant intentDue;
+        /// Kept apart from the state, so that the invariants don't depend on it.
+        unsigned executions = 0;
+        bool resultWasNotRun = false;
     };
 
     struct IssuedPrefix
@@ -187,6 +191,10 @@
     BeginDecision start(Common::Instant now, IssuedPrefix &prefix, const std::string &unique,
                         Record record);
     Record *find(const IdempotencyKey &key);
+    void beginExecution(const std::string &unique, Record &record);
+    /// For a key of which not-run is said.
+    void requireNeverRan(const std::string &unique, const Record &record) const;
+    nlohmann::json describe(const std::string &unique, const Record &record) const;
     void endIntent(const IdempotencyKey &key, Record &record);
     Completion seal(const IdempotencyKey &key, Record &record, Common::Answer answer);
     void keepAnswer(Record &record, const Common::Answer &answer);
