Say outcome-unknown when a retry is refused after an attempt that may have run

Cause: an idempotent request whose first attempt ended with outcome-unknown (cut answer, lost link) and whose retry was refused got the retry's not-run. The new check in the dispatcher ends the daemon there; before it, the caller got a false not-run. Change: the dispatcher remembers that an attempt may have run, and passes a later refusal on as outcome-unknown with the refusal's reason. Conclusion: I4 holds for idempotent requests as well.

--- a/Source/Daemon/Dispatcher.cpp
+++ b/Source/Daemon/Dispatcher.cpp
@@ -141,7 +141,7 @@
         }
     }
     if (!this->park(id, lastAnswer)) {
-        this->finish(id, std::move(lastAnswer));
+        this->finish(id, outcomeOf(this->flights.at(id), std::move(lastAnswer)));
     }
 }
 
@@ -269,7 +269,7 @@
         flight.triedVms.push_back(vm);
     }
     if (!this->mayTryAgain(flight, answer)) {
-        this->finish(id, std::move(answer));
+        this->finish(id, outcomeOf(flight, std::move(answer)));
         return;
     }
     this->tryNext(id, std::move(answer));
@@ -342,6 +342,18 @@
     done(std::move(answer));
 }
 
+Common::Answer Dispatcher::outcomeOf(const Flight &flight, Common::Answer lastAnswer)
+{
+    if (!flight.mayHaveRun || lastAnswer.outcome != Outcome::NotRun) {
+        return lastAnswer;
+    }
+    Common::Answer answer = Common::outcomeUnknown(lastAnswer.reason,
+                                                   "an earlier attempt may have run; the last one: "
+                                                           + lastAnswer.message);
+    answer.retryAfter = lastAnswer.retryAfter;
+    return answer;
+}
+
 nlohmann::json Dispatcher::describe(const Flight &flight, const Common::Answer &answer)
 {
     std::vector<std::string> tried;
--- a/Source/Daemon/Dispatcher.h
+++ b/Source/Daemon/Dispatcher.h
@@ -74,6 +74,8 @@
     void onTimeout(FlightId id);
     void endAttempt(Flight &flight);
     void finish(FlightId id, Common::Answer answer);
+    /// The last answer, or outcome-unknown if it is a refusal and an earlier attempt may have run.
+    static Common::Answer outcomeOf(const Flight &flight, Common::Answer lastAnswer);
     static nlohmann::json describe(const Flight &flight, const Common::Answer &answer);
     void reply(const Common::VmName &to, Peering::LinkClass linkClass, const std::string &attempt,
                const Common::Answer &answer);
