Keep a keyed request until its key is sealed or finished

Cause: the issuer dropped the waiting request of a key at the request's deadline, although the deputy's acceptance could still come within the intent timeout. The key then counted as running for ever: repeats waited in vain, and a graceful shutdown never ended, because it waits for running keys. Requests were also kept under the key as the caller wrote it, but looked up as the deputy wrote it. Change: the request goes when its key is sealed or finished; a key whose deadline has passed when the deputy accepts gets a proven not-run. An invariant requires the request of a key that starts. The randomised run's callers now give every eleventh request a deadline below 60 ms.

--- a/Source/Daemon/KeyedFlow.cpp
+++ b/Source/Daemon/KeyedFlow.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <utility>
 
+#include "currantfall/Common/Invariant.h"
 #include "currantfall/Common/RendezvousHash.h"
 
 #include "WireConversion.h"
@@ -90,14 +91,15 @@
     const Execution::IntentDecision decision
             = this->issuer.onIntentReply(this->context.now, *key, reply);
     if (std::holds_alternative<Execution::Run>(decision)) {
-        const auto pending = this->pendingRuns.find(text);
-        if (pending != this->pendingRuns.end()) {
-            const SharedRequest request = std::move(pending->second);
-            this->pendingRuns.erase(pending);
-            this->run(request, *key);
-        }
+        const auto pending = this->pendingRuns.find(key->toString());
+        Common::requireInvariant(pending != this->pendingRuns.end(), "issuer",
+                                 "a key that starts has its request", [&] {
+                                     return nlohmann::json { { "key", text } };
+                                 });
+        const SharedRequest request = std::move(pending->second);
+        this->pendingRuns.erase(pending);
+        this->run(request, *key);
     } else if (const auto *completion = std::get_if<Execution::Completion>(&decision)) {
-        this->pendingRuns.erase(text);
         this->complete(*completion);
     }
 }
@@ -205,10 +207,6 @@
         this->complete(completion);
     }
     this->deputy.advance(this->context.now);
-    // Keys whose intent timed out are sealed; their requests are not run any more.
-    absl::erase_if(this->pendingRuns, [this](const auto &entry) {
-        return entry.second->deadline <= this->context.now;
-    });
     if (this->currentDeputy) {
         this->cluster.requestPeer(this->currentDeputy->vm);
     }
@@ -227,7 +225,7 @@
             this->context.now, key,
             Execution::fingerprintOf(request->method, request->path, request->body), waiter);
     if (const auto *intent = std::get_if<Execution::RecordIntent>(&decision)) {
-        this->pendingRuns.emplace(request->key, request);
+        this->pendingRuns.emplace(key.toString(), request);
         this->recordIntent(key, intent->deputy);
     } else if (std::holds_alternative<Execution::Run>(decision)) {
         this->run(request, key);
@@ -246,7 +244,6 @@
     if (this->context.sendControl(deputyRun.vm, std::move(note))) {
         return;
     }
-    this->pendingRuns.erase(key.toString());
     if (const auto completion = this->issuer.onIntentTimeout(this->context.now, key)) {
         this->complete(*completion);
     }
@@ -254,6 +251,14 @@
 
 void KeyedFlow::run(const SharedRequest &request, const IdempotencyKey &key)
 {
+    if (request->deadline <= this->context.now) {
+        const Common::Answer late = Common::notRun(Reason::DeadlineTooShort,
+                                                   "the deadline passed before the key could run");
+        if (const auto completion = this->issuer.onResult(this->context.now, key, late)) {
+            this->complete(*completion);
+        }
+        return;
+    }
     this->dispatcher.dispatch(request, [this, key](const Common::Answer &answer) {
         if (const auto completion = this->issuer.onResult(this->context.now, key, answer)) {
             this->complete(*completion);
@@ -264,6 +269,9 @@
 void KeyedFlow::complete(const Execution::Completion &completion)
 {
     if (completion.note) {
+        // The key is sealed or finished. Its request is kept until then, even after its deadline:
+        // once the deputy accepts, the key counts as running until it has a result.
+        this->pendingRuns.erase(completion.note->key.toString());
         this->sendResultNote(*completion.note);
     }
     for (const Execution::WaiterId waiter : completion.waiters) {
--- a/Tests/Deployment/DeploymentFixture.cpp
+++ b/Tests/Deployment/DeploymentFixture.cpp
@@ -25,6 +25,8 @@
 constexpr int octetChoices = 20;
 constexpr int callTimeoutSeconds = 15;
 constexpr std::size_t backendSlots = 144;
+constexpr std::uint64_t shortDeadlineEvery = 11;
+constexpr std::uint64_t shortDeadlineMs = 60;
 
 std::string readFile(const std::string &path)
 {
@@ -240,8 +242,8 @@
 }
 
 Callers::Callers(const DeploymentFixture &deployment, std::size_t threads, bool keyed,
-                 std::string label)
-    : deployment(deployment), keyed(keyed), label(std::move(label))
+                 std::string label, bool shortDeadlines)
+    : deployment(deployment), keyed(keyed), label(std::move(label)), shortDeadlines(shortDeadlines)
 {
     for (std::size_t index = 0; index < threads; ++index) {
         this->threads.emplace_back([this, index] { this->run(index); });
@@ -294,8 +296,11 @@
         httplib::Client client(entry["address"].get<std::string>(), entry["port"].get<int>());
         client.set_read_timeout(callTimeoutSeconds);
         client.set_tcp_nodelay(true);
-        const httplib::Headers headers { { "Currantfall-Request", record.requestId },
-                                         { "Idempotency-Key", key } };
+        httplib::Headers headers { { "Currantfall-Request", record.requestId },
+                                   { "Idempotency-Key", key } };
+        if (this->shortDeadlines && number % shortDeadlineEvery == 0) {
+            headers.emplace("Currantfall-Deadline-Ms", std::to_string(number % shortDeadlineMs));
+        }
         const std::string sent = "body of " + record.requestId;
         const auto response
                 = this->keyed
--- a/Tests/Deployment/DeploymentFixture.h
+++ b/Tests/Deployment/DeploymentFixture.h
@@ -92,9 +92,10 @@
 class Callers
 {
 public:
-    /// `label` keeps the request ids of several instances apart.
+    /// `label` keeps the request ids of several instances apart. With `shortDeadlines` some
+    /// requests have a deadline that they meet only sometimes.
     Callers(const DeploymentFixture &deployment, std::size_t threads, bool keyed,
-            std::string label = {});
+            std::string label = {}, bool shortDeadlines = false);
     ~Callers();
 
     std::size_t completed() const { return this->completedCalls; }
@@ -108,6 +109,7 @@
     const DeploymentFixture &deployment;
     bool keyed;
     std::string label;
+    bool shortDeadlines;
     std::atomic<bool> stopping { false };
     std::atomic<std::size_t> completedCalls { 0 };
     std::mutex mutex;
--- a/Tests/Deployment/RandomizedRun.cpp
+++ b/Tests/Deployment/RandomizedRun.cpp
@@ -122,8 +122,8 @@
     DeploymentFixture deployment;
     deployment.setBackendBehaviour(settings.behaviour);
     FaultDriver driver(deployment);
-    Callers bookings(deployment, settings.threads, true);
-    Callers queries(deployment, settings.threads, false);
+    Callers bookings(deployment, settings.threads, true, {}, true);
+    Callers queries(deployment, settings.threads, false, {}, true);
     driver.run(faults);
     const auto bookingRecords = bookings.finish();
     const auto queryRecords = queries.finish();
