--- a/Source/Daemon/Dispatcher.cpp
+++ b/Source/Daemon/Dispatcher.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "currantfall/Common/Invariant.h"
+
 #include "WireConversion.h"
 
 namespace Currantfall::Daemon {
@@ -139,7 +141,7 @@
         }
     }
     if (!this->park(id, lastAnswer)) {
-        this->finish(id, std::move(lastAnswer));
+        this->finish(id, outcomeOf(this->flights.at(id), std::move(lastAnswer)));
     }
 }
 
@@ -252,13 +254,11 @@
     }
     Flight &flight = found->second;
     this->endAttempt(flight);
+    flight.mayHaveRun |= answer.outcome == Outcome::OutcomeUnknown;
     if (answer.outcome == Outcome::Answered) {
         this->finish(id, std::move(answer));
         return;
     }
-    if (answer.outcome == Outcome::OutcomeUnknown) {
-        flight.unknown = answer;
-    }
     const bool firstHere = flight.triedServers.empty();
     if (!server.empty()) {
         flight.triedServers.push_back(server);
@@ -270,7 +270,7 @@
         flight.triedVms.push_back(vm);
     }
     if (!this->mayTryAgain(flight, answer)) {
-        this->finish(id, std::move(answer));
+        this->finish(id, outcomeOf(flight, std::move(answer)));
         return;
     }
     this->tryNext(id, std::move(answer));
@@ -333,9 +333,9 @@
     if (found == this->flights.end()) {
         return;
     }
-    if (answer.outcome == Outcome::NotRun && found->second.unknown) {
-        answer = std::move(*found->second.unknown);
-    }
+    Common::requireInvariant(answer.outcome != Outcome::NotRun || !found->second.mayHaveRun,
+                             "dispatcher", "not-run is never said of a request that may have run",
+                             [&] { return describe(found->second, answer); });
     const AnswerHandler done = std::move(found->second.done);
     this->context.timers.unsubscribe(found->second.timer);
     this->attempts.abandon(id);
@@ -343,6 +343,35 @@
     done(std::move(answer));
 }
 
+Common::Answer Dispatcher::outcomeOf(const Flight &flight, Common::Answer lastAnswer)
+{
+    if (!flight.mayHaveRun || lastAnswer.outcome != Outcome::NotRun) {
+        return lastAnswer;
+    }
+    Common::Answer answer = Common::outcomeUnknown(lastAnswer.reason,
+                                                   "an earlier attempt may have run; the last one: "
+                                                           + lastAnswer.message);
+    answer.retryAfter = lastAnswer.retryAfter;
+    return answer;
+}
+
+nlohmann::json Dispatcher::describe(const Flight &flight, const Common::Answer &answer)
+{
+    std::vector<std::string> tried;
+    for (const Common::VmName &vm : flight.triedVms) {
+        tried.push_back(vm.value());
+    }
+    return { { "request", flight.request->id },
+             { "service", flight.request->service.value() },
+             { "idempotent", flight.request->idempotent },
+             { "key", flight.request->key },
+             { "may_have_run", flight.mayHaveRun },
+             { "tried_vms", tried },
+             { "outcome", Common::toString(answer.outcome) },
+             { "reason", Common::toString(answer.reason) },
+             { "message", answer.message } };
+}
+
 void Dispatcher::reply(const Common::VmName &to, Peering::LinkClass linkClass,
                        const std::string &attempt, const Common::Answer &answer)
 {
--- a/Source/Daemon/Dispatcher.h
+++ b/Source/Daemon/Dispatcher.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -54,9 +53,8 @@
         Common::VmName remote; // Empty while the attempt is on this VM.
         Credits::CreditId credit = 0;
         Common::TimerService::SubscriptionId timer = 0;
+        bool mayHaveRun = false;     // An attempt ended without a proven outcome.
         Common::Instant parkedUntil; // Set when the request is parked for the first time.
-        // Answer of an attempt that may have run; a later not-run does not hold for the request.
-        std::optional<Common::Answer> unknown;
     };
 
     struct Forwarded
@@ -76,6 +74,9 @@
     void onTimeout(FlightId id);
     void endAttempt(Flight &flight);
     void finish(FlightId id, Common::Answer answer);
+    /// The last answer, or outcome-unknown if it is a refusal and an earlier attempt may have run.
+    static Common::Answer outcomeOf(const Flight &flight, Common::Answer lastAnswer);
+    static nlohmann::json describe(const Flight &flight, const Common::Answer &answer);
     void reply(const Common::VmName &to, Peering::LinkClass linkClass, const std::string &attempt,
                const Common::Answer &answer);
 
--- a/Tests/Deployment/DeploymentFixture.cpp
+++ b/Tests/Deployment/DeploymentFixture.cpp
@@ -22,6 +22,8 @@
 constexpr int platformPort = 7900;
 constexpr int callTimeoutSeconds = 15;
 constexpr std::size_t backendSlots = 144;
+constexpr std::uint64_t shortDeadlineEvery = 11;
+constexpr std::uint64_t shortDeadlineMs = 60;
 
 std::string readFile(const std::string &path)
 {
@@ -161,11 +163,16 @@
 
 json DeploymentFixture::lookup(const std::string &service, const std::string &zone) const
 {
+    // VMs of the zone first. Not by whether the process runs: callers' threads come here while
+    // the test starts and ends processes.
+    std::vector<const EntryVm *> order;
     for (const EntryVm &vm : this->vms) {
-        if (vm.process == nullptr) {
-            continue;
-        }
-        json answer = getJson(vm.address, portBase,
+        order.push_back(&vm);
+    }
+    std::stable_partition(order.begin(), order.end(),
+                          [&](const EntryVm *vm) { return vm->zone == zone; });
+    for (const EntryVm *vm : order) {
+        json answer = getJson(vm->address, portBase,
                               "/v1/lookup?service=" + service + "&client=" + this->clientIn(zone));
         if (answer.contains("entries")) {
             return answer;
@@ -174,16 +181,21 @@
     return json::object();
 }
 
-int DeploymentFixture::runTool(std::vector<std::string> arguments) const
+int DeploymentFixture::runTool(const std::vector<std::string> &arguments) const
+{
+    return this->startTool(arguments).wait();
+}
+
+ProcessFixture DeploymentFixture::startTool(std::vector<std::string> arguments,
+                                            const std::string &operatorName) const
 {
     for (const std::string &argument :
          { std::string("--platform"), this->addressOf(0, 9, 9) + ":" + std::to_string(platformPort),
            std::string("--environment"), std::string("production"), std::string("--operator"),
-           std::string("test") }) {
+           operatorName }) {
         arguments.push_back(argument);
     }
-    ProcessFixture tool(CURRANTFALL_PATH, arguments);
-    return tool.wait();
+    return { CURRANTFALL_PATH, arguments };
 }
 
 json DeploymentFixture::executions(const std::vector<std::string> &requestIds) const
@@ -276,8 +288,10 @@
     return std::make_unique<ProcessFixture>(STANDIN_BACKEND_PATH, arguments);
 }
 
-Callers::Callers(const DeploymentFixture &deployment, std::size_t threads, bool keyed)
-    : deployment(deployment), keyed(keyed), idPrefix(keyed ? "booking-" : "query-")
+Callers::Callers(const DeploymentFixture &deployment, std::size_t threads, bool keyed,
+                 const std::string &label, bool shortDeadlines)
+    : deployment(deployment), keyed(keyed), idPrefix(label + (keyed ? "booking-" : "query-")),
+      shortDeadlines(shortDeadlines)
 {
     static std::atomic<int> instances { 0 };
     this->idPrefix += std::to_string(++instances) + "-";
@@ -332,14 +346,18 @@
         httplib::Client client(entry["address"].get<std::string>(), entry["port"].get<int>());
         client.set_read_timeout(callTimeoutSeconds);
         client.set_tcp_nodelay(true);
-        const httplib::Headers headers { { "Currantfall-Request", record.requestId },
-                                         { "Idempotency-Key", key } };
-        const std::string body = "body of " + record.requestId;
+        httplib::Headers headers { { "Currantfall-Request", record.requestId },
+                                   { "Idempotency-Key", key } };
+        if (this->shortDeadlines && number % shortDeadlineEvery == 0) {
+            headers.emplace("Currantfall-Deadline-Ms", std::to_string(number % shortDeadlineMs));
+        }
+        const std::string sent = "body of " + record.requestId;
         const auto response
                 = this->keyed
-                          ? client.Post("/bellbook/bookings", headers, body, "text/plain")
+                          ? client.Post("/bellbook/bookings", headers, sent, "text/plain")
                           : client.Get("/slotview/availability?id=" + record.requestId, headers);
         if (!response) {
+            record.repeated = true;
             continue;
         }
         record.outcome = response->get_header_value("Currantfall-Outcome");
@@ -347,11 +365,13 @@
         if (record.outcome != "answered") {
             record.detail = entry["vm"].get<std::string>() + ": " + response->body;
         }
-        const bool whole
-                = record.outcome != "answered"
-                  || json::parse(response->body, nullptr, false).value("request", std::string())
-                             == record.requestId;
-        record.wrong = !whole;
+        const json body = json::parse(response->body, nullptr, false);
+        const json fields = body.is_object() ? body : json::object();
+        record.reason = fields.value("reason", std::string());
+        // The backend server's own error answers don't name the request.
+        const bool failed = record.status != 200 && fields.contains("finished");
+        record.wrong = record.outcome == "answered" && !failed
+                       && fields.value("request", std::string()) != record.requestId;
         return record;
     }
     return record;
--- a/Tests/Deployment/DeploymentFixture.h
+++ b/Tests/Deployment/DeploymentFixture.h
@@ -54,7 +54,9 @@
     nlohmann::json lookup(const std::string &service, const std::string &zone) const;
 
     /// Runs the operator tool; returns its exit code.
-    int runTool(std::vector<std::string> arguments) const;
+    int runTool(const std::vector<std::string> &arguments) const;
+    ProcessFixture startTool(std::vector<std::string> arguments,
+                             const std::string &operatorName = "test") const;
 
     /// How often each request id was started and ran at the backend servers.
     nlohmann::json executions(const std::vector<std::string> &requestIds) const;
@@ -95,6 +97,8 @@
     int status = 0;
     bool wrong = false; ///< The answer is not the one to this request.
     bool keyed = false;
+    bool repeated = false; ///< Sent more than once, after a lost connection.
+    std::string reason;    ///< Of a refusal.
 };
 
 /// Callers in closed loops. Each looks up, sends to the first entry, and repeats a keyed request
@@ -102,7 +106,10 @@
 class Callers
 {
 public:
-    Callers(const DeploymentFixture &deployment, std::size_t threads, bool keyed);
+    /// `label` keeps the request ids of several instances apart. With `shortDeadlines` some
+    /// requests have a deadline that they meet only sometimes.
+    Callers(const DeploymentFixture &deployment, std::size_t threads, bool keyed,
+            const std::string &label = {}, bool shortDeadlines = false);
     ~Callers();
 
     std::size_t completed() const { return this->completedCalls; }
@@ -116,6 +123,7 @@
     const DeploymentFixture &deployment;
     bool keyed;
     std::string idPrefix; // Differs between the instances of a test program.
+    bool shortDeadlines;
     std::atomic<bool> stopping { false };
     std::atomic<std::size_t> completedCalls { 0 };
     std::mutex mutex;
