Add peer_address to the platform's VM list

Deployments with separate internal addresses could not tell daemons where to reach a peer, and tests had no way to put a relay between two zones.

An entry of GET /vms may have peer_address, "IP:port". Daemons dial it instead of the address and peer port, and take it from the list only, because it may differ from reader to reader. The platform stand-in shows each host name that readers dial its own peer addresses (--views). Unit tests cover the parser and that Hello and restarts keep the address.

--- a/Source/Core/Membership/MemberRecord.h
+++ b/Source/Core/Membership/MemberRecord.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 
 #include <absl/time/time.h>
 
@@ -22,6 +23,9 @@
 
     bool listed = false;
     bool listedLeaving = false;
+    /// From the latest list that has the VM. It depends on the reader, so that no digest or Hello
+    /// of another VM replaces it.
+    std::optional<PeerEndpoint> peerEndpoint;
     bool reportedLeaving = false;
     /// Incarnation to which a control link is up; 0 without a link.
     Common::Incarnation linkedIncarnation = 0;
--- a/Source/Core/Membership/MemberTableOutput.cpp
+++ b/Source/Core/Membership/MemberTableOutput.cpp
@@ -73,7 +73,8 @@
         const MemberRecord *record = this->find(vm);
         if (record != nullptr && !record->member.address.empty()) {
             const Member &member = record->member;
-            chosen.insert_or_assign(vm, Endpoint { vm, member.address, member.portBase });
+            chosen.insert_or_assign(
+                    vm, Endpoint { vm, member.address, member.portBase, record->peerEndpoint });
         }
     };
     for (const auto &[zone, members] : this->zones()) {
--- a/Source/Core/Membership/MemberTableState.cpp
+++ b/Source/Core/Membership/MemberTableState.cpp
@@ -33,6 +33,10 @@
         MemberRecord &record = known != nullptr ? *known : this->create(now, row.vm);
         record.listed = true;
         record.listedLeaving = row.leaving;
+        if (record.peerEndpoint != row.peerEndpoint) {
+            record.peerEndpoint = row.peerEndpoint;
+            this->touchTopology(record);
+        }
         // The list lags, so what a live member said about itself takes precedence.
         if (!record.alive() || record.member.address.empty()) {
             this->place(record, row.zone, row.region, row.address, row.portBase);
--- a/Source/Core/Platform/PlatformClient.cpp
+++ b/Source/Core/Platform/PlatformClient.cpp
@@ -188,10 +188,20 @@
     if (portBase < 1 || portBase > highestPortBase || (*state != "live" && *state != "leaving")) {
         return std::nullopt;
     }
+    std::optional<HostPort> peerAddress;
+    if (entry.contains("peer_address")) {
+        const auto text = textMember(entry, "peer_address");
+        const auto parsed = HostPort::parse(text.value_or(""));
+        if (!parsed) {
+            return std::nullopt;
+        }
+        peerAddress = *parsed;
+    }
     return ListedVm {
         Common::VmName(*vm),         Common::ZoneName(*zone),
         Common::RegionName(*region), *address,
-        static_cast<int>(portBase),  *state == "live" ? VmState::Live : VmState::Leaving
+        static_cast<int>(portBase),  *state == "live" ? VmState::Live : VmState::Leaving,
+        std::move(peerAddress)
     };
 }
 
--- a/Source/Daemon/ClusterFlow.cpp
+++ b/Source/Daemon/ClusterFlow.cpp
@@ -286,7 +286,9 @@
 {
     std::vector<Peering::PeerAddress> wanted;
     for (const Membership::Endpoint &endpoint : this->table.peersToConnect()) {
-        wanted.push_back({ endpoint.vm, endpoint.address, peerPortOf(endpoint.portBase) });
+        const Membership::PeerEndpoint at = endpoint.peerEndpoint.value_or(
+                Membership::PeerEndpoint { endpoint.address, peerPortOf(endpoint.portBase) });
+        wanted.push_back({ endpoint.vm, at.address, at.port });
     }
     if (wanted != this->peers) {
         this->peers = wanted;
--- a/Source/Standins/Platform/Main.cpp
+++ b/Source/Standins/Platform/Main.cpp
@@ -22,6 +22,7 @@
     { "address", "IP address to listen on, default 127.0.0.1", "IP" },
     { "port", "port to listen on, default 0: chosen by the system", "PORT" },
     { "vms", "JSON array with the initial entries of GET /vms", "FILE" },
+    { "views", "JSON object of peer addresses in GET /vms by the host that readers dial", "FILE" },
     { "reads-per-s", "reads allowed per second, default 0: unlimited", "N" },
     { "writes-per-s", "writes allowed per second, default 0: unlimited", "N" },
     { "threads", "connections served at the same time, default 128", "N" },
@@ -65,19 +66,28 @@
                                               static_cast<std::size_t>(*threads) };
 }
 
-Common::Result<void> presetVms(const Common::CommandLine &line, Standins::VmDirectory &vms)
+Common::Result<std::string> readFile(const std::string &path)
 {
-    const auto path = line.value("vms");
-    if (!path) {
-        return {};
-    }
-    const std::ifstream file(*path);
+    const std::ifstream file(path);
     if (!file) {
-        return Common::failure(Common::ErrorCode::InvalidInput, "read " + *path);
+        return Common::failure(Common::ErrorCode::InvalidInput, "read " + path);
     }
     std::stringstream text;
     text << file.rdbuf();
-    return vms.preset(text.str());
+    return text.str();
+}
+
+Common::Result<void> presetVms(const Common::CommandLine &line, Standins::VmDirectory &vms)
+{
+    Common::Result<void> result;
+    if (const auto path = line.value("vms")) {
+        result = readFile(*path).and_then([&vms](const auto &text) { return vms.preset(text); });
+    }
+    const auto views = line.value("views");
+    if (!result || !views) {
+        return result;
+    }
+    return readFile(*views).and_then([&vms](const auto &text) { return vms.setViews(text); });
 }
 
 int fail(const Common::Error &error, int code)
--- a/Source/Standins/Platform/PlatformServer.cpp
+++ b/Source/Standins/Platform/PlatformServer.cpp
@@ -137,10 +137,11 @@
                                                this->writeObject(request, response);
                                            }));
     this->server.Get("/vms", this->guarded(Access::Read, "vm_list_reads",
-                                           [this](const Request &, Response &response) {
+                                           [this](const Request &request, Response &response) {
                                                const json list = this->directory.listing(
                                                        Common::monotonicNow(),
-                                                       this->faults.current().vmListLag);
+                                                       this->faults.current().vmListLag,
+                                                       request.get_header_value("Host"));
                                                response.set_content(list.dump(), jsonType);
                                            }));
 }
--- a/Source/Standins/Platform/VmDirectory.cpp
+++ b/Source/Standins/Platform/VmDirectory.cpp
@@ -53,7 +53,27 @@
     return true;
 }
 
-json VmDirectory::listing(Common::Instant now, absl::Duration lag) const
+Common::Result<void> VmDirectory::setViews(const std::string &text)
+{
+    json parsed = json::parse(text, nullptr, false);
+    bool valid = parsed.is_object();
+    for (const auto &view : valid ? parsed : json::object()) {
+        valid = valid && view.is_object();
+        for (const auto &address : view) {
+            valid = valid && address.is_string()
+                    && Platform::HostPort::parse(address.get<std::string>());
+        }
+    }
+    if (!valid) {
+        return Common::failure(Common::ErrorCode::InvalidInput, "read views", {},
+                               "expected {\"HOST\": {\"VM\": \"IP:PORT\"}}");
+    }
+    const std::lock_guard lock(this->mutex);
+    this->views = std::move(parsed);
+    return {};
+}
+
+json VmDirectory::listing(Common::Instant now, absl::Duration lag, const std::string &host) const
 {
     const std::lock_guard lock(this->mutex);
     const Common::Instant moment = now - std::min(lag, maxLag);
@@ -61,8 +81,12 @@
             this->snapshots.begin() + 1, this->snapshots.end(), moment,
             [](Common::Instant time, const Snapshot &snapshot) { return time < snapshot.since; });
     json vms = json::array();
+    const json view = this->views.value(host, json::object());
     for (const auto &[name, entry] : std::prev(later)->vms) {
         vms.push_back(entry);
+        if (view.contains(name)) {
+            vms.back()["peer_address"] = view[name];
+        }
     }
     return { { "vms", std::move(vms) } };
 }
--- a/Source/Standins/Platform/VmDirectory.h
+++ b/Source/Standins/Platform/VmDirectory.h
@@ -28,8 +28,12 @@
     /// False if there is no such VM.
     bool remove(const std::string &vm, Common::Instant now);
 
-    /// The body of `GET /vms` as of `now - lag`.
-    nlohmann::json listing(Common::Instant now, absl::Duration lag) const;
+    /// Sets the views: a JSON object of host names ("IP:PORT", as the reader dials it), each with
+    /// an object of VMs and the `peer_address` that this reader is shown.
+    Common::Result<void> setViews(const std::string &text);
+
+    /// The body of `GET /vms` as of `now - lag`, for a reader that dialled `host`.
+    nlohmann::json listing(Common::Instant now, absl::Duration lag, const std::string &host) const;
 
 private:
     using Vms = std::map<std::string, nlohmann::json>;
@@ -45,6 +49,7 @@
     mutable std::mutex mutex;
     /// Ascending; the first one holds for all earlier times.
     std::deque<Snapshot> snapshots = { Snapshot {} };
+    nlohmann::json views = nlohmann::json::object();
 };
 
 } // namespace Currantfall::Standins
--- a/Source/UnitTests/Membership/MemberTableTest.cpp
+++ b/Source/UnitTests/Membership/MemberTableTest.cpp
@@ -179,6 +179,21 @@
     REQUIRE(member.heartbeatInterval() == absl::Milliseconds(4040));
 }
 
+// Guards against links that go around the listed peer address once the peer has named itself.
+TEST_CASE("A listed peer address outlives Hello and a restart, and changes with the list")
+{
+    MemberTable member = table("a", "lm-a");
+    ListedVm row = listed("b", "lm-a");
+    row.peerEndpoint = PeerEndpoint { "10.0.0.2", 7108 };
+    member.applyPlatformList(at(0), { row });
+    member.applyLinkUp(at(0), identity("b", "lm-a"));
+    REQUIRE(member.peersToConnect().front().peerEndpoint == row.peerEndpoint);
+    member.applyLinkUp(at(1), identity("b", "lm-a", firstRun + 1));
+    REQUIRE(member.peersToConnect().front().peerEndpoint == row.peerEndpoint);
+    member.applyPlatformList(at(2), { listed("b", "lm-a") });
+    REQUIRE_FALSE(member.peersToConnect().front().peerEndpoint);
+}
+
 TEST_CASE("A listed member becomes live, suspect after four intervals, and live again")
 {
     MemberTable member = table("a", "lm-a");
--- a/Source/UnitTests/Platform/EnvironmentRowTest.cpp
+++ b/Source/UnitTests/Platform/EnvironmentRowTest.cpp
@@ -92,9 +92,15 @@
         return parseVmList(json { { "vms", json::array({ entry }) } }.dump(), "test");
     };
     REQUIRE(parse(valid)->front().state == VmState::Leaving);
-    for (const json &patch : { json { { "state", "gone" } }, json { { "port_base", 65530 } },
-                               json { { "port_base", 0 } }, json { { "port_base", "7000" } },
-                               json { { "vm", "" } }, json { { "zone", nullptr } } }) {
+    REQUIRE_FALSE(parse(valid)->front().peerAddress);
+    json withPeerAddress = valid;
+    withPeerAddress["peer_address"] = "10.0.0.1:7108";
+    REQUIRE(parse(withPeerAddress)->front().peerAddress == HostPort { "10.0.0.1", 7108 });
+    for (const json &patch :
+         { json { { "state", "gone" } }, json { { "port_base", 65530 } },
+           json { { "port_base", 0 } }, json { { "port_base", "7000" } }, json { { "vm", "" } },
+           json { { "zone", nullptr } }, json { { "peer_address", "10.0.0.1" } },
+           json { { "peer_address", 7008 } } }) {
         json entry = valid;
         entry.update(patch);
         INFO(patch.dump());
--- a/include/currantfall/Membership/Member.h
+++ b/include/currantfall/Membership/Member.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,15 @@
     friend bool operator==(const Identity &left, const Identity &right) = default;
 };
 
+/// Address and port at which a daemon accepts peer links.
+struct PeerEndpoint
+{
+    std::string address;
+    std::uint16_t port = 0;
+
+    friend auto operator<=>(const PeerEndpoint &left, const PeerEndpoint &right) = default;
+};
+
 /// One row of the platform's VM list.
 struct ListedVm
 {
@@ -54,6 +64,8 @@
     std::string address;
     std::uint16_t portBase = 0;
     bool leaving = false;
+    /// If peers reach the VM elsewhere than at its address and peer port.
+    std::optional<PeerEndpoint> peerEndpoint = std::nullopt;
 
     friend bool operator==(const ListedVm &left, const ListedVm &right) = default;
 };
--- a/include/currantfall/Membership/MemberTable.h
+++ b/include/currantfall/Membership/MemberTable.h
@@ -42,12 +42,14 @@
     absl::Duration requestedPeerIdle = absl::Seconds(30);
 };
 
-/// Where the daemon of a member is; its peer port follows from the port base.
+/// Where the daemon of a member is; its peer port follows from the port base, unless the platform
+/// lists another peer address.
 struct Endpoint
 {
     Common::VmName vm;
     std::string address;
     std::uint16_t portBase = 0;
+    std::optional<PeerEndpoint> peerEndpoint = std::nullopt;
 
     friend auto operator<=>(const Endpoint &left, const Endpoint &right) = default;
 };
--- a/include/currantfall/Platform/PlatformClient.h
+++ b/include/currantfall/Platform/PlatformClient.h
@@ -11,6 +11,7 @@
 #include "currantfall/Common/Error.h"
 #include "currantfall/Common/Names.h"
 #include "currantfall/Common/Time.h"
+#include "currantfall/Platform/HostPort.h"
 
 namespace httplib { // NOLINT(readability-identifier-naming)
 class Client;
@@ -45,6 +46,8 @@
     std::string address; ///< IP address without a port.
     int portBase = 0;
     VmState state = VmState::Live;
+    /// Where peers reach the VM if not at its address and peer port.
+    std::optional<HostPort> peerAddress = std::nullopt;
 
     friend bool operator==(const ListedVm &left, const ListedVm &right) = default;
 };
