Test zones that are cut off; report credits in /status

No process-level test cut a link between daemons. ZoneLinks runs the links between zones, and each zone's platform connection, through standin-link.

A granter that was created before its VM had heard of the region's other VMs took too large a part of the link cap until the next configuration; its settings now follow the member view. /status shows credits granted, held and refused; two counters count shifted and refused requests.

Test programs chose addresses by process id modulo 20; one run met another and failed with 'listen: unavailable'. AddressBlock reserves the block.

--- a/Source/Core/Credits/CreditGranter.cpp
+++ b/Source/Core/Credits/CreditGranter.cpp
@@ -121,6 +121,12 @@
     return result;
 }
 
+double CreditGranter::grantableRate() const
+{
+    return this->settings.linkBytesPerSecond * this->settings.shiftCap
+           / static_cast<double>(std::max<std::size_t>(1, this->settings.granters));
+}
+
 void CreditGranter::expire(Common::Instant now)
 {
     for (auto entry = this->holders.begin(); entry != this->holders.end();) {
@@ -192,8 +198,7 @@
 double CreditGranter::rateFor(Common::Instant now, const Common::VmName &name,
                               const Holder &holder) const
 {
-    const double total = this->settings.linkBytesPerSecond * this->settings.shiftCap
-                         / static_cast<double>(std::max<std::size_t>(1, this->settings.granters));
+    const double total = this->grantableRate();
     std::vector<double> others;
     double heldByOthers = 0.0;
     for (const auto &[otherName, other] : this->holders) {
--- a/Source/Core/Credits/CreditHolder.cpp
+++ b/Source/Core/Credits/CreditHolder.cpp
@@ -47,6 +47,7 @@
     this->tokensAtChange = saved - static_cast<double>(bytes);
     this->changed = now;
     ++this->used;
+    ++this->takes;
     return this->credit;
 }
 
--- a/Source/Daemon/CreditFlow.cpp
+++ b/Source/Daemon/CreditFlow.cpp
@@ -25,9 +25,29 @@
 
 void CreditFlow::onConfigurationChanged()
 {
-    for (auto &entry : this->granters) {
-        entry.second.reconfigure(this->granterSettings());
+    this->updateGranterSettings();
+}
+
+nlohmann::ordered_json CreditFlow::describe() const
+{
+    nlohmann::ordered_json granted = nlohmann::ordered_json::object();
+    for (const auto &[service, granter] : this->granters) {
+        granted[service.value()] = { { "outstanding", granter.outstanding(this->context.now) },
+                                     { "in_progress", granter.inProgress() },
+                                     { "bytes_received", granter.bytesReceived() },
+                                     { "bytes_per_s", granter.grantableRate() } };
+    }
+    nlohmann::ordered_json held = nlohmann::ordered_json::array();
+    for (const auto &[key, holder] : this->holders) {
+        held.push_back({ { "vm", key.first.value() },
+                         { "service", key.second.value() },
+                         { "available", holder.available(this->context.now) },
+                         { "in_flight", holder.inFlight() },
+                         { "taken", holder.taken() } });
     }
+    return { { "granted", std::move(granted) },
+             { "refused", this->refused },
+             { "held", std::move(held) } };
 }
 
 void CreditFlow::onCreditRequest(const Common::VmName &from, const Common::ServiceName &service,
@@ -118,8 +138,14 @@
         return true;
     }
     const auto found = this->granters.find(request.service);
-    return found != this->granters.end()
-           && found->second.begin(this->context.now, holder, credit, request.body.size());
+    const bool begun
+            = found != this->granters.end()
+              && found->second.begin(this->context.now, holder, credit, request.body.size());
+    this->refused += begun ? 0 : 1;
+    this->context.metrics.addToCounter(begun ? "currantfall_shifted_requests_total"
+                                             : "currantfall_credit_refusals_total",
+                                       { { "service", request.service.value() } });
+    return begun;
 }
 
 void CreditFlow::end(const Common::VmName &holder, const Common::ServiceName &service,
@@ -173,8 +199,20 @@
     }
 }
 
+void CreditFlow::updateGranterSettings()
+{
+    this->settingsTopology = this->context.members->topologyVersion();
+    for (auto &entry : this->granters) {
+        entry.second.reconfigure(this->granterSettings());
+    }
+}
+
 void CreditFlow::updateGranters()
 {
+    // A granter may be created before this VM has heard of the other granters of its region.
+    if (this->settingsTopology != this->context.members->topologyVersion()) {
+        this->updateGranterSettings();
+    }
     for (auto &[service, granter] : this->granters) {
         const Membership::ServiceLoad load = this->scheduler.loadOf(service);
         const std::size_t unclaimed
--- a/Source/Daemon/CreditFlow.h
+++ b/Source/Daemon/CreditFlow.h
@@ -5,6 +5,7 @@
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
+#include <nlohmann/json.hpp>
 
 #include "currantfall/Credits/CreditGranter.h"
 #include "currantfall/Credits/CreditHolder.h"
@@ -39,6 +40,9 @@
     /// Notes demand if the request finds no free slot in its own region.
     void onRouted(const Request &request, const std::vector<Placement::RouteTarget> &targets);
 
+    /// Credits granted and held, for /status.
+    nlohmann::ordered_json describe() const;
+
     /// Granter's side. Requests of the own region need no credit.
     [[nodiscard]] bool begin(const Common::VmName &holder, const Request &request,
                              Credits::CreditId credit);
@@ -57,6 +61,7 @@
     void tick();
     void askForCredits(const Common::ServiceName &service, const Demand &demand);
     void updateGranters();
+    void updateGranterSettings();
     bool regionHasFreeSlots(const Common::ServiceName &service,
                             const std::vector<Placement::RouteTarget> &targets) const;
     Credits::CreditGranterSettings granterSettings() const;
@@ -68,6 +73,9 @@
     absl::flat_hash_map<HolderKey, Credits::CreditHolder> holders;
     absl::flat_hash_map<Common::ServiceName, Credits::CreditGranter> granters;
     absl::flat_hash_map<Common::ServiceName, Demand> demands;
+    std::uint64_t refused = 0;
+    /// Of the member view from which the granters' settings were computed.
+    std::uint64_t settingsTopology = 0;
 };
 
 } // namespace Currantfall::Daemon
--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -13,6 +13,10 @@
 {
     metrics.describe("currantfall_backend_attempts_total", "Attempts at backend servers.");
     metrics.describe("currantfall_backend_sheds_total", "Requests shed by backend servers.");
+    metrics.describe("currantfall_credit_refusals_total",
+                     "Requests of other regions without a valid credit.");
+    metrics.describe("currantfall_shifted_requests_total",
+                     "Requests of other regions taken on credits.");
     metrics.describe("currantfall_dropped_answers_total",
                      "Late, duplicate or mismatched answers of other VMs.");
     metrics.describe("currantfall_forwards_total", "Requests sent to an owner on another VM.");
@@ -34,9 +38,17 @@
     std::vector<Membership::ListedVm> result;
     result.reserve(vms.size());
     for (const Platform::ListedVm &vm : vms) {
-        result.push_back({ vm.vm, vm.zone, vm.region, vm.address,
-                           static_cast<std::uint16_t>(vm.portBase),
-                           vm.state == Platform::VmState::Leaving });
+        Membership::ListedVm listed { vm.vm,
+                                      vm.zone,
+                                      vm.region,
+                                      vm.address,
+                                      static_cast<std::uint16_t>(vm.portBase),
+                                      vm.state == Platform::VmState::Leaving };
+        if (vm.peerAddress) {
+            listed.peerEndpoint
+                    = { vm.peerAddress->host, static_cast<std::uint16_t>(vm.peerAddress->port) };
+        }
+        result.push_back(std::move(listed));
     }
     return result;
 }
--- a/Source/Daemon/SteeringMessages.cpp
+++ b/Source/Daemon/SteeringMessages.cpp
@@ -203,6 +203,7 @@
         { "key_records", this->keyed->recordCount() },
         { "drains", drains },
         { "services", services },
+        { "credits", this->credits->describe() },
         { "members", members },
     };
     return status.dump() + "\n";
--- a/Tests/Deployment/DeploymentFixture.cpp
+++ b/Tests/Deployment/DeploymentFixture.cpp
@@ -18,14 +18,17 @@
 using nlohmann::json;
 
 constexpr int portBase = 7000;
+constexpr int peerPort = portBase + 8;
 constexpr int adminPort = portBase + 9;
 constexpr int platformPort = 7900;
-constexpr int firstOctet = 40;
-constexpr int octetStep = 10;
-constexpr int octetChoices = 20;
 constexpr int callTimeoutSeconds = 15;
+// A caller asks the next VM if one is frozen.
+constexpr int lookupTimeoutSeconds = 1;
 constexpr std::size_t backendSlots = 144;
 
+// Request ids of several groups of callers must differ.
+std::atomic<int> instances { 0 };
+
 std::string readFile(const std::string &path)
 {
     std::ifstream file(path);
@@ -35,10 +38,11 @@
 }
 
 /// The document at `path`; an empty object if there is no answer.
-json getJson(const std::string &address, int port, const std::string &path)
+json getJson(const std::string &address, int port, const std::string &path,
+             int timeoutSeconds = callTimeoutSeconds)
 {
     httplib::Client client(address, port);
-    client.set_read_timeout(callTimeoutSeconds);
+    client.set_read_timeout(timeoutSeconds);
     const auto response = client.Get(path);
     json document = response ? json::parse(response->body, nullptr, false) : json::object();
     return document.is_object() ? document : json::object();
@@ -46,27 +50,23 @@
 
 } // namespace
 
-DeploymentFixture::DeploymentFixture(const std::vector<std::string> &without)
-    : octet(firstOctet + octetStep * static_cast<int>(getpid() % octetChoices)),
-      directory("/tmp/currantfall-" + std::to_string(getpid())),
+DeploymentFixture::DeploymentFixture(const DeploymentOptions &options)
+    : directory("/tmp/currantfall-" + std::to_string(getpid())),
       document(this->directory + "/environment.yaml"), zones { "lm-a", "lm-b", "ok-a",
                                                                "ok-b", "is-a", "is-b" }
 {
     std::filesystem::create_directories(this->directory);
-    this->writeDocument();
-    this->platformProcess = std::make_unique<ProcessFixture>(
-            STANDIN_PLATFORM_PATH,
-            std::vector<std::string> { "--address", this->addressOf(0, 9, 9), "--port",
-                                       std::to_string(platformPort), "--vms",
-                                       this->directory + "/vms.json" });
-    this->platformProcess->waitListening();
-    this->backendProcess = std::make_unique<ProcessFixture>(
-            STANDIN_BACKEND_PATH,
-            std::vector<std::string> { "--environment", this->document, "--log-level", "warn" });
+    this->writeDocument(options);
+    this->startPlatform(options.zoneLinks);
+    std::vector<std::string> arguments { "--environment", this->document, "--log-level", "warn" };
+    arguments.insert(arguments.end(), options.backendArguments.begin(),
+                     options.backendArguments.end());
+    this->backendProcess = std::make_unique<ProcessFixture>(STANDIN_BACKEND_PATH, arguments);
     if (this->runTool({ "promote", this->document }) != 0) {
         throw std::runtime_error("the document could not be promoted");
     }
     for (EntryVm &vm : this->vms) {
+        const auto &without = options.without;
         if (std::find(without.begin(), without.end(), vm.name) == without.end()) {
             this->startVm(vm);
         }
@@ -95,15 +95,43 @@
     throw std::runtime_error("no VM " + name);
 }
 
+void DeploymentFixture::startPlatform(bool withLinks)
+{
+    const std::string address = this->addressOf(0, 9, 9);
+    std::vector<std::string> arguments { "--address", address,
+                                         "--port",    std::to_string(platformPort),
+                                         "--vms",     this->directory + "/vms.json" };
+    if (withLinks) {
+        std::vector<LinkedVm> linked;
+        for (const EntryVm &vm : this->vms) {
+            linked.push_back({ vm.name, vm.zone, vm.address + ":" + std::to_string(peerPort) });
+        }
+        this->zoneLinks = std::make_unique<ZoneLinks>(
+                this->zones, linked, address + ":" + std::to_string(platformPort),
+                [this](int third, int fourth) { return this->addressOf(7, third, fourth); });
+        const std::string views = this->directory + "/views.json";
+        std::ofstream(views) << this->zoneLinks->platformViews().dump();
+        arguments.insert(arguments.end(), { "--views", views });
+    }
+    this->platformProcess = std::make_unique<ProcessFixture>(STANDIN_PLATFORM_PATH, arguments);
+    this->platformProcess->waitListening();
+    if (withLinks) {
+        this->zoneLinks->start();
+    }
+}
+
 void DeploymentFixture::startVm(EntryVm &vm)
 {
+    const std::string platform
+            = this->zoneLinks != nullptr
+                      ? this->zoneLinks->platformOf(vm.zone)
+                      : this->addressOf(0, 9, 9) + ":" + std::to_string(platformPort);
     vm.process = std::make_unique<ProcessFixture>(
             CURRANTFALLD_PATH,
-            std::vector<std::string> {
-                    "--vm", vm.name, "--zone", vm.zone, "--region", vm.region, "--environment",
-                    "production", "--address", vm.address, "--port-base", std::to_string(portBase),
-                    "--platform", this->addressOf(0, 9, 9) + ":" + std::to_string(platformPort),
-                    "--log-level", "info" });
+            std::vector<std::string> { "--vm", vm.name, "--zone", vm.zone, "--region", vm.region,
+                                       "--environment", "production", "--address", vm.address,
+                                       "--port-base", std::to_string(portBase), "--platform",
+                                       platform, "--log-level", "info" });
 }
 
 void DeploymentFixture::waitReady(const EntryVm &vm) const
@@ -133,10 +161,21 @@
     client.Post("/_faults", faults.dump(), "application/json");
 }
 
-void DeploymentFixture::setBackendBehaviour(const json &behaviour) const
+void DeploymentFixture::setBackendBehaviour(const json &behaviour, const std::string &scope) const
 {
     httplib::Client client(this->addressOf(1, 1, 1), 9000);
-    client.Post("/_control/behaviour", behaviour.dump(), "application/json");
+    client.Post("/_control/behaviour?scope=" + scope, behaviour.dump(), "application/json");
+}
+
+std::unique_ptr<ProcessFixture> DeploymentFixture::startLoad(const std::vector<std::string> &vms,
+                                                             std::vector<std::string> arguments)
+{
+    for (const std::string &name : vms) {
+        const std::string address = this->vm(name).address + ":" + std::to_string(portBase);
+        arguments.insert(arguments.end(), { "--lookup", address });
+    }
+    arguments.insert(arguments.end(), { "--json", "--verify", this->addressOf(1, 1, 1) + ":9000" });
+    return std::make_unique<ProcessFixture>(CURRANTFALL_LOAD_PATH, arguments);
 }
 
 json DeploymentFixture::status(const EntryVm &vm) const
@@ -146,17 +185,24 @@
 
 json DeploymentFixture::lookup(const std::string &service, const std::string &zone) const
 {
-    for (const EntryVm &vm : this->vms) {
-        if (vm.process == nullptr) {
-            continue;
-        }
-        json answer = getJson(vm.address, portBase,
-                              "/v1/lookup?service=" + service + "&client=" + this->clientIn(zone));
-        if (answer.contains("entries")) {
-            return answer;
+    const auto ask = [&](bool sameZone) {
+        for (const EntryVm &vm : this->vms) {
+            if (vm.process == nullptr || (vm.zone == zone) != sameZone) {
+                continue;
+            }
+            json answer
+                    = getJson(vm.address, portBase,
+                              "/v1/lookup?service=" + service + "&client=" + this->clientIn(zone),
+                              lookupTimeoutSeconds);
+            if (answer.contains("entries")) {
+                return answer;
+            }
         }
-    }
-    return json::object();
+        return json(json::object());
+    };
+    // A caller in a zone that is cut off reaches only that zone's VMs.
+    json answer = ask(true);
+    return answer.contains("entries") ? answer : ask(false);
 }
 
 int DeploymentFixture::runTool(std::vector<std::string> arguments) const
@@ -204,33 +250,39 @@
 
 std::string DeploymentFixture::addressOf(int second, int third, int fourth) const
 {
-    return "127." + std::to_string(this->octet + second) + "." + std::to_string(third) + "."
-           + std::to_string(fourth);
+    return "127." + std::to_string(this->addresses.firstOctet() + second) + "."
+           + std::to_string(third) + "." + std::to_string(fourth);
 }
 
-void DeploymentFixture::writeDocument()
+void DeploymentFixture::writeDocument(const DeploymentOptions &options)
 {
     std::string text = readFile(CURRANTFALL_EXAMPLES "/bellringer.yaml");
     // The example has zone N at 127.1N. The new octets are at least 40, so that no replacement is
     // replaced again.
     for (int zone = 1; zone <= static_cast<int>(this->zones.size()); ++zone) {
         const std::regex before("127\\.1" + std::to_string(zone) + "\\.");
-        text = std::regex_replace(text, before, "127." + std::to_string(this->octet + zone) + ".");
+        text = std::regex_replace(
+                text, before, "127." + std::to_string(this->addresses.firstOctet() + zone) + ".");
+    }
+    if (options.editDocument) {
+        text = options.editDocument(std::move(text));
     }
     std::ofstream(this->document) << text;
     json list = json::parse(readFile(CURRANTFALL_EXAMPLES "/bellringer-vms.json"));
     for (json &row : list) {
         std::string address = row["address"];
         address.replace(0, std::string("127.1.").size(),
-                        "127." + std::to_string(this->octet) + ".");
+                        "127." + std::to_string(this->addresses.firstOctet()) + ".");
         row["address"] = address;
         this->vms.push_back({ row["vm"], row["zone"], row["region"], address, nullptr });
     }
     std::ofstream(this->directory + "/vms.json") << list.dump();
 }
 
-Callers::Callers(const DeploymentFixture &deployment, std::size_t threads, bool keyed)
-    : deployment(deployment), keyed(keyed)
+Callers::Callers(const DeploymentFixture &deployment, std::size_t threads, bool keyed,
+                 std::vector<std::string> zones)
+    : deployment(deployment), instance(++instances), keyed(keyed),
+      zones(zones.empty() ? deployment.zoneNames() : std::move(zones))
 {
     for (std::size_t index = 0; index < threads; ++index) {
         this->threads.emplace_back([this, index] { this->run(index); });
@@ -255,9 +307,9 @@
 
 void Callers::run(std::size_t index)
 {
-    const auto &zones = this->deployment.zoneNames();
     for (std::uint64_t number = 0; !this->stopping; ++number) {
-        CallRecord record = this->call(index, number, zones[(index + number) % zones.size()]);
+        const std::string &zone = this->zones[(index + number) % this->zones.size()];
+        CallRecord record = this->call(index, number, zone);
         const std::lock_guard lock(this->mutex);
         this->records.push_back(std::move(record));
         ++this->completedCalls;
@@ -267,8 +319,8 @@
 CallRecord Callers::call(std::size_t index, std::uint64_t number, const std::string &zone)
 {
     CallRecord record;
-    record.requestId = (this->keyed ? "booking-" : "query-") + std::to_string(index) + "-"
-                       + std::to_string(number);
+    record.requestId = (this->keyed ? "booking-" : "query-") + std::to_string(this->instance) + "-"
+                       + std::to_string(index) + "-" + std::to_string(number);
     record.keyed = this->keyed;
     record.outcome = "unreachable";
     const json found = this->deployment.lookup(this->keyed ? "bellbook" : "slotview", zone);
--- a/Tests/Deployment/DeploymentFixture.h
+++ b/Tests/Deployment/DeploymentFixture.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -10,7 +11,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include "AddressBlock.h"
 #include "Support/ProcessFixture.h"
+#include "ZoneLinks.h"
 
 namespace Currantfall::Tests {
 
@@ -24,14 +27,27 @@
     std::unique_ptr<ProcessFixture> process;
 };
 
+struct DeploymentOptions
+{
+    /// VMs that are listed but not started.
+    std::vector<std::string> without = {};
+    /// Links between zones and to the platform run through relays.
+    bool zoneLinks = false;
+    /// Changes the text of the document before it is promoted.
+    std::function<std::string(std::string)> editDocument = {};
+    std::vector<std::string> backendArguments = {};
+};
+
 /// Stand-ins, and ten entry VMs in six availability zones that serve Examples/bellringer.yaml, on
 /// loopback addresses of this test process.
 class DeploymentFixture
 {
 public:
-    /// Starts everything and waits until every backend server has an owner. VMs named in `without`
-    /// are listed but not started.
-    explicit DeploymentFixture(const std::vector<std::string> &without = {});
+    /// Starts everything and waits until every backend server has an owner.
+    explicit DeploymentFixture(const DeploymentOptions &options);
+    explicit DeploymentFixture(const std::vector<std::string> &without = {})
+        : DeploymentFixture(DeploymentOptions { without })
+    { }
     ~DeploymentFixture();
 
     EntryVm &vm(const std::string &name);
@@ -40,9 +56,15 @@
     void waitReady(const EntryVm &vm) const;
     void waitAllSlotsOwned() const;
 
+    const ZoneLinks &links() const { return *this->zoneLinks; }
+    std::vector<EntryVm> &allVms() { return this->vms; }
     ProcessFixture &platform() { return *this->platformProcess; }
     void setPlatformFaults(const nlohmann::json &faults) const;
-    void setBackendBehaviour(const nlohmann::json &behaviour) const;
+    /// Of one server, or with the scope "all" of all.
+    void setBackendBehaviour(const nlohmann::json &behaviour, const std::string &scope = {}) const;
+    /// VMs on which currantfall-load looks up; its callers are in zone lm-a.
+    std::unique_ptr<ProcessFixture> startLoad(const std::vector<std::string> &vms,
+                                              std::vector<std::string> arguments);
 
     nlohmann::json status(const EntryVm &vm) const;
     nlohmann::json lookup(const std::string &service, const std::string &zone) const;
@@ -62,14 +84,16 @@
 
 private:
     std::string addressOf(int second, int third, int fourth) const;
-    void writeDocument();
+    void writeDocument(const DeploymentOptions &options);
+    void startPlatform(bool withLinks);
 
-    int octet;
+    AddressBlock addresses;
     std::string directory;
     std::string document;
     std::vector<std::string> zones;
     std::vector<EntryVm> vms;
     std::unique_ptr<ProcessFixture> platformProcess;
+    std::unique_ptr<ZoneLinks> zoneLinks;
     std::unique_ptr<ProcessFixture> backendProcess;
 };
 
@@ -88,7 +112,9 @@
 class Callers
 {
 public:
-    Callers(const DeploymentFixture &deployment, std::size_t threads, bool keyed);
+    /// Clients in `zones`, by default in all.
+    Callers(const DeploymentFixture &deployment, std::size_t threads, bool keyed,
+            std::vector<std::string> zones = {});
     ~Callers();
 
     std::size_t completed() const { return this->completedCalls; }
@@ -100,7 +126,9 @@
     CallRecord call(std::size_t index, std::uint64_t number, const std::string &zone);
 
     const DeploymentFixture &deployment;
+    int instance;
     bool keyed;
+    std::vector<std::string> zones;
     std::atomic<bool> stopping { false };
     std::atomic<std::size_t> completedCalls { 0 };
     std::mutex mutex;
--- a/Tests/Deployment/FailureTest.cpp
+++ b/Tests/Deployment/FailureTest.cpp
@@ -1,9 +1,9 @@
 #include <algorithm>
-#include <map>
 
 #include <catch2/catch.hpp>
 
 #include "DeploymentFixture.h"
+#include "Outcomes.h"
 
 using namespace Currantfall::Tests;
 using nlohmann::json;
@@ -14,49 +14,6 @@
 constexpr std::size_t callsBefore = 60;
 constexpr std::size_t callsAfter = 120;
 
-void waitForCalls(const Callers &callers, std::size_t more)
-{
-    const std::size_t wanted = callers.completed() + more;
-    waitUntil([&] { return callers.completed() >= wanted; });
-}
-
-std::map<std::string, std::size_t> countOutcomes(const std::vector<CallRecord> &records)
-{
-    std::map<std::string, std::size_t> counts;
-    for (const CallRecord &record : records) {
-        ++counts[record.outcome];
-    }
-    return counts;
-}
-
-/// Requires that no request ran twice, that every not-run is true, that every answered request ran,
-/// and that no answer was wrong.
-void requireTrueOutcomes(const DeploymentFixture &deployment,
-                         const std::vector<CallRecord> &records)
-{
-    std::vector<std::string> ids;
-    ids.reserve(records.size());
-    for (const CallRecord &record : records) {
-        ids.push_back(record.requestId);
-    }
-    const json executions = deployment.executions(ids);
-    for (const CallRecord &record : records) {
-        INFO(record.requestId << " " << record.outcome);
-        const json &counts = executions.at(record.requestId);
-        const int ran = counts.at("ran").get<int>();
-        CHECK_FALSE(record.wrong);
-        if (record.keyed) {
-            CHECK(counts.at("started").get<int>() <= 1);
-        }
-        if (record.outcome == "not-run") {
-            CHECK(ran == 0);
-        }
-        if (record.outcome == "answered" && record.status == 200) {
-            CHECK(ran >= 1);
-        }
-    }
-}
-
 } // namespace
 
 TEST_CASE("A graceful shutdown of an entry VM is not noticed by callers")
--- /dev/null
+++ b/Tests/Deployment/Outcomes.cpp
@@ -0,0 +1,50 @@
+#include "Outcomes.h"
+
+#include <catch2/catch.hpp>
+
+namespace Currantfall::Tests {
+
+using nlohmann::json;
+
+void waitForCalls(const Callers &callers, std::size_t more)
+{
+    const std::size_t wanted = callers.completed() + more;
+    waitUntil([&] { return callers.completed() >= wanted; });
+}
+
+std::map<std::string, std::size_t> countOutcomes(const std::vector<CallRecord> &records)
+{
+    std::map<std::string, std::size_t> counts;
+    for (const CallRecord &record : records) {
+        ++counts[record.outcome];
+    }
+    return counts;
+}
+
+void requireTrueOutcomes(const DeploymentFixture &deployment,
+                         const std::vector<CallRecord> &records)
+{
+    std::vector<std::string> ids;
+    ids.reserve(records.size());
+    for (const CallRecord &record : records) {
+        ids.push_back(record.requestId);
+    }
+    const json executions = deployment.executions(ids);
+    for (const CallRecord &record : records) {
+        INFO(record.requestId << " " << record.outcome);
+        const json &counts = executions.at(record.requestId);
+        const int ran = counts.at("ran").get<int>();
+        CHECK_FALSE(record.wrong);
+        if (record.keyed) {
+            CHECK(counts.at("started").get<int>() <= 1);
+        }
+        if (record.outcome == "not-run") {
+            CHECK(ran == 0);
+        }
+        if (record.outcome == "answered" && record.status == 200) {
+            CHECK(ran >= 1);
+        }
+    }
+}
+
+} // namespace Currantfall::Tests
--- /dev/null
+++ b/Tests/Deployment/Outcomes.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "DeploymentFixture.h"
+
+namespace Currantfall::Tests {
+
+void waitForCalls(const Callers &callers, std::size_t more);
+
+std::map<std::string, std::size_t> countOutcomes(const std::vector<CallRecord> &records);
+
+/// Requires that no request ran twice, that every not-run is true, that every answered request ran,
+/// and that no answer was wrong.
+void requireTrueOutcomes(const DeploymentFixture &deployment,
+                         const std::vector<CallRecord> &records);
+
+} // namespace Currantfall::Tests
--- a/include/currantfall/Credits/CreditGranter.h
+++ b/include/currantfall/Credits/CreditGranter.h
@@ -62,6 +62,8 @@
     std::size_t outstanding(Common::Instant now) const;
     /// Requests in progress on credits.
     std::size_t inProgress() const { return this->running; }
+    /// Body bytes/s of this granter's part of the link cap.
+    double grantableRate() const;
     /// Body bytes received on credits.
     std::uint64_t bytesReceived() const { return this->received; }
 
--- a/include/currantfall/Credits/CreditHolder.h
+++ b/include/currantfall/Credits/CreditHolder.h
@@ -41,6 +41,8 @@
         return now < this->expires ? this->bytesPerSecond : 0.0;
     }
     std::size_t inFlight() const { return this->used; }
+    /// Requests allowed by take() so far.
+    std::uint64_t taken() const { return this->takes; }
 
 private:
     double tokens(Common::Instant now) const;
@@ -57,6 +59,7 @@
     double tokensAtChange = 0.0;
     Common::Instant changed;
     std::size_t used = 0;
+    std::uint64_t takes = 0;
 };
 
 } // namespace Currantfall::Credits
