--- a/Source/Core/Credits/CreditHolder.cpp
+++ b/Source/Core/Credits/CreditHolder.cpp
@@ -49,6 +49,7 @@
     this->tokensAtChange = saved - static_cast<double>(bytes);
     this->changed = now;
     ++this->used;
+    ++this->takes;
     Common::requireInvariant(
             now < this->expires && this->used <= this->concurrent && this->tokensAtChange >= 0.0,
             "credit-holder", "a credit is used before it lapses and within what was granted",
--- a/Source/Daemon/OwnerScheduler.cpp
+++ b/Source/Daemon/OwnerScheduler.cpp
@@ -99,11 +99,11 @@
                           ? absl::InfiniteDuration()
                           : queue->second.queue->expectedServiceTime(ended.service);
         this->judge(server->second, result, usual);
-        Common::requireInvariant(
-                server->second.inUse > 0, partName, "only a slot in use is freed", [&] {
-                    return nlohmann::json { { "server", ended.server.value() },
-                                            { "attempt", completion.attempt } };
-                });
+        Common::requireInvariant(server->second.inUse > 0, partName, "only a slot in use is freed",
+                                 [&] {
+                                     return nlohmann::json { { "server", ended.server.value() },
+                                                             { "attempt", completion.attempt } };
+                                 });
         --server->second.inUse;
     }
     if (queue != this->queues.end()) {
--- a/Tests/Deployment/BackendFaultTest.cpp
+++ b/Tests/Deployment/BackendFaultTest.cpp
@@ -98,7 +98,7 @@
             separate.push_back(service + server);
         }
     }
-    DeploymentFixture deployment({}, separate);
+    DeploymentFixture deployment(DeploymentOptions { .separate = separate });
     const auto change = [&](const json &behaviour) {
         for (const std::string &server : third) {
             deployment.setBackendBehaviour(behaviour, server);
--- a/Tests/Deployment/DeploymentFixture.cpp
+++ b/Tests/Deployment/DeploymentFixture.cpp
@@ -18,13 +18,19 @@
 using nlohmann::json;
 
 constexpr int portBase = 7000;
+constexpr int peerPort = portBase + 8;
 constexpr int adminPort = portBase + 9;
 constexpr int platformPort = 7900;
 constexpr int callTimeoutSeconds = 15;
+// A caller asks the next VM if one is frozen.
+constexpr int lookupTimeoutSeconds = 1;
 constexpr std::size_t backendSlots = 144;
 constexpr std::uint64_t shortDeadlineEvery = 11;
 constexpr std::uint64_t shortDeadlineMs = 60;
 
+// Request ids of several groups of callers must differ.
+std::atomic<int> instances { 0 };
+
 std::string readFile(const std::string &path)
 {
     std::ifstream file(path);
@@ -34,10 +40,11 @@
 }
 
 /// The document at `path`; an empty object if there is no answer.
-json getJson(const std::string &address, int port, const std::string &path)
+json getJson(const std::string &address, int port, const std::string &path,
+             int timeoutSeconds = callTimeoutSeconds)
 {
     httplib::Client client(address, port);
-    client.set_read_timeout(callTimeoutSeconds);
+    client.set_read_timeout(timeoutSeconds);
     const auto response = client.Get(path);
     json document = response ? json::parse(response->body, nullptr, false) : json::object();
     return document.is_object() ? document : json::object();
@@ -45,35 +52,30 @@
 
 } // namespace
 
-DeploymentFixture::DeploymentFixture(const std::vector<std::string> &without,
-                                     const std::vector<std::string> &separate)
-    : octet(this->addresses.firstOctet()),
-      directory("/tmp/currantfall-" + std::to_string(getpid())),
+DeploymentFixture::DeploymentFixture(const DeploymentOptions &options)
+    : directory("/tmp/currantfall-" + std::to_string(getpid())),
       document(this->directory + "/environment.yaml"), zones { "lm-a", "lm-b", "ok-a",
                                                                "ok-b", "is-a", "is-b" }
 {
     std::filesystem::create_directories(this->directory);
-    this->writeDocument();
-    this->platformProcess = std::make_unique<ProcessFixture>(
-            STANDIN_PLATFORM_PATH,
-            std::vector<std::string> { "--address", this->addressOf(0, 9, 9), "--port",
-                                       std::to_string(platformPort), "--vms",
-                                       this->directory + "/vms.json" });
-    this->platformProcess->waitListening();
+    this->writeDocument(options);
+    this->startPlatform(options.zoneLinks);
     std::vector<std::string> common;
     for (const auto &[name, address] : this->backendAddresses) {
+        const auto &separate = options.separate;
         if (std::find(separate.begin(), separate.end(), name) == separate.end()) {
             common.push_back(name);
         }
     }
-    this->backendProcess = this->startBackends(common);
-    if (!separate.empty()) {
-        this->separateProcess = this->startBackends(separate);
+    this->backendProcess = this->startBackends(common, options.backendArguments);
+    if (!options.separate.empty()) {
+        this->separateProcess = this->startBackends(options.separate, options.backendArguments);
     }
     if (this->runTool({ "promote", this->document }) != 0) {
         throw std::runtime_error("the document could not be promoted");
     }
     for (EntryVm &vm : this->vms) {
+        const auto &without = options.without;
         if (std::find(without.begin(), without.end(), vm.name) == without.end()) {
             this->startVm(vm);
         }
@@ -102,15 +104,43 @@
     throw std::runtime_error("no VM " + name);
 }
 
+void DeploymentFixture::startPlatform(bool withLinks)
+{
+    const std::string address = this->addressOf(0, 9, 9);
+    std::vector<std::string> arguments { "--address", address,
+                                         "--port",    std::to_string(platformPort),
+                                         "--vms",     this->directory + "/vms.json" };
+    if (withLinks) {
+        std::vector<LinkedVm> linked;
+        for (const EntryVm &vm : this->vms) {
+            linked.push_back({ vm.name, vm.zone, vm.address + ":" + std::to_string(peerPort) });
+        }
+        this->zoneLinks = std::make_unique<ZoneLinks>(
+                this->zones, linked, address + ":" + std::to_string(platformPort),
+                [this](int third, int fourth) { return this->addressOf(7, third, fourth); });
+        const std::string views = this->directory + "/views.json";
+        std::ofstream(views) << this->zoneLinks->platformViews().dump();
+        arguments.insert(arguments.end(), { "--views", views });
+    }
+    this->platformProcess = std::make_unique<ProcessFixture>(STANDIN_PLATFORM_PATH, arguments);
+    this->platformProcess->waitListening();
+    if (withLinks) {
+        this->zoneLinks->start();
+    }
+}
+
 void DeploymentFixture::startVm(EntryVm &vm)
 {
+    const std::string platform
+            = this->zoneLinks != nullptr
+                      ? this->zoneLinks->platformOf(vm.zone)
+                      : this->addressOf(0, 9, 9) + ":" + std::to_string(platformPort);
     vm.process = std::make_unique<ProcessFixture>(
             CURRANTFALLD_PATH,
-            std::vector<std::string> {
-                    "--vm", vm.name, "--zone", vm.zone, "--region", vm.region, "--environment",
-                    "production", "--address", vm.address, "--port-base", std::to_string(portBase),
-                    "--platform", this->addressOf(0, 9, 9) + ":" + std::to_string(platformPort),
-                    "--log-level", "info" });
+            std::vector<std::string> { "--vm", vm.name, "--zone", vm.zone, "--region", vm.region,
+                                       "--environment", "production", "--address", vm.address,
+                                       "--port-base", std::to_string(portBase), "--platform",
+                                       platform, "--log-level", "info" });
 }
 
 void DeploymentFixture::waitReady(const EntryVm &vm) const
@@ -140,10 +170,15 @@
     client.Post("/_faults", faults.dump(), "application/json");
 }
 
-void DeploymentFixture::setBackendBehaviour(const json &behaviour) const
+std::unique_ptr<ProcessFixture> DeploymentFixture::startLoad(const std::vector<std::string> &vms,
+                                                             std::vector<std::string> arguments)
 {
-    httplib::Client client(this->addressOf(1, 1, 1), 9000);
-    client.Post("/_control/behaviour", behaviour.dump(), "application/json");
+    for (const std::string &name : vms) {
+        const std::string address = this->vm(name).address + ":" + std::to_string(portBase);
+        arguments.insert(arguments.end(), { "--lookup", address });
+    }
+    arguments.insert(arguments.end(), { "--json", "--verify", this->addressOf(1, 1, 1) + ":9000" });
+    return std::make_unique<ProcessFixture>(CURRANTFALL_LOAD_PATH, arguments);
 }
 
 void DeploymentFixture::setBackendBehaviour(const json &behaviour, const std::string &part) const
@@ -173,7 +208,8 @@
                           [&](const EntryVm *vm) { return vm->zone == zone; });
     for (const EntryVm *vm : order) {
         json answer = getJson(vm->address, portBase,
-                              "/v1/lookup?service=" + service + "&client=" + this->clientIn(zone));
+                              "/v1/lookup?service=" + service + "&client=" + this->clientIn(zone),
+                              lookupTimeoutSeconds);
         if (answer.contains("entries")) {
             return answer;
         }
@@ -248,18 +284,22 @@
 
 std::string DeploymentFixture::addressOf(int second, int third, int fourth) const
 {
-    return "127." + std::to_string(this->octet + second) + "." + std::to_string(third) + "."
-           + std::to_string(fourth);
+    return "127." + std::to_string(this->addresses.firstOctet() + second) + "."
+           + std::to_string(third) + "." + std::to_string(fourth);
 }
 
-void DeploymentFixture::writeDocument()
+void DeploymentFixture::writeDocument(const DeploymentOptions &options)
 {
     std::string text = readFile(CURRANTFALL_EXAMPLES "/bellringer.yaml");
     // The example has zone N at 127.1N. The new octets are at least 40, so that no replacement is
     // replaced again.
     for (int zone = 1; zone <= static_cast<int>(this->zones.size()); ++zone) {
         const std::regex before("127\\.1" + std::to_string(zone) + "\\.");
-        text = std::regex_replace(text, before, "127." + std::to_string(this->octet + zone) + ".");
+        text = std::regex_replace(
+                text, before, "127." + std::to_string(this->addresses.firstOctet() + zone) + ".");
+    }
+    if (options.editDocument) {
+        text = options.editDocument(std::move(text));
     }
     std::ofstream(this->document) << text;
     const std::regex server("name: ([a-z0-9-]+), zone: [a-z0-9-]+, address: \"([0-9.:]+)\"");
@@ -270,7 +310,7 @@
     for (json &row : list) {
         std::string address = row["address"];
         address.replace(0, std::string("127.1.").size(),
-                        "127." + std::to_string(this->octet) + ".");
+                        "127." + std::to_string(this->addresses.firstOctet()) + ".");
         row["address"] = address;
         this->vms.push_back({ row["vm"], row["zone"], row["region"], address, nullptr });
     }
@@ -278,9 +318,11 @@
 }
 
 std::unique_ptr<ProcessFixture>
-DeploymentFixture::startBackends(const std::vector<std::string> &servers) const
+DeploymentFixture::startBackends(const std::vector<std::string> &servers,
+                                 const std::vector<std::string> &extra) const
 {
     std::vector<std::string> arguments { "--environment", this->document, "--log-level", "warn" };
+    arguments.insert(arguments.end(), extra.begin(), extra.end());
     for (const std::string &server : servers) {
         arguments.push_back("--server");
         arguments.push_back(server);
@@ -289,12 +331,12 @@
 }
 
 Callers::Callers(const DeploymentFixture &deployment, std::size_t threads, bool keyed,
-                 const std::string &label, bool shortDeadlines)
-    : deployment(deployment), keyed(keyed), idPrefix(label + (keyed ? "booking-" : "query-")),
+                 std::vector<std::string> zones, bool shortDeadlines)
+    : deployment(deployment), keyed(keyed),
+      idPrefix((keyed ? "booking-" : "query-") + std::to_string(++instances) + "-"),
+      zones(zones.empty() ? deployment.zoneNames() : std::move(zones)),
       shortDeadlines(shortDeadlines)
 {
-    static std::atomic<int> instances { 0 };
-    this->idPrefix += std::to_string(++instances) + "-";
     for (std::size_t index = 0; index < threads; ++index) {
         this->threads.emplace_back([this, index] { this->run(index); });
     }
@@ -318,9 +360,9 @@
 
 void Callers::run(std::size_t index)
 {
-    const auto &zones = this->deployment.zoneNames();
     for (std::uint64_t number = 0; !this->stopping; ++number) {
-        CallRecord record = this->call(index, number, zones[(index + number) % zones.size()]);
+        const std::string &zone = this->zones[(index + number) % this->zones.size()];
+        CallRecord record = this->call(index, number, zone);
         const std::lock_guard lock(this->mutex);
         this->records.push_back(std::move(record));
         ++this->completedCalls;
--- a/Tests/Deployment/DeploymentFixture.h
+++ b/Tests/Deployment/DeploymentFixture.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -11,8 +12,9 @@
 
 #include <nlohmann/json.hpp>
 
-#include "Support/AddressReservation.h"
+#include "AddressBlock.h"
 #include "Support/ProcessFixture.h"
+#include "ZoneLinks.h"
 
 namespace Currantfall::Tests {
 
@@ -26,15 +28,29 @@
     std::unique_ptr<ProcessFixture> process;
 };
 
+struct DeploymentOptions
+{
+    /// VMs that are listed but not started.
+    std::vector<std::string> without = {};
+    /// Backend servers that get a process of their own.
+    std::vector<std::string> separate = {};
+    /// Links between zones and to the platform run through relays.
+    bool zoneLinks = false;
+    /// Changes the text of the document before it is promoted.
+    std::function<std::string(std::string)> editDocument = {};
+    std::vector<std::string> backendArguments = {};
+};
+
 /// Stand-ins, and ten entry VMs in six availability zones that serve Examples/bellringer.yaml, on
 /// loopback addresses of this test process.
 class DeploymentFixture
 {
 public:
-    /// Starts everything and waits until every backend server has an owner. VMs named in `without`
-    /// are listed but not started. Backend servers named in `separate` get a process of their own.
-    explicit DeploymentFixture(const std::vector<std::string> &without = {},
-                               const std::vector<std::string> &separate = {});
+    /// Starts everything and waits until every backend server has an owner.
+    explicit DeploymentFixture(const DeploymentOptions &options);
+    explicit DeploymentFixture(const std::vector<std::string> &without = {})
+        : DeploymentFixture(DeploymentOptions { without })
+    { }
     ~DeploymentFixture();
 
     EntryVm &vm(const std::string &name);
@@ -43,12 +59,16 @@
     void waitReady(const EntryVm &vm) const;
     void waitAllSlotsOwned() const;
 
+    const ZoneLinks &links() const { return *this->zoneLinks; }
+    std::vector<EntryVm> &allVms() { return this->vms; }
     ProcessFixture &platform() { return *this->platformProcess; }
     void setPlatformFaults(const nlohmann::json &faults) const;
-    void setBackendBehaviour(const nlohmann::json &behaviour) const;
     /// Changes the behaviour of the backend servers whose name contains `part`.
-    void setBackendBehaviour(const nlohmann::json &behaviour, const std::string &part) const;
+    void setBackendBehaviour(const nlohmann::json &behaviour, const std::string &part = {}) const;
     ProcessFixture &separateBackends() { return *this->separateProcess; }
+    /// VMs on which currantfall-load looks up; its callers are in zone lm-a.
+    std::unique_ptr<ProcessFixture> startLoad(const std::vector<std::string> &vms,
+                                              std::vector<std::string> arguments);
 
     nlohmann::json status(const EntryVm &vm) const;
     nlohmann::json lookup(const std::string &service, const std::string &zone) const;
@@ -72,17 +92,19 @@
 
 private:
     std::string addressOf(int second, int third, int fourth) const;
-    void writeDocument();
-    std::unique_ptr<ProcessFixture> startBackends(const std::vector<std::string> &servers) const;
+    void writeDocument(const DeploymentOptions &options);
+    void startPlatform(bool withLinks);
+    std::unique_ptr<ProcessFixture> startBackends(const std::vector<std::string> &servers,
+                                                  const std::vector<std::string> &extra) const;
 
-    AddressReservation addresses;
-    int octet;
+    AddressBlock addresses;
     std::string directory;
     std::string document;
     std::vector<std::string> zones;
     std::vector<EntryVm> vms;
     std::unique_ptr<ProcessFixture> platformProcess;
     std::map<std::string, std::string> backendAddresses; // By name.
+    std::unique_ptr<ZoneLinks> zoneLinks;
     std::unique_ptr<ProcessFixture> backendProcess;
     std::unique_ptr<ProcessFixture> separateProcess;
 };
@@ -106,10 +128,10 @@
 class Callers
 {
 public:
-    /// `label` keeps the request ids of several instances apart. With `shortDeadlines` some
-    /// requests have a deadline that they meet only sometimes.
+    /// Clients in `zones`, by default in all. With `shortDeadlines` some requests have a deadline
+    /// that they meet only sometimes.
     Callers(const DeploymentFixture &deployment, std::size_t threads, bool keyed,
-            const std::string &label = {}, bool shortDeadlines = false);
+            std::vector<std::string> zones = {}, bool shortDeadlines = false);
     ~Callers();
 
     std::size_t completed() const { return this->completedCalls; }
@@ -123,6 +145,7 @@
     const DeploymentFixture &deployment;
     bool keyed;
     std::string idPrefix; // Differs between the instances of a test program.
+    std::vector<std::string> zones;
     bool shortDeadlines;
     std::atomic<bool> stopping { false };
     std::atomic<std::size_t> completedCalls { 0 };
--- a/Tests/Deployment/DrainTest.cpp
+++ b/Tests/Deployment/DrainTest.cpp
@@ -12,6 +12,10 @@
 
 namespace {
 
+constexpr std::size_t callerThreads = 6;
+constexpr std::size_t callsBefore = 60;
+constexpr std::size_t callsAfter = 120;
+
 /// Work that the VM holds of the only drain in force; nothing until the drain has arrived.
 bool holdsNothing(const DeploymentFixture &deployment, const EntryVm &vm)
 {
--- a/Tests/Deployment/FailureTest.cpp
+++ b/Tests/Deployment/FailureTest.cpp
@@ -6,6 +6,14 @@
 using namespace Currantfall::Tests;
 using nlohmann::json;
 
+namespace {
+
+constexpr std::size_t callerThreads = 6;
+constexpr std::size_t callsBefore = 60;
+constexpr std::size_t callsAfter = 120;
+
+} // namespace
+
 TEST_CASE("A graceful shutdown of an entry VM is not noticed by callers")
 {
     DeploymentFixture deployment;
--- a/Tests/Deployment/Outcomes.h
+++ b/Tests/Deployment/Outcomes.h
@@ -9,12 +9,6 @@
 
 namespace Currantfall::Tests {
 
-inline constexpr std::size_t callerThreads = 6;
-/// Calls before a failure is brought about.
-inline constexpr std::size_t callsBefore = 60;
-/// Calls after the deployment has settled.
-inline constexpr std::size_t callsAfter = 120;
-
 /// Waits for this many further calls.
 void waitForCalls(const Callers &callers, std::size_t more);
 
--- a/Tests/Deployment/RandomizedRun.cpp
+++ b/Tests/Deployment/RandomizedRun.cpp
@@ -95,8 +95,8 @@
         return deployment.executionSummary().at("totals").at("slot_overruns").get<std::size_t>();
     };
     const std::size_t before = overruns();
-    Callers bookings(deployment, threads, true, "calm-");
-    Callers queries(deployment, threads, false, "calm-");
+    Callers bookings(deployment, threads, true);
+    Callers queries(deployment, threads, false);
     waitUntil(
             [&] { return bookings.completed() >= calmCalls && queries.completed() >= calmCalls; });
     for (Callers *const callers : { &bookings, &queries }) {
