currantfall-load: client addresses, abandoned requests, opened connections

Cause: all callers were in the zone of the generator; a flood beyond the connections of a class kept its backlog in the generator and did not end on time; the settings had their own parser beside Common::CommandLine; connecting was part of measured latencies.

--- a/Source/Load/Caller.cpp
+++ b/Source/Load/Caller.cpp
@@ -68,6 +68,30 @@
     return *found;
 }
 
+const std::string &Caller::clientAddress(std::uint64_t number) const
+{
+    static const std::string own;
+    const std::vector<std::string> &all = this->requestClass.clients;
+    return all.empty() ? own : all[number % all.size()];
+}
+
+void Caller::openConnections()
+{
+    std::vector<Endpoint> endpoints = this->settings.direct;
+    const std::size_t clients = std::max<std::size_t>(1, this->requestClass.clients.size());
+    for (std::uint64_t number = 0; number < clients && !this->settings.lookups.empty(); ++number) {
+        const auto entries
+                = this->lookups.entries(this->requestClass.service, this->clientAddress(number));
+        for (const Entry &entry : entries.value_or(std::vector<Entry>())) {
+            endpoints.push_back(entry.endpoint);
+        }
+    }
+    for (const Endpoint &endpoint : endpoints) {
+        // No service has this path: an entry VM refuses it, a backend server answers.
+        this->client(endpoint).Get("/_health");
+    }
+}
+
 httplib::Request Caller::request(const std::string &requestId, const std::string &path) const
 {
     httplib::Request request;
@@ -137,10 +161,11 @@
     return { this->send(endpoint, request, requestId, false), 1 };
 }
 
-Caller::Call Caller::steered(const std::string &requestId)
+Caller::Call Caller::steered(const std::string &requestId, std::uint64_t number)
 {
     Call call;
-    const auto entries = this->lookups.entries(this->requestClass.service);
+    const auto entries
+            = this->lookups.entries(this->requestClass.service, this->clientAddress(number));
     if (!entries) {
         return call;
     }
--- a/Source/Load/Caller.h
+++ b/Source/Load/Caller.h
@@ -27,15 +27,21 @@
 
     Caller(const Settings &settings, const RequestClass &requestClass, LookupCache &lookups);
 
+    /// Opens a connection to each backend server that is called directly and to each entry VM of
+    /// the lookups.
+    void openConnections();
+
     /// Calls through an entry VM: the next one after a failed connection, a lost answer that may be
-    /// repeated, or not-run; two more tries at most.
-    Call steered(const std::string &requestId);
+    /// repeated, or not-run; two more tries at most. `number` spreads
+    /// requests over the clients of the class.
+    Call steered(const std::string &requestId, std::uint64_t number);
 
     /// Calls a backend server once; `number` spreads requests over the servers.
     Call direct(const std::string &requestId, std::uint64_t number);
 
 private:
     httplib::Client &client(const Endpoint &endpoint);
+    const std::string &clientAddress(std::uint64_t number) const;
     httplib::Request request(const std::string &requestId, const std::string &path) const;
     CallOutcome send(const Endpoint &endpoint, const httplib::Request &request,
                      const std::string &requestId, bool isSteered);
--- a/Source/Load/LoadRun.cpp
+++ b/Source/Load/LoadRun.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <atomic>
+#include <barrier>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -58,14 +60,25 @@
           runId(std::move(runId)), lookups(lookups), queue(queueCapacity)
     { }
 
-    void start(const std::vector<Phase> &phases)
+    /// The planned time begins when `ready` has been reached by all threads of all classes.
+    void start(const std::vector<Phase> &phases, std::barrier<> &ready)
     {
         this->notSent.resize(phases.size());
-        this->results.resize(this->settings.connections, std::vector<ClassResult>(phases.size()));
-        for (std::size_t worker = 0; worker < this->settings.connections; ++worker) {
-            this->workers.emplace_back([this, worker, &phases] { this->serve(worker, phases); });
+        this->results.resize(this->connections(), std::vector<ClassResult>(phases.size()));
+        for (std::size_t worker = 0; worker < this->connections(); ++worker) {
+            this->workers.emplace_back(
+                    [this, worker, &phases, &ready] { this->serve(worker, phases, ready); });
         }
-        this->workers.emplace_back([this, &phases] { this->generate(phases); });
+        this->workers.emplace_back([this, &phases, &ready] {
+            ready.arrive_and_wait();
+            this->generate(phases);
+        });
+    }
+
+    std::size_t connections() const
+    {
+        const std::size_t own = this->requestClass.connections;
+        return own > 0 ? own : this->settings.connections;
     }
 
     void finish(std::vector<Phase> &phases)
@@ -106,9 +119,13 @@
         this->queue.close();
     }
 
-    void serve(std::size_t worker, const std::vector<Phase> &phases)
+    void serve(std::size_t worker, const std::vector<Phase> &phases, std::barrier<> &ready)
     {
         Caller caller(this->settings, this->requestClass, this->lookups);
+        if (this->settings.openConnections) {
+            caller.openConnections();
+        }
+        ready.arrive_and_wait();
         while (true) {
             // Read before the queue: only then does an empty queue stay empty.
             const bool last = this->generated;
@@ -124,9 +141,16 @@
 
     void call(Caller &caller, const Arrival &arrival, bool direct, ClassResult &result)
     {
+        const absl::Duration late = Common::monotonicNow() - arrival.scheduled;
+        if (this->settings.abandonAfter > absl::ZeroDuration()
+            && late > this->settings.abandonAfter) {
+            ++result.abandoned;
+            return;
+        }
         std::string id = this->runId + "-" + std::to_string(this->index) + "-"
                          + std::to_string(arrival.number);
-        const Caller::Call call = direct ? caller.direct(id, arrival.number) : caller.steered(id);
+        const Caller::Call call
+                = direct ? caller.direct(id, arrival.number) : caller.steered(id, arrival.number);
         result.add(call.outcome, Common::monotonicNow() - arrival.scheduled);
         result.attempts += call.attempts;
         if (!this->settings.verify.empty()) {
@@ -152,7 +176,8 @@
         return {};
     }
     for (const RequestClass &requestClass : settings.classes) {
-        const auto entries = lookups.entries(requestClass.service);
+        const std::string client = requestClass.clients.empty() ? "" : requestClass.clients.front();
+        const auto entries = lookups.entries(requestClass.service, client);
         if (!entries) {
             return tl::unexpected<Common::Error>(entries.error());
         }
@@ -202,9 +227,14 @@
     const std::string runId
             = absl::StrCat(absl::Hex(settings.seed), "-", absl::Hex(absl::GetCurrentTimeNanos()));
     std::vector<std::unique_ptr<ClassLoad>> loads;
+    std::size_t threads = 0;
     for (std::size_t index = 0; index < settings.classes.size(); ++index) {
         loads.push_back(std::make_unique<ClassLoad>(settings, index, runId, lookups));
-        loads.back()->start(report.phases);
+        threads += loads.back()->connections() + 1;
+    }
+    std::barrier<> ready(static_cast<std::ptrdiff_t>(threads));
+    for (const std::unique_ptr<ClassLoad> &load : loads) {
+        load->start(report.phases, ready);
     }
     for (const std::unique_ptr<ClassLoad> &load : loads) {
         load->finish(report.phases);
--- a/Source/Load/LookupCache.cpp
+++ b/Source/Load/LookupCache.cpp
@@ -34,20 +34,21 @@
     : lookups(std::move(lookups)), timeout(timeout)
 { }
 
-Common::Result<std::vector<Entry>> LookupCache::entries(const std::string &service)
+Common::Result<std::vector<Entry>> LookupCache::entries(const std::string &service,
+                                                        const std::string &client)
 {
     {
         const std::lock_guard lock(this->mutex);
-        Cached &cached = this->cache[service];
+        Cached &cached = this->cache[{ service, client }];
         const bool fresh = Common::monotonicNow() < cached.expiry || cached.refreshing;
         if (fresh && !cached.entries.empty()) {
             return cached.entries;
         }
         cached.refreshing = true;
     }
-    Common::Result<Cached> found = this->lookUp(service);
+    Common::Result<Cached> found = this->lookUp(service, client);
     const std::lock_guard lock(this->mutex);
-    Cached &cached = this->cache[service];
+    Cached &cached = this->cache[{ service, client }];
     cached.refreshing = false;
     if (found) {
         cached = *std::move(found);
@@ -57,15 +58,18 @@
     return cached.entries;
 }
 
-Common::Result<LookupCache::Cached> LookupCache::lookUp(const std::string &service) const
+Common::Result<LookupCache::Cached> LookupCache::lookUp(const std::string &service,
+                                                        const std::string &client) const
 {
+    const std::string target = "/v1/lookup?service=" + service
+                               + (client.empty() ? std::string() : "&client=" + client);
     Common::Error last(Common::ErrorCode::Unavailable, lookupStep, {}, "no lookup address");
     for (const Endpoint &lookup : this->lookups) {
-        httplib::Client client(lookup.address, lookup.port);
-        client.set_tcp_nodelay(true);
-        client.set_connection_timeout(absl::ToChronoMilliseconds(this->timeout));
-        client.set_read_timeout(absl::ToChronoMilliseconds(this->timeout));
-        const httplib::Result reply = client.Get("/v1/lookup?service=" + service);
+        httplib::Client http(lookup.address, lookup.port);
+        http.set_tcp_nodelay(true);
+        http.set_connection_timeout(absl::ToChronoMilliseconds(this->timeout));
+        http.set_read_timeout(absl::ToChronoMilliseconds(this->timeout));
+        const httplib::Result reply = http.Get(target);
         if (!reply || reply->status != 200) {
             last = Common::Error(Common::ErrorCode::Unavailable, lookupStep, lookup.toString(),
                                  reply ? "status " + std::to_string(reply->status)
--- a/Source/Load/LookupCache.h
+++ b/Source/Load/LookupCache.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <absl/time/time.h>
@@ -28,9 +29,11 @@
 public:
     LookupCache(std::vector<Endpoint> lookups, absl::Duration timeout);
 
-    /// Entry VMs for `service` in order of preference. While one thread refreshes a response, and
+    /// Entry VMs for `service` in order of preference, for a caller at the address `client`, or for
+    /// the generator's own address if that is empty. While one thread refreshes a response, and
     /// if the refresh fails, the others use the old one.
-    Common::Result<std::vector<Entry>> entries(const std::string &service);
+    Common::Result<std::vector<Entry>> entries(const std::string &service,
+                                               const std::string &client = {});
 
 private:
     struct Cached
@@ -40,13 +43,13 @@
         bool refreshing = false;
     };
 
-    Common::Result<Cached> lookUp(const std::string &service) const;
+    Common::Result<Cached> lookUp(const std::string &service, const std::string &client) const;
 
     std::vector<Endpoint> lookups;
     absl::Duration timeout;
     /// Not an absl::Mutex: ThreadSanitizer does not see the locks of the uninstrumented library.
     std::mutex mutex;
-    std::map<std::string, Cached> cache;
+    std::map<std::pair<std::string, std::string>, Cached> cache; // By service and client.
 };
 
 } // namespace Currantfall::Load
--- a/Source/Load/ReportText.cpp
+++ b/Source/Load/ReportText.cpp
@@ -86,6 +86,7 @@
                           { "direct", direct },
                           { "requests", result.requests() },
                           { "not_sent", result.notSent },
+                          { "abandoned", result.abandoned },
                           { "attempts", result.attempts },
                           { "goodput_per_s", goodput(result, length) },
                           { "outcomes", outcomes },
@@ -107,14 +108,14 @@
 {
     const LatencyHistogram &times = result.answered;
     std::string text = absl::StrFormat(
-            "%-8s %-36s %8d %9.1f %8.2f %8.2f %8.2f %8.2f %8.2f %7d %7d %7d %7d %7d %7d",
+            "%-8s %-36s %8d %9.1f %8.2f %8.2f %8.2f %8.2f %8.2f %7d %7d %7d %7d %7d %7d %7d",
             direct ? "direct" : "steered", requestClass.toString(), result.requests(),
             goodput(result, length), milliseconds(times.quantile(0.5)),
             milliseconds(times.quantile(0.9)), milliseconds(times.quantile(0.99)),
             milliseconds(times.quantile(0.999)), milliseconds(times.maximum()),
             result.count(CallOutcome::NotRun), result.count(CallOutcome::OutcomeUnknown),
             result.count(CallOutcome::Unreachable), result.count(CallOutcome::ErrorAnswer),
-            result.count(CallOutcome::WrongAnswer), result.notSent);
+            result.count(CallOutcome::WrongAnswer), result.notSent, result.abandoned);
     if (verified) {
         text += absl::StrFormat(" %7d %7d", result.duplicates, result.falseNotRun);
     }
@@ -126,9 +127,9 @@
 std::string reportText(const LoadReport &report, const Settings &settings)
 {
     std::string text = absl::StrFormat(
-            "%-8s %-36s %8s %9s %8s %8s %8s %8s %8s %7s %7s %7s %7s %7s %7s%s\n", "path", "class",
-            "requests", "goodput/s", "p50 ms", "p90 ms", "p99 ms", "p999 ms", "max ms", "not-run",
-            "unknown", "unreach", "error", "wrong", "notsent",
+            "%-8s %-36s %8s %9s %8s %8s %8s %8s %8s %7s %7s %7s %7s %7s %7s %7s%s\n", "path",
+            "class", "requests", "goodput/s", "p50 ms", "p90 ms", "p99 ms", "p999 ms", "max ms",
+            "not-run", "unknown", "unreach", "error", "wrong", "notsent", "abandon",
             report.verified ? "    dup. falsenr" : "");
     for (std::size_t index = 0; index < settings.classes.size(); ++index) {
         for (const bool direct : { true, false }) {
--- a/Source/Load/Results.cpp
+++ b/Source/Load/Results.cpp
@@ -82,6 +82,7 @@
     }
     this->attempts += other.attempts;
     this->notSent += other.notSent;
+    this->abandoned += other.abandoned;
     this->duplicates += other.duplicates;
     this->falseNotRun += other.falseNotRun;
     std::move(other.records.begin(), other.records.end(), std::back_inserter(this->records));
--- a/Source/Load/Results.h
+++ b/Source/Load/Results.h
@@ -64,6 +64,8 @@
     std::uint64_t attempts = 0;
     /// Arrivals that found the queue of their class full.
     std::uint64_t notSent = 0;
+    /// Arrivals that got no connection in time.
+    std::uint64_t abandoned = 0;
     std::uint64_t duplicates = 0;
     std::uint64_t falseNotRun = 0;
     std::vector<RequestRecord> records;
--- a/Source/Load/Settings.cpp
+++ b/Source/Load/Settings.cpp
@@ -1,102 +1,78 @@
 #include "Load/Settings.h"
 
 #include <algorithm>
-#include <cstdlib>
+#include <arpa/inet.h>
+#include <limits>
 #include <optional>
+#include <utility>
 
-#include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
-#include <absl/strings/str_replace.h>
 #include <absl/strings/str_split.h>
 
-// Class descriptions contain commas, at which cxxopts splits by default.
-#define CXXOPTS_VECTOR_DELIMITER '\n'
-#include <cxxopts.hpp>
+#include "currantfall/Common/CommandLine.h"
 
 namespace Currantfall::Load {
 
 namespace {
 
+using Common::CommandLine;
+using Common::Flag;
 using Strings = std::vector<std::string>;
 
 constexpr int maxPort = 65535;
-constexpr std::size_t maxConnections = 256;
+constexpr std::size_t maxConnections = 1024;
 constexpr std::size_t maxBodyBytes = 16UL * 1024 * 1024;
+constexpr long longestMs = 3600L * 1000;
 
 tl::unexpected<Common::Error> invalid(const std::string &what, std::string detail)
 {
     return Common::failure(Common::ErrorCode::InvalidInput, "read " + what, {}, std::move(detail));
 }
 
-cxxopts::Options options()
+const std::vector<Flag> &flags()
 {
-    cxxopts::Options all("currantfall-load", "Open-loop load for currantfall.");
-    all.add_options()("lookup", "IP:PORT of an entry VM's lookups (repeated)",
-                      cxxopts::value<Strings>())(
-            "class",
-            "service=S,tenant=T,method=M,path=P,rate=R,body-bytes=N,key=yes|no,deadline-ms=D "
-            "(repeated)",
-            cxxopts::value<Strings>())("direct",
-                                       "IP:PORT of a backend server to call directly "
-                                       "(repeated)",
-                                       cxxopts::value<Strings>())(
-            "verify", "IP:PORT of a backend stand-in to ask for executions (repeated)",
-            cxxopts::value<Strings>())("duration-s", "length of the run",
-                                       cxxopts::value<double>()->default_value("10"))(
-            "timeout-ms", "limit of one call", cxxopts::value<int>()->default_value("10000"))(
-            "settle-ms", "wait before the verification",
-            cxxopts::value<int>()->default_value("1000"))(
-            "seed", "of arrivals and request ids",
-            cxxopts::value<std::uint64_t>()->default_value("1"))(
-            "connections", "of each class", cxxopts::value<std::size_t>()->default_value("32"))(
-            "alternate", "pairs of a direct and a steered phase",
-            cxxopts::value<std::size_t>()->default_value("0"))("json", "report as JSON")(
-            "help", "this text")("version", "print the version");
-    return all;
-}
-
-/// Adds options that are set in the environment and absent from the command line.
-Strings withEnvironment(int count, const char *const *arguments)
-{
-    Strings all(arguments, arguments + count);
-    const Strings names { "lookup",     "class",     "direct", "verify",      "duration-s",
-                          "timeout-ms", "settle-ms", "seed",   "connections", "alternate" };
-    for (const std::string &name : names) {
-        const std::string option = "--" + name;
-        const bool given
-                = std::any_of(arguments, arguments + count, [&option](const std::string &argument) {
-                      return argument == option || argument.starts_with(option + "=");
-                  });
-        const std::string upper
-                = absl::StrReplaceAll(absl::AsciiStrToUpper(name), { { "-", "_" } });
-        const char *const value = std::getenv(("CURRANTFALL_" + upper).c_str());
-        if (given || value == nullptr) {
-            continue;
-        }
-        for (const std::string &part : Strings(absl::StrSplit(value, ' ', absl::SkipEmpty()))) {
-            all.push_back(option);
-            all.push_back(part);
-        }
-    }
+    static const std::vector<Flag> all {
+        { "lookup", "an entry VM's lookups", "IP:PORT", true },
+        // Without a variable: commas separate the fields of a class.
+        { "class",
+          "service=S,tenant=T,method=M,path=P,rate=R,body-bytes=N,key=yes|no,deadline-ms=D,"
+          "clients=IP+IP...,connections=N",
+          "FIELDS", true, false },
+        { "direct", "a backend server to call directly", "IP:PORT", true },
+        { "verify", "a backend stand-in to ask for executions", "IP:PORT", true },
+        { "duration-s", "length of the run (10)", "SECONDS" },
+        { "timeout-ms", "limit of one call (10000)", "MS" },
+        { "abandon-after-ms", "latest sending of a planned request (0: without limit)", "MS" },
+        { "settle-ms", "wait before the verification (1000)", "MS" },
+        { "seed", "of arrivals and request ids (1)", "NUMBER" },
+        { "connections", "of each class without its own number (32)", "NUMBER" },
+        { "alternate", "pairs of a direct and a steered phase (0)", "NUMBER" },
+        { "open-connections", "opens all connections before the first request", "" },
+        { "json", "report as JSON", "", false, false },
+        { "help", "this text", "", false, false },
+        { "version", "print the version", "", false, false },
+    };
     return all;
 }
 
 template<typename Value>
-Common::Result<std::vector<Value>> parseAll(const cxxopts::ParseResult &parsed,
-                                            const std::string &name)
+Common::Result<void> readAll(const CommandLine &line, const std::string &name,
+                             std::vector<Value> &values)
 {
-    std::vector<Value> values;
-    if (parsed.count(name) == 0) {
-        return values;
-    }
-    for (const std::string &text : parsed[name].as<Strings>()) {
+    for (const std::string &text : line.values(name)) {
         Common::Result<Value> value = Value::parse(text);
         if (!value) {
             return tl::unexpected<Common::Error>(value.error());
         }
         values.push_back(*std::move(value));
     }
-    return values;
+    return {};
+}
+
+bool isIpv4(const std::string &text)
+{
+    in_addr parsed {};
+    return inet_pton(AF_INET, text.c_str(), &parsed) == 1;
 }
 
 /// Sets one field of a class. Returns what was expected instead if the value is invalid.
@@ -121,9 +97,17 @@
         target.key = value == "yes";
     } else if (name == "deadline-ms" && isNumber) {
         target.deadline = absl::Milliseconds(number);
+    } else if (name == "connections" && isNumber && number >= 1 && number <= maxConnections) {
+        target.connections = static_cast<std::size_t>(number);
+    } else if (name == "client" || name == "clients") {
+        const Strings clients = absl::StrSplit(value, '+');
+        if (!std::all_of(clients.begin(), clients.end(), isIpv4)) {
+            return "clients are IPv4 addresses joined by '+', not " + value;
+        }
+        target.clients.insert(target.clients.end(), clients.begin(), clients.end());
     } else {
         return "a class has service, tenant, method, path (from '/'), rate (> 0), body-bytes, "
-               "key (yes or no) and deadline-ms, not "
+               "key (yes or no), deadline-ms, clients and connections (1..1024), not "
                + name + "=" + value;
     }
     return std::nullopt;
@@ -141,42 +125,56 @@
     if (settings.alternate > 0 && settings.direct.empty()) {
         return invalid("settings", "--alternate requires --direct");
     }
-    if (settings.duration <= absl::ZeroDuration() || settings.timeout <= absl::ZeroDuration()
-        || settings.settle < absl::ZeroDuration()) {
-        return invalid("settings", "--duration-s and --timeout-ms must be positive");
+    return settings;
+}
+
+Common::Result<void> readDuration(const CommandLine &line, Settings &settings)
+{
+    double seconds = 0;
+    const std::string text = line.valueOr("duration-s", "10");
+    if (!absl::SimpleAtod(text, &seconds) || !(seconds > 0 && seconds <= 1e6)) {
+        return invalid("settings", "--duration-s: expected seconds above 0, found '" + text + "'");
     }
-    if (settings.connections == 0 || settings.connections > maxConnections) {
-        return invalid("settings", "--connections must be in 1..256");
+    settings.duration = absl::Seconds(seconds);
+    return {};
+}
+
+Common::Result<void> readNumbers(const CommandLine &line, Settings &settings)
+{
+    const auto timeout = line.number("timeout-ms", 10000, 1, longestMs);
+    const auto abandonAfter = line.number("abandon-after-ms", 0, 0, longestMs);
+    const auto settle = line.number("settle-ms", 1000, 0, longestMs);
+    const auto seed = line.number("seed", 1, 0, std::numeric_limits<long>::max());
+    const auto connections = line.number("connections", 32, 1, maxConnections);
+    const auto alternate = line.number("alternate", 0, 0, 1000);
+    for (const auto *number :
+         { &timeout, &abandonAfter, &settle, &seed, &connections, &alternate }) {
+        if (!*number) {
+            return tl::unexpected<Common::Error>(number->error());
+        }
     }
-    return settings;
+    settings.timeout = absl::Milliseconds(*timeout);
+    settings.abandonAfter = absl::Milliseconds(*abandonAfter);
+    settings.settle = absl::Milliseconds(*settle);
+    settings.seed = static_cast<std::uint64_t>(*seed);
+    settings.connections = static_cast<std::size_t>(*connections);
+    settings.alternate = static_cast<std::size_t>(*alternate);
+    return readDuration(line, settings);
 }
 
-Common::Result<Settings> convert(const cxxopts::ParseResult &parsed)
+Common::Result<Settings> convert(const CommandLine &line)
 {
     Settings settings;
-    const auto lookups = parseAll<Endpoint>(parsed, "lookup");
-    const auto direct = parseAll<Endpoint>(parsed, "direct");
-    const auto verify = parseAll<Endpoint>(parsed, "verify");
-    const auto classes = parseAll<RequestClass>(parsed, "class");
-    for (const auto *endpoints : { &lookups, &direct, &verify }) {
-        if (!*endpoints) {
-            return tl::unexpected<Common::Error>(endpoints->error());
+    for (const auto &read :
+         { readAll(line, "lookup", settings.lookups), readAll(line, "direct", settings.direct),
+           readAll(line, "verify", settings.verify), readAll(line, "class", settings.classes),
+           readNumbers(line, settings) }) {
+        if (!read) {
+            return tl::unexpected<Common::Error>(read.error());
         }
     }
-    if (!classes) {
-        return tl::unexpected<Common::Error>(classes.error());
-    }
-    settings.lookups = *lookups;
-    settings.direct = *direct;
-    settings.verify = *verify;
-    settings.classes = *classes;
-    settings.duration = absl::Seconds(parsed["duration-s"].as<double>());
-    settings.timeout = absl::Milliseconds(parsed["timeout-ms"].as<int>());
-    settings.settle = absl::Milliseconds(parsed["settle-ms"].as<int>());
-    settings.seed = parsed["seed"].as<std::uint64_t>();
-    settings.connections = parsed["connections"].as<std::size_t>();
-    settings.alternate = parsed["alternate"].as<std::size_t>();
-    settings.json = parsed.count("json") > 0;
+    settings.openConnections = line.enabled("open-connections");
+    settings.json = line.enabled("json");
     return check(std::move(settings));
 }
 
@@ -224,28 +222,20 @@
 
 Common::Result<Settings> Settings::parse(int count, const char *const *arguments)
 {
-    const Strings all = withEnvironment(count, arguments);
-    std::vector<const char *> pointers;
-    pointers.reserve(all.size());
-    for (const std::string &argument : all) {
-        pointers.push_back(argument.c_str());
+    const auto line = CommandLine::parse(flags(), "CURRANTFALL_", count, arguments);
+    if (!line) {
+        return tl::unexpected<Common::Error>(line.error());
     }
-    try {
-        cxxopts::Options definition = options();
-        const cxxopts::ParseResult parsed
-                = definition.parse(static_cast<int>(pointers.size()), pointers.data());
-        if (!parsed.unmatched().empty()) {
-            return invalid("settings", "unexpected argument " + parsed.unmatched().front());
-        }
-        return convert(parsed);
-    } catch (const std::exception &error) {
-        return invalid("settings", error.what());
+    if (!line->positional().empty()) {
+        return invalid("settings", "unexpected argument " + line->positional().front());
     }
+    return convert(*line);
 }
 
 std::string Settings::help()
 {
-    return options().help();
+    return "Open-loop load for currantfall.\nUsage: currantfall-load FLAG...\n\n"
+           + CommandLine::describe(flags());
 }
 
 } // namespace Currantfall::Load
--- a/Source/Load/Settings.h
+++ b/Source/Load/Settings.h
@@ -25,12 +25,17 @@
     bool key = false;
     /// Remaining time that is announced to the entry VM; zero announces none.
     absl::Duration deadline = absl::ZeroDuration();
+    /// Addresses that lookups name as the caller's, in turn; without any, the generator's own. They
+    /// place the callers in zones.
+    std::vector<std::string> clients;
+    /// Connections, and threads; 0 for those of the settings.
+    std::size_t connections = 0;
 
     bool idempotent() const;
     std::string toString() const;
 
     /// Parses "service=...,tenant=...,method=...,path=...,rate=...,body-bytes=...,key=yes|no,
-    /// deadline-ms=...". Only the service is required.
+    /// deadline-ms=...,clients=IP+IP...,connections=...". Only the service is required.
     static Common::Result<RequestClass> parse(const std::string &text);
 };
 
@@ -53,6 +58,9 @@
     std::vector<RequestClass> classes;
     absl::Duration duration = absl::Seconds(10);
     absl::Duration timeout = absl::Seconds(10);
+    /// Planned requests that could not be sent within this time are abandoned, so that a flood
+    /// beyond the connections ends on time; zero sends all of them.
+    absl::Duration abandonAfter = absl::ZeroDuration();
     /// Wait between the last answer and the verification, for executions that are still running.
     absl::Duration settle = absl::Seconds(1);
     std::uint64_t seed = 1;
@@ -61,10 +69,11 @@
     std::size_t connections = 32;
     /// Pairs of a direct and a steered phase; 0 for one phase.
     std::size_t alternate = 0;
+    /// Opens every connection before the first planned request, so that connecting is not measured.
+    bool openConnections = false;
     bool json = false;
 
-    /// Reads the command line. An option that is absent there is taken from CURRANTFALL_<NAME>;
-    /// values of repeated options are separated by blanks there.
+    /// Reads the command line and the variables CURRANTFALL_<FLAG>.
     static Common::Result<Settings> parse(int count, const char *const *arguments);
     static std::string help();
 };
--- a/Source/UnitTests/LoadGenerator/LoadRunTest.cpp
+++ b/Source/UnitTests/LoadGenerator/LoadRunTest.cpp
@@ -30,9 +30,14 @@
     {
         this->server.set_tcp_nodelay(true);
         this->server.set_keep_alive_max_count(100000);
-        this->server.Get("/v1/lookup", [this](const httplib::Request &, httplib::Response &reply) {
-            reply.set_content(this->lookupReply(), "application/json");
-        });
+        this->server.Get("/v1/lookup",
+                         [this](const httplib::Request &request, httplib::Response &reply) {
+                             {
+                                 const std::lock_guard lock(this->mutex);
+                                 this->clients.insert(request.get_param_value("client"));
+                             }
+                             reply.set_content(this->lookupReply(), "application/json");
+                         });
         this->server.Post("/_control/executions", [this](const httplib::Request &,
                                                          httplib::Response &reply) {
             const std::lock_guard lock(this->mutex);
@@ -90,6 +95,12 @@
         return this->keys;
     }
 
+    std::set<std::string> clientsSeen()
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->clients;
+    }
+
 private:
     std::string lookupReply() const
     {
@@ -123,6 +134,7 @@
     std::mutex mutex;
     std::map<std::string, int> runs;
     std::set<std::string> keys;
+    std::set<std::string> clients;
 };
 
 Settings settingsFor(const FakeEntry &entry, const std::string &requestClass)
@@ -240,6 +252,38 @@
     REQUIRE(result.answered.maximum() > absl::Milliseconds(500));
 }
 
+// Guards against a flood that lasts until the generator has sent its whole backlog.
+TEST_CASE("A planned request that is too late is abandoned and counted")
+{
+    FakeEntry *self = nullptr;
+    FakeEntry entry([&self](const httplib::Request &request, httplib::Response &reply) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        self->run(request, reply);
+    });
+    self = &entry;
+    Settings settings = settingsFor(entry, "service=shop,rate=400,connections=1");
+    settings.abandonAfter = absl::Milliseconds(50);
+    const LoadReport report = runLoad(settings).value();
+    const ClassResult result = report.total(0, false);
+    REQUIRE(result.requests() > 0);
+    REQUIRE(result.abandoned > result.requests());
+    REQUIRE(result.answered.count() == result.requests());
+    const auto json = nlohmann::json::parse(reportJson(report, settings));
+    REQUIRE(json.at("classes").at(0).at("abandoned") == result.abandoned);
+}
+
+// Guards against callers that all come from the zone of the generator.
+TEST_CASE("Lookups name the clients of the class in turn; opening connections is not counted")
+{
+    FakeEntry entry;
+    Settings settings = settingsFor(entry, "service=shop,rate=200,clients=127.11.0.1+127.12.0.1");
+    settings.openConnections = true;
+    const ClassResult result = runLoad(settings).value().total(0, false);
+    REQUIRE(result.requests() > 1);
+    REQUIRE(result.count(CallOutcome::Answered) == result.requests());
+    REQUIRE(entry.clientsSeen() == std::set<std::string> { "127.11.0.1", "127.12.0.1" });
+}
+
 TEST_CASE("Alternating phases report a ratio for each pair")
 {
     FakeEntry entry;
@@ -256,7 +300,7 @@
 
 TEST_CASE("Settings come from the command line, then from the environment; errors are named")
 {
-    setenv("CURRANTFALL_LOOKUP", "127.0.0.1:1 127.0.0.2:2", 1);
+    setenv("CURRANTFALL_LOOKUP", "127.0.0.1:1,127.0.0.2:2", 1);
     setenv("CURRANTFALL_SEED", "5", 1);
     const char *const arguments[] = { "load",    "--class",   "service=a,rate=2.5,key=yes",
                                       "--class", "service=b", "--seed=7" };
@@ -268,11 +312,16 @@
     REQUIRE(settings->classes.size() == 2);
     REQUIRE(settings->classes[0].rate == 2.5);
     REQUIRE(settings->seed == 7);
-    for (const std::string text : { "", "rate=1", "service=a,rate=x", "service=a,key=maybe" }) {
+    for (const std::string text : { "", "rate=1", "service=a,rate=x", "service=a,key=maybe",
+                                    "service=a,clients=127.0.0.1+x", "service=a,connections=0" }) {
         REQUIRE(!RequestClass::parse(text));
     }
     REQUIRE(!Endpoint::parse("127.0.0.1"));
     REQUIRE(!Settings::parse(1, arguments));
+    const char *const refused[]
+            = { "load", "--class=service=a", "--lookup=127.0.0.1:1", "--abandon-after-ms=-1" };
+    REQUIRE(!Settings::parse(4, refused));
+    REQUIRE(Settings::parse(3, refused));
 }
 
 TEST_CASE("Quantiles are within 1% and ignore order")
