--- a/Source/Load/LoadRun.cpp
+++ b/Source/Load/LoadRun.cpp
@@ -34,6 +34,7 @@
     Common::Instant scheduled;
     std::uint64_t number = 0;
     std::size_t phase = 0;
+    Common::Instant phaseEnd;
 };
 
 std::vector<Phase> planPhases(const Settings &settings)
@@ -109,7 +110,7 @@
             phaseEnd = phaseEnd + phases.at(phase).length;
             while (scheduled < phaseEnd) {
                 absl::SleepFor(scheduled - Common::monotonicNow());
-                if (!this->queue.tryPush(Arrival { scheduled, ++number, phase })) {
+                if (!this->queue.tryPush(Arrival { scheduled, ++number, phase, phaseEnd })) {
                     ++this->notSent.at(phase);
                 }
                 scheduled = scheduled + absl::Seconds(gap(random));
@@ -151,7 +152,11 @@
                          + std::to_string(arrival.number);
         const Caller::Call call
                 = direct ? caller.direct(id, arrival.number) : caller.steered(id, arrival.number);
-        result.add(call.outcome, Common::monotonicNow() - arrival.scheduled);
+        const Common::Instant now = Common::monotonicNow();
+        result.add(call.outcome, now - arrival.scheduled);
+        if (call.outcome == CallOutcome::Answered && now <= arrival.phaseEnd) {
+            ++result.answeredInPhase;
+        }
         result.attempts += call.attempts;
         if (!this->settings.verify.empty()) {
             result.records.push_back(RequestRecord { std::move(id), call.outcome });
--- a/Source/Load/ReportText.cpp
+++ b/Source/Load/ReportText.cpp
@@ -36,10 +36,10 @@
     return length;
 }
 
-/// Verified answers per second.
+/// Verified answers per second of the phases.
 double goodput(const ClassResult &result, absl::Duration length)
 {
-    return static_cast<double>(result.count(CallOutcome::Answered)) / absl::ToDoubleSeconds(length);
+    return static_cast<double>(result.answeredInPhase) / absl::ToDoubleSeconds(length);
 }
 
 /// Steered against the direct phase before it.
--- a/Source/Load/Results.cpp
+++ b/Source/Load/Results.cpp
@@ -80,6 +80,7 @@
     for (std::size_t index = 0; index < callOutcomes; ++index) {
         this->outcomes.at(index) += other.outcomes.at(index);
     }
+    this->answeredInPhase += other.answeredInPhase;
     this->attempts += other.attempts;
     this->notSent += other.notSent;
     this->abandoned += other.abandoned;
--- a/Source/Load/Results.h
+++ b/Source/Load/Results.h
@@ -61,6 +61,9 @@
 {
     LatencyHistogram answered;
     std::array<std::uint64_t, callOutcomes> outcomes {};
+    /// Answered before the end of the phase: answers from the queues that a flood leaves behind
+    /// are no goodput of the phase.
+    std::uint64_t answeredInPhase = 0;
     std::uint64_t attempts = 0;
     /// Arrivals that found the queue of their class full.
     std::uint64_t notSent = 0;
--- a/Source/UnitTests/LoadGenerator/LoadRunTest.cpp
+++ b/Source/UnitTests/LoadGenerator/LoadRunTest.cpp
@@ -250,6 +250,8 @@
     const ClassResult result = runLoad(settings).value().total(0, false);
     REQUIRE(result.requests() > 20);
     REQUIRE(result.answered.maximum() > absl::Milliseconds(500));
+    // Answers after the end of the phase are no goodput.
+    REQUIRE(result.answeredInPhase < result.requests());
 }
 
 // Guards against a flood that lasts until the generator has sent its whole backlog.
