--- a/Source/Load/LoadRun.cpp
+++ b/Source/Load/LoadRun.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <atomic>
+#include <barrier>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -32,6 +34,7 @@
     Common::Instant scheduled;
     std::uint64_t number = 0;
     std::size_t phase = 0;
+    Common::Instant phaseEnd;
 };
 
 std::vector<Phase> planPhases(const Settings &settings)
@@ -58,14 +61,25 @@
           runId(std::move(runId)), lookups(lookups), queue(queueCapacity)
     { }
 
-    void start(const std::vector<Phase> &phases)
+    /// The planned time begins when `ready` has been reached by all threads of all classes.
+    void start(const std::vector<Phase> &phases, std::barrier<> &ready)
     {
         this->notSent.resize(phases.size());
-        this->results.resize(this->settings.connections, std::vector<ClassResult>(phases.size()));
-        for (std::size_t worker = 0; worker < this->settings.connections; ++worker) {
-            this->workers.emplace_back([this, worker, &phases] { this->serve(worker, phases); });
+        this->results.resize(this->connections(), std::vector<ClassResult>(phases.size()));
+        for (std::size_t worker = 0; worker < this->connections(); ++worker) {
+            this->workers.emplace_back(
+                    [this, worker, &phases, &ready] { this->serve(worker, phases, ready); });
         }
-        this->workers.emplace_back([this, &phases] { this->generate(phases); });
+        this->workers.emplace_back([this, &phases, &ready] {
+            ready.arrive_and_wait();
+            this->generate(phases);
+        });
+    }
+
+    std::size_t connections() const
+    {
+        const std::size_t own = this->requestClass.connections;
+        return own > 0 ? own : this->settings.connections;
     }
 
     void finish(std::vector<Phase> &phases)
@@ -96,7 +110,7 @@
             phaseEnd = phaseEnd + phases.at(phase).length;
             while (scheduled < phaseEnd) {
                 absl::SleepFor(scheduled - Common::monotonicNow());
-                if (!this->queue.tryPush(Arrival { scheduled, ++number, phase })) {
+                if (!this->queue.tryPush(Arrival { scheduled, ++number, phase, phaseEnd })) {
                     ++this->notSent.at(phase);
                 }
                 scheduled = scheduled + absl::Seconds(gap(random));
@@ -106,9 +120,13 @@
         this->queue.close();
     }
 
-    void serve(std::size_t worker, const std::vector<Phase> &phases)
+    void serve(std::size_t worker, const std::vector<Phase> &phases, std::barrier<> &ready)
     {
         Caller caller(this->settings, this->requestClass, this->lookups);
+        if (this->settings.openConnections) {
+            caller.openConnections();
+        }
+        ready.arrive_and_wait();
         while (true) {
             // Read before the queue: only then does an empty queue stay empty.
             const bool last = this->generated;
@@ -124,10 +142,21 @@
 
     void call(Caller &caller, const Arrival &arrival, bool direct, ClassResult &result)
     {
+        const absl::Duration late = Common::monotonicNow() - arrival.scheduled;
+        if (this->settings.abandonAfter > absl::ZeroDuration()
+            && late > this->settings.abandonAfter) {
+            ++result.abandoned;
+            return;
+        }
         std::string id = this->runId + "-" + std::to_string(this->index) + "-"
                          + std::to_string(arrival.number);
-        const Caller::Call call = direct ? caller.direct(id, arrival.number) : caller.steered(id);
-        result.add(call.outcome, Common::monotonicNow() - arrival.scheduled);
+        const Caller::Call call
+                = direct ? caller.direct(id, arrival.number) : caller.steered(id, arrival.number);
+        const Common::Instant now = Common::monotonicNow();
+        result.add(call.outcome, now - arrival.scheduled);
+        if (call.outcome == CallOutcome::Answered && now <= arrival.phaseEnd) {
+            ++result.answeredInPhase;
+        }
         result.attempts += call.attempts;
         if (!this->settings.verify.empty()) {
             result.records.push_back(RequestRecord { std::move(id), call.outcome });
@@ -152,7 +181,8 @@
         return {};
     }
     for (const RequestClass &requestClass : settings.classes) {
-        const auto entries = lookups.entries(requestClass.service);
+        const std::string client = requestClass.clients.empty() ? "" : requestClass.clients.front();
+        const auto entries = lookups.entries(requestClass.service, client);
         if (!entries) {
             return tl::unexpected<Common::Error>(entries.error());
         }
@@ -202,9 +232,14 @@
     const std::string runId
             = absl::StrCat(absl::Hex(settings.seed), "-", absl::Hex(absl::GetCurrentTimeNanos()));
     std::vector<std::unique_ptr<ClassLoad>> loads;
+    std::size_t threads = 0;
     for (std::size_t index = 0; index < settings.classes.size(); ++index) {
         loads.push_back(std::make_unique<ClassLoad>(settings, index, runId, lookups));
-        loads.back()->start(report.phases);
+        threads += loads.back()->connections() + 1;
+    }
+    std::barrier<> ready(static_cast<std::ptrdiff_t>(threads));
+    for (const std::unique_ptr<ClassLoad> &load : loads) {
+        load->start(report.phases, ready);
     }
     for (const std::unique_ptr<ClassLoad> &load : loads) {
         load->finish(report.phases);
--- a/Source/Load/Results.cpp
+++ b/Source/Load/Results.cpp
@@ -80,8 +80,10 @@
     for (std::size_t index = 0; index < callOutcomes; ++index) {
         this->outcomes.at(index) += other.outcomes.at(index);
     }
+    this->answeredInPhase += other.answeredInPhase;
     this->attempts += other.attempts;
     this->notSent += other.notSent;
+    this->abandoned += other.abandoned;
     this->duplicates += other.duplicates;
     this->falseNotRun += other.falseNotRun;
     std::move(other.records.begin(), other.records.end(), std::back_inserter(this->records));
