Carry uploads over the cut link; check each granter's part of the cap

Uploads of 4000 bytes from 48 closed-loop callers would bring a granter about 120,000 bytes/s; its part of the cap is 15,625 bytes/s. Bytes received stay under the cap plus what a holder may save up, before, during and after the cut; no slot is overrun.

--- a/Tests/Deployment/DeploymentFixture.cpp
+++ b/Tests/Deployment/DeploymentFixture.cpp
@@ -283,9 +283,9 @@
 }
 
 Callers::Callers(const DeploymentFixture &deployment, std::size_t threads, bool keyed,
-                 std::vector<std::string> zones)
+                 std::vector<std::string> zones, std::size_t uploadBytes)
     : deployment(deployment), instance(++instances), keyed(keyed),
-      zones(zones.empty() ? deployment.zoneNames() : std::move(zones))
+      zones(zones.empty() ? deployment.zoneNames() : std::move(zones)), uploadBytes(uploadBytes)
 {
     for (std::size_t index = 0; index < threads; ++index) {
         this->threads.emplace_back([this, index] { this->run(index); });
@@ -319,6 +319,29 @@
     }
 }
 
+std::string Callers::service() const
+{
+    if (this->uploadBytes > 0) {
+        return "scrollcast";
+    }
+    return this->keyed ? "bellbook" : "slotview";
+}
+
+httplib::Result Callers::send(httplib::Client &client, const std::string &requestId,
+                              const std::string &key) const
+{
+    const httplib::Headers headers { { "Currantfall-Request", requestId },
+                                     { "Idempotency-Key", key } };
+    if (this->uploadBytes > 0) {
+        return client.Put("/scrollcast/recordings/" + requestId, headers,
+                          std::string(this->uploadBytes, 'x'), "application/octet-stream");
+    }
+    if (this->keyed) {
+        return client.Post("/bellbook/bookings", headers, "body of " + requestId, "text/plain");
+    }
+    return client.Get("/slotview/availability?id=" + requestId, headers);
+}
+
 CallRecord Callers::call(std::size_t index, std::uint64_t number, const std::string &zone)
 {
     CallRecord record;
@@ -326,7 +349,7 @@
                        + std::to_string(index) + "-" + std::to_string(number);
     record.keyed = this->keyed;
     record.outcome = "unreachable";
-    const json found = this->deployment.lookup(this->keyed ? "bellbook" : "slotview", zone);
+    const json found = this->deployment.lookup(this->service(), zone);
     const json entries = found.value("entries", json::array());
     if (entries.empty()) {
         return record;
@@ -338,13 +361,7 @@
         httplib::Client client(entry["address"].get<std::string>(), entry["port"].get<int>());
         client.set_read_timeout(callTimeoutSeconds);
         client.set_tcp_nodelay(true);
-        const httplib::Headers headers { { "Currantfall-Request", record.requestId },
-                                         { "Idempotency-Key", key } };
-        const std::string body = "body of " + record.requestId;
-        const auto response
-                = this->keyed
-                          ? client.Post("/bellbook/bookings", headers, body, "text/plain")
-                          : client.Get("/slotview/availability?id=" + record.requestId, headers);
+        const auto response = this->send(client, record.requestId, key);
         if (!response) {
             continue;
         }
--- a/Tests/Deployment/DeploymentFixture.h
+++ b/Tests/Deployment/DeploymentFixture.h
@@ -9,6 +9,7 @@
 #include <thread>
 #include <vector>
 
+#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include "AddressBlock.h"
@@ -110,9 +111,10 @@
 class Callers
 {
 public:
-    /// Clients in `zones`, by default in all.
+    /// Clients in `zones`, by default in all. With `uploadBytes` they send uploads of that size
+    /// instead of queries.
     Callers(const DeploymentFixture &deployment, std::size_t threads, bool keyed,
-            std::vector<std::string> zones = {});
+            std::vector<std::string> zones = {}, std::size_t uploadBytes = 0);
     ~Callers();
 
     std::size_t completed() const { return this->completedCalls; }
@@ -121,12 +123,16 @@
 
 private:
     void run(std::size_t index);
+    std::string service() const;
+    httplib::Result send(httplib::Client &client, const std::string &requestId,
+                         const std::string &key) const;
     CallRecord call(std::size_t index, std::uint64_t number, const std::string &zone);
 
     const DeploymentFixture &deployment;
     int instance;
     bool keyed;
     std::vector<std::string> zones;
+    std::size_t uploadBytes;
     std::atomic<bool> stopping { false };
     std::atomic<std::size_t> completedCalls { 0 };
     std::mutex mutex;
--- a/Tests/Deployment/PartitionTest.cpp
+++ b/Tests/Deployment/PartitionTest.cpp
@@ -243,18 +243,16 @@
 
 namespace {
 
-/// Sums what the granters of the VMs report for the service.
-json granted(DeploymentFixture &deployment, const std::vector<std::string> &granters,
-             const std::string &service)
+/// Credits that the VM has granted for the service.
+json granted(DeploymentFixture &deployment, const std::string &granter, const std::string &service)
 {
-    json sum = { { "outstanding", 0 }, { "in_progress", 0 }, { "bytes_received", 0 } };
-    for (const std::string &granter : granters) {
-        const json all = deployment.status(deployment.vm(granter))["credits"]["granted"];
-        for (auto &[field, value] : sum.items()) {
-            value = value.get<int>() + all.value(service, json::object()).value(field, 0);
-        }
-    }
-    return sum;
+    const json all = deployment.status(deployment.vm(granter))["credits"]["granted"];
+    return all.value(service, json::object());
+}
+
+double secondsSince(std::chrono::steady_clock::time_point start)
+{
+    return std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
 }
 
 } // namespace
@@ -263,7 +261,10 @@
 // the link is cut.
 TEST_CASE("A link between regions that is cut and healed under load stays under its cap")
 {
-    // 2 Mbit/s of 20: 250,000 bytes/s for all granters of a region.
+    // A tenth of 20 Mbit/s, split over the 4 services of the region's 4 VMs.
+    constexpr double capOfGranter = 15'625.0;
+    // What a holder may save up, and the time for which a grant is counted.
+    constexpr double graceSeconds = 2.25;
     DeploymentOptions options
             = slowServers("{interval_ms: 250, max_step: 1.0, reserve: 0.0, slow_start_ms: 500}");
     options.editDocument = [edit = options.editDocument](const std::string &text) {
@@ -272,22 +273,38 @@
                                   "capacity_mbit_per_s: 20, shift_cap: 0.1");
     };
     DeploymentFixture deployment(options);
-    Callers flood(deployment, floodThreads, false, floodZones);
-    // Callers start after this, so that the time in which bytes may flow is not underestimated.
+    const auto start = std::chrono::steady_clock::now();
+    Callers flood(deployment, floodThreads, false, floodZones, 4000);
     const auto cutRegions = [&](bool cut) {
-        for (const char *zone : { "lm-a", "lm-b" }) {
+        for (const std::string &zone : floodZones) {
             for (const char *other : { "ok-a", "ok-b" }) {
                 deployment.links().set(zone, other, { { "cut", cut } });
             }
         }
     };
-    const auto takenAt = [&] { return held(deployment, lowerMainland, okanagan, "taken"); };
-    waitUntil([&] { return takenAt() > 10; });
+    const auto requireUnderCap = [&] {
+        for (const std::string &vm : okanagan) {
+            const json credits = granted(deployment, vm, "scrollcast");
+            if (!credits.empty()) {
+                INFO(vm << " " << credits.dump() << " after " << secondsSince(start) << " s");
+                REQUIRE(credits["bytes_per_s"] == capOfGranter);
+                REQUIRE(credits["bytes_received"].get<double>()
+                        <= capOfGranter * (secondsSince(start) + graceSeconds));
+            }
+        }
+    };
+    const auto taken = [&] { return held(deployment, lowerMainland, okanagan, "taken"); };
+    const auto waitForTaken = [&](int wanted) {
+        while (taken() < wanted) {
+            requireUnderCap();
+        }
+    };
+    waitForTaken(10);
     cutRegions(true);
     waitUntil([&] { return held(deployment, lowerMainland, okanagan, "available") == 0; });
-    const int before = takenAt();
     cutRegions(false);
-    waitUntil([&] { return takenAt() > before + 10; });
+    waitForTaken(taken() + 20);
+    requireUnderCap();
     requireTrueOutcomes(deployment, flood.finish());
     CHECK(deployment.slotOverruns() == 0);
     CHECK(deployment.executionSummary()["totals"]["slot_overruns"] == 0);
@@ -305,10 +322,12 @@
     Callers flood(deployment, floodThreads, false, floodZones);
     int highest = 0;
     while (highest < 6) {
-        const int outstanding = granted(deployment, island, "slotview")["outstanding"].get<int>();
-        const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - start;
-        INFO(outstanding << " credits after " << elapsed.count() << " s");
-        REQUIRE(outstanding <= islandSlots * elapsed.count() / slowStartSeconds);
+        int outstanding = 0;
+        for (const std::string &vm : island) {
+            outstanding += granted(deployment, vm, "slotview").value("outstanding", 0);
+        }
+        INFO(outstanding << " credits after " << secondsSince(start) << " s");
+        REQUIRE(outstanding <= islandSlots * secondsSince(start) / slowStartSeconds);
         highest = std::max(highest, outstanding);
     }
     requireTrueOutcomes(deployment, flood.finish());
