--- a/Tests/Deployment/DeploymentFixture.cpp
+++ b/Tests/Deployment/DeploymentFixture.cpp
@@ -25,11 +25,6 @@
 // A caller asks the next VM if one is frozen.
 constexpr int lookupTimeoutSeconds = 1;
 constexpr std::size_t backendSlots = 144;
-constexpr std::uint64_t shortDeadlineEvery = 11;
-constexpr std::uint64_t shortDeadlineMs = 60;
-
-// Request ids of several groups of callers must differ.
-std::atomic<int> instances { 0 };
 
 std::string readFile(const std::string &path)
 {
@@ -170,17 +165,6 @@
     client.Post("/_faults", faults.dump(), "application/json");
 }
 
-std::unique_ptr<ProcessFixture> DeploymentFixture::startLoad(const std::vector<std::string> &vms,
-                                                             std::vector<std::string> arguments)
-{
-    for (const std::string &name : vms) {
-        const std::string address = this->vm(name).address + ":" + std::to_string(portBase);
-        arguments.insert(arguments.end(), { "--lookup", address });
-    }
-    arguments.insert(arguments.end(), { "--json", "--verify", this->addressOf(1, 1, 1) + ":9000" });
-    return std::make_unique<ProcessFixture>(CURRANTFALL_LOAD_PATH, arguments);
-}
-
 void DeploymentFixture::setBackendBehaviour(const json &behaviour, const std::string &part) const
 {
     for (const auto &[name, address] : this->backendAddresses) {
@@ -330,93 +314,4 @@
     return std::make_unique<ProcessFixture>(STANDIN_BACKEND_PATH, arguments);
 }
 
-Callers::Callers(const DeploymentFixture &deployment, std::size_t threads, bool keyed,
-                 std::vector<std::string> zones, bool shortDeadlines)
-    : deployment(deployment), keyed(keyed),
-      idPrefix((keyed ? "booking-" : "query-") + std::to_string(++instances) + "-"),
-      zones(zones.empty() ? deployment.zoneNames() : std::move(zones)),
-      shortDeadlines(shortDeadlines)
-{
-    for (std::size_t index = 0; index < threads; ++index) {
-        this->threads.emplace_back([this, index] { this->run(index); });
-    }
-}
-
-Callers::~Callers()
-{
-    this->finish();
-}
-
-std::vector<CallRecord> Callers::finish()
-{
-    this->stopping = true;
-    for (std::thread &thread : this->threads) {
-        thread.join();
-    }
-    this->threads.clear();
-    const std::lock_guard lock(this->mutex);
-    return this->records;
-}
-
-void Callers::run(std::size_t index)
-{
-    for (std::uint64_t number = 0; !this->stopping; ++number) {
-        const std::string &zone = this->zones[(index + number) % this->zones.size()];
-        CallRecord record = this->call(index, number, zone);
-        const std::lock_guard lock(this->mutex);
-        this->records.push_back(std::move(record));
-        ++this->completedCalls;
-    }
-}
-
-CallRecord Callers::call(std::size_t index, std::uint64_t number, const std::string &zone)
-{
-    CallRecord record;
-    record.requestId = this->idPrefix + std::to_string(index) + "-" + std::to_string(number);
-    record.zone = zone;
-    record.keyed = this->keyed;
-    record.outcome = "unreachable";
-    const json found = this->deployment.lookup(this->keyed ? "bellbook" : "slotview", zone);
-    const json entries = found.value("entries", json::array());
-    if (entries.empty()) {
-        return record;
-    }
-    // A repeat goes to another entry VM with the same key.
-    const std::string key
-            = entries.front().value("key_prefix", std::string()) + "." + record.requestId;
-    for (const json &entry : entries) {
-        httplib::Client client(entry["address"].get<std::string>(), entry["port"].get<int>());
-        client.set_read_timeout(callTimeoutSeconds);
-        client.set_tcp_nodelay(true);
-        httplib::Headers headers { { "Currantfall-Request", record.requestId },
-                                   { "Idempotency-Key", key } };
-        if (this->shortDeadlines && number % shortDeadlineEvery == 0) {
-            headers.emplace("Currantfall-Deadline-Ms", std::to_string(number % shortDeadlineMs));
-        }
-        const std::string sent = "body of " + record.requestId;
-        const auto response
-                = this->keyed
-                          ? client.Post("/bellbook/bookings", headers, sent, "text/plain")
-                          : client.Get("/slotview/availability?id=" + record.requestId, headers);
-        if (!response) {
-            record.repeated = true;
-            continue;
-        }
-        record.outcome = response->get_header_value("Currantfall-Outcome");
-        record.status = response->status;
-        if (record.outcome != "answered") {
-            record.detail = entry["vm"].get<std::string>() + ": " + response->body;
-        }
-        const json body = json::parse(response->body, nullptr, false);
-        const json fields = body.is_object() ? body : json::object();
-        record.reason = fields.value("reason", std::string());
-        // The backend server's own error answers don't name the request.
-        const bool failed = record.status != 200 && fields.contains("finished");
-        record.wrong = record.outcome == "answered" && !failed
-                       && fields.value("request", std::string()) != record.requestId;
-        return record;
-    }
-    return record;
-}
-
 } // namespace Currantfall::Tests
--- a/Tests/Deployment/DeploymentFixture.h
+++ b/Tests/Deployment/DeploymentFixture.h
@@ -1,15 +1,13 @@
 #pragma once
 
-#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
-#include <mutex>
 #include <string>
-#include <thread>
 #include <vector>
 
+#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include "AddressBlock.h"
@@ -66,9 +64,6 @@
     /// Changes the behaviour of the backend servers whose name contains `part`.
     void setBackendBehaviour(const nlohmann::json &behaviour, const std::string &part = {}) const;
     ProcessFixture &separateBackends() { return *this->separateProcess; }
-    /// VMs on which currantfall-load looks up; its callers are in zone lm-a.
-    std::unique_ptr<ProcessFixture> startLoad(const std::vector<std::string> &vms,
-                                              std::vector<std::string> arguments);
 
     nlohmann::json status(const EntryVm &vm) const;
     nlohmann::json lookup(const std::string &service, const std::string &zone) const;
@@ -109,49 +104,4 @@
     std::unique_ptr<ProcessFixture> separateProcess;
 };
 
-/// What became of one logical request.
-struct CallRecord
-{
-    std::string requestId;
-    std::string zone;    ///< Of the caller.
-    std::string detail;  ///< What the entry VM said if it did not answer.
-    std::string outcome; ///< "answered", "not-run", "outcome-unknown" or "unreachable".
-    int status = 0;
-    bool wrong = false; ///< The answer is not the one to this request.
-    bool keyed = false;
-    bool repeated = false; ///< Sent more than once, after a lost connection.
-    std::string reason;    ///< Of a refusal.
-};
-
-/// Callers in closed loops. Each looks up, sends to the first entry, and repeats a keyed request
-/// with the same key at the next entry after a lost connection.
-class Callers
-{
-public:
-    /// Clients in `zones`, by default in all. With `shortDeadlines` some requests have a deadline
-    /// that they meet only sometimes.
-    Callers(const DeploymentFixture &deployment, std::size_t threads, bool keyed,
-            std::vector<std::string> zones = {}, bool shortDeadlines = false);
-    ~Callers();
-
-    std::size_t completed() const { return this->completedCalls; }
-    /// Ends the loops and returns all records.
-    std::vector<CallRecord> finish();
-
-private:
-    void run(std::size_t index);
-    CallRecord call(std::size_t index, std::uint64_t number, const std::string &zone);
-
-    const DeploymentFixture &deployment;
-    bool keyed;
-    std::string idPrefix; // Differs between the instances of a test program.
-    std::vector<std::string> zones;
-    bool shortDeadlines;
-    std::atomic<bool> stopping { false };
-    std::atomic<std::size_t> completedCalls { 0 };
-    std::mutex mutex;
-    std::vector<CallRecord> records;
-    std::vector<std::thread> threads;
-};
-
 } // namespace Currantfall::Tests
--- a/Tests/Deployment/OutcomeTest.cpp
+++ b/Tests/Deployment/OutcomeTest.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 #include <httplib.h>
 
+#include "Callers.h"
 #include "DeploymentFixture.h"
 
 using namespace Currantfall::Tests;
--- a/Tests/Deployment/Outcomes.cpp
+++ b/Tests/Deployment/Outcomes.cpp
@@ -26,7 +26,7 @@
     CHECK_FALSE(records.empty());
     for (const CallRecord &record : records) {
         if (record.outcome != "answered") {
-            INFO(record.requestId << " in " << record.zone << ": " << record.detail);
+            INFO(record.requestId << " in " << record.zone << ": " << record.refusal);
             CHECK(record.outcome == "answered");
         }
     }
@@ -42,7 +42,8 @@
     }
     const json executions = deployment.executions(ids);
     for (const CallRecord &record : records) {
-        INFO(record.requestId << " " << record.outcome);
+        INFO(record.requestId << " " << record.outcome << " " << record.status << " "
+                              << record.refusal);
         const json &counts = executions.at(record.requestId);
         const int ran = counts.at("ran").get<int>();
         CHECK_FALSE(record.wrong);
--- a/Tests/Deployment/Outcomes.h
+++ b/Tests/Deployment/Outcomes.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "DeploymentFixture.h"
+#include "Callers.h"
 
 namespace Currantfall::Tests {
 
--- a/Tests/Deployment/PartitionTest.cpp
+++ b/Tests/Deployment/PartitionTest.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+#include <chrono>
 #include <fstream>
 #include <regex>
 #include <sstream>
@@ -125,3 +127,200 @@
     CHECK(countOutcomes(queryRecords)["wrong"] == 0);
     CHECK(watch.finish() == 0);
 }
+
+namespace {
+
+const std::vector<std::string> lowerMainland { "entry-1", "entry-2", "entry-3", "entry-4" };
+const std::vector<std::string> okanagan { "entry-5", "entry-6", "entry-7", "entry-8" };
+const std::vector<std::string> island { "entry-9", "entry-10" };
+
+/// One slot of 100 ms; the 12 slots of a region's service take 120 requests/s.
+DeploymentOptions slowServers(const std::string &shift)
+{
+    DeploymentOptions options = withLinks();
+    options.backendArguments = { "--service-time-ms", "100" };
+    options.editDocument = [shift](const std::string &text) {
+        return std::regex_replace(text, std::regex("shift: .*"), "shift: " + shift);
+    };
+    return options;
+}
+
+/// Callers that want more than the 12 slots of their region.
+constexpr std::size_t floodThreads = 48;
+const std::vector<std::string> floodZones { "lm-a", "lm-b" };
+
+/// A field of the credits that these VMs hold, summed, for the granting VMs.
+int held(DeploymentFixture &deployment, const std::vector<std::string> &holders,
+         const std::vector<std::string> &granters, const std::string &field)
+{
+    int sum = 0;
+    for (const std::string &holder : holders) {
+        const json status = deployment.status(deployment.vm(holder));
+        for (const json &credit : status["credits"]["held"]) {
+            const bool chosen
+                    = std::find(granters.begin(), granters.end(), credit["vm"].get<std::string>())
+                      != granters.end();
+            sum += chosen ? credit[field].get<int>() : 0;
+        }
+    }
+    return sum;
+}
+
+int refusals(DeploymentFixture &deployment, const std::vector<std::string> &granters)
+{
+    int sum = 0;
+    for (const std::string &granter : granters) {
+        sum += deployment.status(deployment.vm(granter))["credits"]["refused"].get<int>();
+    }
+    return sum;
+}
+
+} // namespace
+
+// Guards against traffic that is sent to a lost region, and against callers elsewhere that notice.
+TEST_CASE("A lost region gets no shift after its credits have lapsed")
+{
+    DeploymentFixture deployment(
+            slowServers("{interval_ms: 250, max_step: 1.0, reserve: 0.0, slow_start_ms: 500}"));
+    Callers flood(deployment, floodThreads, false, floodZones);
+    waitUntil([&] { return held(deployment, lowerMainland, okanagan, "taken") > 0; });
+    Callers elsewhere(deployment, callerThreads, true, { "is-a", "is-b" });
+    for (const std::string &vm : okanagan) {
+        deployment.vm(vm).process->pause();
+    }
+    waitUntil([&] { return held(deployment, lowerMainland, okanagan, "available") == 0; });
+    const int taken = held(deployment, lowerMainland, okanagan, "taken");
+    const int takenElsewhere = held(deployment, lowerMainland, island, "taken");
+    waitForState(deployment, "entry-1", "entry-5", "suspect");
+    waitUntil(
+            [&] { return held(deployment, lowerMainland, island, "taken") > takenElsewhere + 10; });
+    CHECK(held(deployment, lowerMainland, okanagan, "taken") == taken);
+    waitForCalls(elsewhere, calls);
+    const auto records = elsewhere.finish();
+    requireAllAnswered(records);
+    requireTrueOutcomes(deployment, records);
+    requireTrueOutcomes(deployment, flood.finish());
+    for (const std::string &vm : okanagan) {
+        deployment.vm(vm).process->resume();
+    }
+}
+
+// Guards against credits that outlive their holder's pause.
+TEST_CASE("A paused holder of credits uses none of them when it wakes")
+{
+    DeploymentFixture deployment(
+            slowServers("{interval_ms: 250, max_step: 1.0, reserve: 0.0, slow_start_ms: 500}"));
+    Callers flood(deployment, floodThreads, false, floodZones);
+    std::vector<std::string> granters = okanagan;
+    granters.insert(granters.end(), island.begin(), island.end());
+    // Which VM of the zone gets the callers depends on the ownership of the backend servers.
+    std::vector<std::string> zone { "entry-1", "entry-2" };
+    waitUntil([&] {
+        std::swap(zone.front(), zone.back());
+        return held(deployment, { zone.front() }, granters, "taken") > 0;
+    });
+    const std::string holder = zone.front();
+    const std::string neighbour = zone.back();
+    deployment.vm(holder).process->pause();
+    waitForState(deployment, neighbour, holder, "suspect");
+    const int before = refusals(deployment, granters);
+    deployment.vm(holder).process->resume();
+    waitForState(deployment, neighbour, holder, "live");
+    const int taken = held(deployment, { holder }, granters, "taken");
+    waitUntil([&] { return held(deployment, { holder }, granters, "taken") > taken; });
+    CHECK(refusals(deployment, granters) == before);
+    requireTrueOutcomes(deployment, flood.finish());
+}
+
+namespace {
+
+/// Credits that the VM has granted for the service.
+json granted(DeploymentFixture &deployment, const std::string &granter, const std::string &service)
+{
+    const json all = deployment.status(deployment.vm(granter))["credits"]["granted"];
+    return all.value(service, json::object());
+}
+
+double secondsSince(std::chrono::steady_clock::time_point start)
+{
+    return std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
+}
+
+} // namespace
+
+// Guards against a region that is overrun by shifted work, and a link above its cap, while and
+// after the link is cut.
+TEST_CASE("A link between regions that is cut and healed under load stays under its cap")
+{
+    // A tenth of 20 Mbit/s, split over the 4 services of the region's 4 VMs.
+    constexpr double capOfGranter = 15'625.0;
+    // What a holder may save up, and the time for which a grant is counted.
+    constexpr double graceSeconds = 2.25;
+    DeploymentOptions options
+            = slowServers("{interval_ms: 250, max_step: 1.0, reserve: 0.0, slow_start_ms: 500}");
+    options.editDocument = [edit = options.editDocument](const std::string &text) {
+        return std::regex_replace(edit(text),
+                                  std::regex("capacity_mbit_per_s: 4000, shift_cap: 0.5"),
+                                  "capacity_mbit_per_s: 20, shift_cap: 0.1");
+    };
+    DeploymentFixture deployment(options);
+    const auto start = std::chrono::steady_clock::now();
+    Callers flood(deployment, floodThreads, false, floodZones, { .uploadBytes = 4000 });
+    const auto cutRegions = [&](bool cut) {
+        for (const std::string &zone : floodZones) {
+            for (const char *other : { "ok-a", "ok-b" }) {
+                deployment.links().set(zone, other, { { "cut", cut } });
+            }
+        }
+    };
+    const auto requireUnderCap = [&] {
+        for (const std::string &vm : okanagan) {
+            const json credits = granted(deployment, vm, "scrollcast");
+            if (!credits.empty()) {
+                INFO(vm << " " << credits.dump() << " after " << secondsSince(start) << " s");
+                REQUIRE(credits["bytes_per_s"] == capOfGranter);
+                REQUIRE(credits["bytes_received"].get<double>()
+                        <= capOfGranter * (secondsSince(start) + graceSeconds));
+            }
+        }
+    };
+    const auto taken = [&] { return held(deployment, lowerMainland, okanagan, "taken"); };
+    const auto waitForTaken = [&](int wanted) {
+        while (taken() < wanted) {
+            requireUnderCap();
+        }
+    };
+    waitForTaken(10);
+    cutRegions(true);
+    waitUntil([&] { return held(deployment, lowerMainland, okanagan, "available") == 0; });
+    cutRegions(false);
+    waitForTaken(taken() + 20);
+    requireUnderCap();
+    requireTrueOutcomes(deployment, flood.finish());
+    CHECK(deployment.slotOverruns() == 0);
+    CHECK(deployment.executionSummary()["totals"]["slot_overruns"] == 0);
+}
+
+// Guards against a region whose cold backend servers get the whole shift at once.
+TEST_CASE("Cold backend servers of another region get a slow start")
+{
+    constexpr double slowStartSeconds = 4.0;
+    constexpr double islandSlots = 12.0;
+    DeploymentFixture deployment(
+            slowServers("{interval_ms: 250, max_step: 1.0, reserve: 0.0, slow_start_ms: 4000}"));
+    deployment.setBackendBehaviour({ { "cold_start_ms", 4000 }, { "cold_factor", 5 } });
+    const auto start = std::chrono::steady_clock::now();
+    Callers flood(deployment, floodThreads, false, floodZones);
+    int highest = 0;
+    while (highest < 6) {
+        int outstanding = 0;
+        for (const std::string &vm : island) {
+            outstanding += granted(deployment, vm, "slotview").value("outstanding", 0);
+        }
+        INFO(outstanding << " credits after " << secondsSince(start) << " s");
+        REQUIRE(outstanding <= islandSlots * secondsSince(start) / slowStartSeconds);
+        highest = std::max(highest, outstanding);
+    }
+    requireTrueOutcomes(deployment, flood.finish());
+    CHECK(deployment.slotOverruns() == 0);
+}
--- a/Tests/Deployment/RandomizedRun.cpp
+++ b/Tests/Deployment/RandomizedRun.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "Callers.h"
 #include "FaultDriver.h"
 
 using namespace Currantfall::Tests;
@@ -122,8 +123,8 @@
     DeploymentFixture deployment;
     deployment.setBackendBehaviour(settings.behaviour);
     FaultDriver driver(deployment);
-    Callers bookings(deployment, settings.threads, true, {}, true);
-    Callers queries(deployment, settings.threads, false, {}, true);
+    Callers bookings(deployment, settings.threads, true, {}, { .shortDeadlines = true });
+    Callers queries(deployment, settings.threads, false, {}, { .shortDeadlines = true });
     driver.run(faults);
     const auto bookingRecords = bookings.finish();
     const auto queryRecords = queries.finish();
