--- a/Tests/Deployment/OutcomeTest.cpp
+++ b/Tests/Deployment/OutcomeTest.cpp
@@ -57,6 +57,7 @@
     waitUntil([&] { return queries.completed() >= calls; });
     const auto records = queries.finish();
     std::vector<std::string> ids;
+    ids.reserve(records.size());
     for (const CallRecord &record : records) {
         ids.push_back(record.requestId);
     }
@@ -91,6 +92,7 @@
     EntryVm &deputy = deployment.vm(vmInPrefix(prefix, 3));
     deputy.process->pause();
     std::vector<std::thread> callers;
+    callers.reserve(keys);
     for (int number = 0; number < keys; ++number) {
         callers.emplace_back([&entry, key = prefix + ".late-" + std::to_string(number)] {
             httplib::Client client(entry.at("address").get<std::string>(),
