Check that only idempotent requests are repeated after they may have run

Change: the dispatcher checks it before each attempt. The randomised run can leave out kinds of faults (CURRANTFALL_RUN_KINDS) and counts refusals by reason.

--- a/Source/Daemon/Dispatcher.cpp
+++ b/Source/Daemon/Dispatcher.cpp
@@ -16,6 +16,7 @@
 using Placement::RouteTarget;
 using Placement::TargetKind;
 
+constexpr const char *partName = "dispatcher";
 constexpr std::size_t maxOpenAttempts = 100'000;
 // VMs asked for one request, the first included.
 constexpr std::size_t maxTargets = 4;
@@ -192,6 +193,10 @@
 
 bool Dispatcher::tryTarget(FlightId id, const RouteTarget &target)
 {
+    const Flight &flight = this->flights.at(id);
+    Common::requireInvariant(!flight.mayHaveRun || flight.request->idempotent, partName,
+                             "only an idempotent request is repeated after it may have run",
+                             [&] { return describe(flight, {}); });
     if (target.kind == TargetKind::Self) {
         this->runHere(id);
         return true;
@@ -333,7 +338,7 @@
         return;
     }
     Common::requireInvariant(answer.outcome != Outcome::NotRun || !found->second.mayHaveRun,
-                             "dispatcher", "not-run is never said of a request that may have run",
+                             partName, "not-run is never said of a request that may have run",
                              [&] { return describe(found->second, answer); });
     const AnswerHandler done = std::move(found->second.done);
     this->context.timers.unsubscribe(found->second.timer);
--- a/Tests/Deployment/RandomizedRun.cpp
+++ b/Tests/Deployment/RandomizedRun.cpp
@@ -23,12 +23,14 @@
     milliseconds meanGap { 0 };
     std::size_t threads = 0; ///< Callers of each kind.
     json behaviour = json::object();
+    std::string kinds; ///< Names of the faults that come about, with commas; empty for all.
 };
 
 /// What became of the requests of a run, compared with what the backend servers did.
 struct Verdict
 {
     std::map<std::string, std::size_t> outcomes;
+    std::map<std::string, std::size_t> reasons; ///< Of refusals and unknown outcomes.
     std::vector<std::string> violations;
 };
 
@@ -43,6 +45,9 @@
                                      + std::to_string(ran));
     };
     ++verdict.outcomes[record.outcome];
+    if (record.outcome != "answered") {
+        ++verdict.reasons[record.outcome + " " + record.reason];
+    }
     if (record.wrong) {
         wrong("wrong or partial answer");
     }
@@ -110,10 +115,21 @@
     CHECK(deployment.slotOverruns() == 0);
 }
 
+/// The schedule; with `kinds` the others are left out and the rest keeps its times.
+std::vector<Fault> faultsOf(const RunSettings &settings)
+{
+    std::vector<Fault> faults = faultSchedule(settings.seed, settings.length, settings.meanGap);
+    std::erase_if(faults, [&settings](const Fault &fault) {
+        return !settings.kinds.empty()
+               && ("," + settings.kinds + ",").find("," + toString(fault.kind) + ",")
+                          == std::string::npos;
+    });
+    return faults;
+}
+
 void runWithFaults(const RunSettings &settings)
 {
-    const std::vector<Fault> faults
-            = faultSchedule(settings.seed, settings.length, settings.meanGap);
+    const std::vector<Fault> faults = faultsOf(settings);
     std::cout << "seed " << settings.seed << ", " << faults.size() << " faults" << std::endl;
     for (const Fault &fault : faults) {
         std::cout << fault.toJson().dump() << "\n";
@@ -134,8 +150,10 @@
                          { "seconds", settings.length.count() / 1000 },
                          { "keyed", bookingRecords.size() },
                          { "keyed_outcomes", booked.outcomes },
+                         { "keyed_reasons", booked.reasons },
                          { "idempotent", queryRecords.size() },
                          { "idempotent_outcomes", queried.outcomes },
+                         { "idempotent_reasons", queried.reasons },
                          { "faults", driver.counts() },
                          { "violations", booked.violations.size() + queried.violations.size()
                                                  + driver.violations().size() } };
@@ -157,11 +175,11 @@
 // Guards against faults of the coordination between VMs that only a combination of failures shows.
 TEST_CASE("Random faults cause no double execution, no false not-run and no wrong answer")
 {
-    runWithFaults({ 20261204, milliseconds(6000), milliseconds(250), 4, json::object() });
+    runWithFaults({ 20261204, milliseconds(6000), milliseconds(250), 4, json::object(), {} });
 }
 
-// The long run: seed, length in seconds, mean gap between faults, callers of each kind and service
-// time of the backend servers come from environment variables.
+// The long run: seed, length in seconds, mean gap between faults, callers of each kind, service
+// time of the backend servers and the kinds of faults come from environment variables.
 TEST_CASE("Long run with random faults", "[.long]")
 {
     constexpr std::uint64_t millisecondsPerSecond = 1000;
@@ -171,5 +189,7 @@
     settings.meanGap = milliseconds(variable("CURRANTFALL_RUN_GAP_MS", 500));
     settings.threads = variable("CURRANTFALL_RUN_CALLERS", 12);
     settings.behaviour = { { "service_time_ms", variable("CURRANTFALL_RUN_SERVICE_MS", 10) } };
+    const char *const kinds = std::getenv("CURRANTFALL_RUN_KINDS");
+    settings.kinds = kinds == nullptr ? "" : kinds;
     runWithFaults(settings);
 }
