Randomised run: tell refusals of short deadlines apart

Cause: refusals of requests with a deadline below 60 ms hid those of usual requests. Change: reasons in the summary carry a mark for short deadlines.

--- a/Tests/Deployment/DeploymentFixture.cpp
+++ b/Tests/Deployment/DeploymentFixture.cpp
@@ -299,6 +299,7 @@
         httplib::Headers headers { { "Currantfall-Request", record.requestId },
                                    { "Idempotency-Key", key } };
         if (this->shortDeadlines && number % shortDeadlineEvery == 0) {
+            record.shortDeadline = true;
             headers.emplace("Currantfall-Deadline-Ms", std::to_string(number % shortDeadlineMs));
         }
         const std::string sent = "body of " + record.requestId;
--- a/Tests/Deployment/DeploymentFixture.h
+++ b/Tests/Deployment/DeploymentFixture.h
@@ -84,7 +84,8 @@
     bool wrong = false; ///< The answer is not the one to this request.
     bool keyed = false;
     bool repeated = false; ///< Sent more than once, after a lost connection.
-    std::string reason;    ///< Of a refusal.
+    bool shortDeadline = false;
+    std::string reason; ///< Of a refusal.
 };
 
 /// Callers in closed loops. Each looks up, sends to the first entry, and repeats a keyed request
--- a/Tests/Deployment/RandomizedRun.cpp
+++ b/Tests/Deployment/RandomizedRun.cpp
@@ -46,7 +46,8 @@
     };
     ++verdict.outcomes[record.outcome];
     if (record.outcome != "answered") {
-        ++verdict.reasons[record.outcome + " " + record.reason];
+        ++verdict.reasons[record.outcome + " " + record.reason
+                          + (record.shortDeadline ? " (short deadline)" : "")];
     }
     if (record.wrong) {
         wrong("wrong or partial answer");
