--- a/Tests/Deployment/Callers.cpp
+++ b/Tests/Deployment/Callers.cpp
@@ -67,6 +67,11 @@
     }
 }
 
+bool Callers::hasShortDeadline(std::uint64_t number) const
+{
+    return this->options.shortDeadlines && number % shortDeadlineEvery == 0;
+}
+
 std::string Callers::service() const
 {
     if (this->options.uploadBytes > 0) {
@@ -79,7 +84,7 @@
                               const std::string &key, std::uint64_t number) const
 {
     httplib::Headers headers { { "Currantfall-Request", requestId }, { "Idempotency-Key", key } };
-    if (this->options.shortDeadlines && number % shortDeadlineEvery == 0) {
+    if (this->hasShortDeadline(number)) {
         headers.emplace("Currantfall-Deadline-Ms", std::to_string(number % shortDeadlineMs));
     }
     if (this->options.uploadBytes > 0) {
@@ -98,6 +103,7 @@
     record.requestId = this->idPrefix + std::to_string(index) + "-" + std::to_string(number);
     record.zone = zone;
     record.keyed = this->keyed;
+    record.shortDeadline = this->hasShortDeadline(number);
     record.outcome = "unreachable";
     const json found = this->deployment.lookup(this->service(), zone);
     const json entries = found.value("entries", json::array());
--- a/Tests/Deployment/Callers.h
+++ b/Tests/Deployment/Callers.h
@@ -25,6 +25,7 @@
     std::string refusal; ///< VM and body of an answer that is not "answered" or not 200.
     bool wrong = false;  ///< The answer is not the one to this request.
     bool keyed = false;
+    bool shortDeadline = false;
     bool repeated = false; ///< Sent more than once, after a lost connection.
 };
 
@@ -56,6 +57,7 @@
     httplib::Result send(httplib::Client &client, const std::string &requestId,
                          const std::string &key, std::uint64_t number) const;
     std::string service() const;
+    bool hasShortDeadline(std::uint64_t number) const;
 
     const DeploymentFixture &deployment;
     bool keyed;
