Route a request once per try; move requests off failed servers

Cause 1: a retry computed its targets twice, and each time noted demand for credits. Requests that were not repeated in the end noted demand as well, and a parked request noted it every 50 ms, five times in the interval for which demand is counted. Change: routing has no side effect. Demand is noted when a try starts, and for a parked request once per interval.

Cause 2: requests queued at a VM stayed there while the breakers of all its servers were open, and started shortly before their deadline, so that the backend server answered "expired". Change: the queue is emptied with no-capacity as soon as no server is usable, as it already was when the servers moved; the entry VMs route these requests to other owners.

The double demand was not observable at process level without depending on time, so that no test covers it. The retry-storm test now fails on an "expired" answer.

--- a/Source/Daemon/CreditFlow.cpp
+++ b/Source/Daemon/CreditFlow.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr absl::Duration tickInterval = absl::Milliseconds(250);
 constexpr double bitsPerByte = 8.0;
 constexpr double bitsPerMegabit = 1e6;
 // Granters asked for one service at a time. Asking every owner of every region would cost messages
@@ -19,7 +18,7 @@
                        const OwnerScheduler &scheduler)
     : context(context), cluster(cluster), scheduler(scheduler)
 {
-    this->context.timers.subscribeEvery(this->context.now, tickInterval,
+    this->context.timers.subscribeEvery(this->context.now, demandInterval,
                                         [this](Common::Instant) { this->tick(); });
 }
 
@@ -142,7 +141,7 @@
 
 void CreditFlow::askForCredits(const Common::ServiceName &service, const Demand &demand)
 {
-    const double perSecond = absl::FDivDuration(absl::Seconds(1), tickInterval);
+    const double perSecond = absl::FDivDuration(absl::Seconds(1), demandInterval);
     std::size_t asked = 0;
     for (const auto &candidate : this->context.members->members()) {
         if (asked == grantersAsked) {
--- a/Source/Daemon/CreditFlow.h
+++ b/Source/Daemon/CreditFlow.h
@@ -21,6 +21,9 @@
 class CreditFlow
 {
 public:
+    /// Demand counts the requests noted in this interval; credits are asked for at its end.
+    static constexpr absl::Duration demandInterval = absl::Milliseconds(250);
+
     CreditFlow(SteeringContext &context, ClusterFlow &cluster, const OwnerScheduler &scheduler);
 
     void onConfigurationChanged();
--- a/Source/Daemon/Dispatcher.cpp
+++ b/Source/Daemon/Dispatcher.cpp
@@ -61,9 +61,11 @@
             request->deadline + replyGrace, [this, id](Common::Instant) { this->onTimeout(id); });
     this->budgets[request->service].onFirstAttempt();
     flight.request = std::move(request);
+    const Targets targets = this->route(flight);
     this->flights.emplace(id, std::move(flight));
-    this->tryNext(id, Common::notRun(Reason::NoCapacity, "no owner of the service is reachable",
-                                     absl::Seconds(1)));
+    this->tryTargets(id, targets,
+                     Common::notRun(Reason::NoCapacity, "no owner of the service is reachable",
+                                    absl::Seconds(1)));
 }
 
 void Dispatcher::onForwardRequest(const Common::VmName &from, SharedRequest request,
@@ -127,13 +129,10 @@
     }
 }
 
-void Dispatcher::tryNext(FlightId id, Common::Answer lastAnswer)
+void Dispatcher::tryTargets(FlightId id, const Targets &targets, Common::Answer lastAnswer)
 {
-    const auto found = this->flights.find(id);
-    if (found == this->flights.end()) {
-        return;
-    }
-    for (const RouteTarget &target : this->targetsFor(found->second)) {
+    this->noteDemand(this->flights.at(id), targets);
+    for (const RouteTarget &target : targets) {
         if (this->tryTarget(id, target)) {
             return;
         }
@@ -165,12 +164,12 @@
                                            }
                                            found->second.targets = 0;
                                            found->second.triedVms.clear();
-                                           this->tryNext(id, answer);
+                                           this->tryTargets(id, this->route(found->second), answer);
                                        });
     return true;
 }
 
-std::vector<RouteTarget> Dispatcher::targetsFor(const Flight &flight)
+Dispatcher::Targets Dispatcher::route(const Flight &flight)
 {
     if (this->context.environment == nullptr || flight.targets >= maxTargets) {
         return {};
@@ -183,9 +182,17 @@
     query.random = this->context.random();
     const auto &members
             = this->cluster.placementMembers(this->scheduler.loadOf(flight.request->service));
-    auto targets = Placement::RequestRouter::route(*this->context.environment, members, query);
+    return Placement::RequestRouter::route(*this->context.environment, members, query);
+}
+
+void Dispatcher::noteDemand(Flight &flight, const Targets &targets)
+{
+    const bool waiting = flight.parkedUntil != Common::Instant();
+    if (waiting && this->context.now - flight.demandNoted < CreditFlow::demandInterval) {
+        return;
+    }
+    flight.demandNoted = this->context.now;
     this->credits.onRouted(*flight.request, targets);
-    return targets;
 }
 
 bool Dispatcher::tryTarget(FlightId id, const RouteTarget &target)
@@ -269,19 +276,17 @@
     if (!otherServerHere) {
         flight.triedVms.push_back(vm);
     }
-    if (!this->mayTryAgain(flight, answer)) {
+    const Targets targets = this->route(flight);
+    if (!isRoutingCorrection(answer) && !this->takeRetry(flight, targets, answer)) {
         this->finish(id, std::move(answer));
         return;
     }
-    this->tryNext(id, std::move(answer));
+    this->tryTargets(id, targets, std::move(answer));
 }
 
-bool Dispatcher::mayTryAgain(const Flight &flight, const Common::Answer &answer)
+bool Dispatcher::takeRetry(const Flight &flight, const Targets &targets,
+                           const Common::Answer &answer)
 {
-    if (isRoutingCorrection(answer)) {
-        return true;
-    }
-    const auto targets = this->targetsFor(flight);
     Execution::RetryQuestion question;
     question.idempotent = flight.request->idempotent;
     question.keyed = !flight.request->key.empty();
--- a/Source/Daemon/Dispatcher.h
+++ b/Source/Daemon/Dispatcher.h
@@ -55,6 +55,7 @@
         Credits::CreditId credit = 0;
         Common::TimerService::SubscriptionId timer = 0;
         Common::Instant parkedUntil; // Set when the request is parked for the first time.
+        Common::Instant demandNoted;
         // Answer of an attempt that may have run; a later not-run does not hold for the request.
         std::optional<Common::Answer> unknown;
     };
@@ -64,15 +65,20 @@
         OwnerScheduler::Ticket ticket = 0;
     };
 
-    void tryNext(FlightId id, Common::Answer lastAnswer);
-    std::vector<Placement::RouteTarget> targetsFor(const Flight &flight);
+    using Targets = std::vector<Placement::RouteTarget>;
+
+    /// Sends the request to the first target that takes it, else parks or finishes it.
+    void tryTargets(FlightId id, const Targets &targets, Common::Answer lastAnswer);
+    Targets route(const Flight &flight);
+    void noteDemand(Flight &flight, const Targets &targets);
     bool tryTarget(FlightId id, const Placement::RouteTarget &target);
     void runHere(FlightId id);
     bool forward(FlightId id, const Placement::RouteTarget &target);
     void onResult(FlightId id, const Common::VmName &vm, const Common::BackendServerName &server,
                   Common::Answer answer);
     bool park(FlightId id, const Common::Answer &answer);
-    bool mayTryAgain(const Flight &flight, const Common::Answer &answer);
+    /// Takes a retry from the budget if one is allowed.
+    bool takeRetry(const Flight &flight, const Targets &targets, const Common::Answer &answer);
     void onTimeout(FlightId id);
     void endAttempt(Flight &flight);
     void finish(FlightId id, Common::Answer answer);
--- a/Source/Daemon/OwnerScheduler.cpp
+++ b/Source/Daemon/OwnerScheduler.cpp
@@ -211,6 +211,7 @@
         services.push_back(service);
     }
     for (const Common::ServiceName &service : services) {
+        this->refuseStranded(service, this->queues.at(service));
         this->startReady(service);
     }
 }
@@ -286,10 +287,11 @@
 
 void OwnerScheduler::refuseStranded(const Common::ServiceName &service, ServiceQueue &queue)
 {
-    if (!queue.servers.empty() || queue.queue->queued() == 0) {
+    if (this->usableSlots(queue) > 0 || queue.queue->queued() == 0) {
         return;
     }
-    // Another VM owns the servers now; the VMs that took the calls route their requests there.
+    // Another VM owns the servers now, or none of them accepts work. The VMs that took the calls
+    // route their requests to other owners.
     std::vector<Ticket> stranded;
     for (const auto &[ticket, entry] : this->waiting) {
         if (entry.request->service == service) {
@@ -298,8 +300,8 @@
     }
     for (const Ticket ticket : stranded) {
         queue.queue->cancel(ticket);
-        this->refuseWaiting(ticket,
-                            Common::notRun(Reason::NoCapacity, "the backend servers have moved"));
+        this->refuseWaiting(
+                ticket, Common::notRun(Reason::NoCapacity, "no backend server is usable any more"));
     }
 }
 
--- a/Tests/Deployment/BackendFaultTest.cpp
+++ b/Tests/Deployment/BackendFaultTest.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 #include <httplib.h>
 
@@ -52,6 +54,11 @@
     CHECK(retries <= 0.1 * requests + 2 * reservedRetries);
 }
 
+bool isExpired(const CallRecord &record)
+{
+    return record.outcome == "answered" && record.status != 200;
+}
+
 } // namespace
 
 // Guards against passing on what a faulty backend server sends, and against repeating what it ran.
@@ -110,9 +117,12 @@
         Traffic traffic(deployment);
         traffic.run(callsPerStorm);
         auto records = traffic.queries.finish();
+        // An answer that says "expired" was in the queue of a VM whose servers had all failed.
+        CHECK(std::count_if(records.begin(), records.end(), isExpired) == 0);
         CHECK(countOutcomes(records)["answered"] >= records.size() * 9 / 10);
         requests += records.size();
         records = traffic.bookings.finish();
+        CHECK(std::count_if(records.begin(), records.end(), isExpired) == 0);
         CHECK(countOutcomes(records)["answered"] >= records.size() * 8 / 10);
         requests += records.size();
         const auto allowed = 1.1 * static_cast<double>(requests) + 2 * reservedRetries;
