Hedge slow idempotent requests of the first rank

It takes the hedge from the retry budget.

A flight now has a list of open attempts. BackendConnection::cancel() shuts down a duplicate of the socket instead of calling the library's stop(), which would block the steering thread while a connect is in progress, and a cancel that comes before the worker has taken the job is no longer lost.

--- a/Source/Core/Execution/RetryPolicy.cpp
+++ b/Source/Core/Execution/RetryPolicy.cpp
@@ -76,13 +76,13 @@
 
 std::optional<Common::Instant> hedgeAt(const HedgeQuestion &question, const RetryBudget &budget)
 {
-    if (!question.idempotent || !question.p95 || question.openAttempts != 1
+    if (!question.idempotent || !question.highQuantile || question.openAttempts != 1
         || !question.untriedCandidate || !budget.available()) {
         return std::nullopt;
     }
-    const Common::Instant start = question.firstStart + *question.p95;
-    // A hedge that starts in the last p95 before the deadline would mostly be work for nothing.
-    if (start + *question.p95 > question.deadline) {
+    const Common::Instant start = question.firstStart + *question.highQuantile;
+    // A hedge that starts in that time before the deadline would mostly be work for nothing.
+    if (start + *question.highQuantile > question.deadline) {
         return std::nullopt;
     }
     return start;
--- a/Source/Daemon/BackendConnection.cpp
+++ b/Source/Daemon/BackendConnection.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <utility>
 
 #include "HttpHeaders.h"
@@ -66,9 +69,11 @@
         // No byte was sent.
         result.answer = Common::notRun(Reason::BackendServerFailed, message);
     } else if (cancelled) {
-        result.verdict = ServerVerdict::Unjudged;
         result.answer = Common::outcomeUnknown(Reason::Cancelled, message);
     }
+    if (cancelled) {
+        result.verdict = ServerVerdict::Unjudged;
+    }
     return result;
 }
 
@@ -100,6 +105,13 @@
     this->client.set_decompress(false);
     this->client.set_follow_location(false);
     this->client.set_connection_timeout(connectTimeout);
+    this->client.set_socket_options(
+            [this](socket_t descriptor) { this->replaceSocket(descriptor); });
+}
+
+BackendConnection::~BackendConnection()
+{
+    this->replaceSocket(-1);
 }
 
 BackendResult BackendConnection::execute(const std::string &attempt, const Request &request)
@@ -114,7 +126,11 @@
     {
         const Common::MutexLock lock(&this->mutex);
         this->current = attempt;
-        this->cancelled = false;
+    }
+    if (this->wasCancelled(attempt)) {
+        BackendResult result;
+        result.answer = Common::notRun(Reason::Cancelled, "cancelled before the start");
+        return result;
     }
     BackendResult result = this->exchange(attempt, request, remaining);
     result.serviceTime = Common::monotonicNow() - start;
@@ -134,11 +150,19 @@
 void BackendConnection::cancel(const std::string &attempt)
 {
     const Common::MutexLock lock(&this->mutex);
-    if (this->current != attempt) {
-        return;
+    this->cancelled = attempt;
+    if (this->current == attempt && this->socket >= 0) {
+        ::shutdown(this->socket, SHUT_RDWR);
     }
-    this->cancelled = true;
-    this->client.stop();
+}
+
+void BackendConnection::replaceSocket(int descriptor)
+{
+    const Common::MutexLock lock(&this->mutex);
+    if (this->socket >= 0) {
+        ::close(this->socket);
+    }
+    this->socket = descriptor < 0 ? -1 : ::fcntl(descriptor, F_DUPFD_CLOEXEC, 0);
 }
 
 BackendResult BackendConnection::exchange(const std::string &attempt, const Request &request,
@@ -150,7 +174,7 @@
     httplib::Response response;
     auto error = httplib::Error::Success;
     if (!this->client.send(out, response, error)) {
-        return failedResult(error, this->address, this->wasCancelled());
+        return failedResult(error, this->address, this->wasCancelled(attempt));
     }
     if (!hasVerifiableEnd(out, response)) {
         return unusableResult(this->address
@@ -173,10 +197,10 @@
     this->client.Post("/_control/cancel?attempt=" + attempt);
 }
 
-bool BackendConnection::wasCancelled() const
+bool BackendConnection::wasCancelled(const std::string &attempt) const
 {
     const Common::MutexLock lock(&this->mutex);
-    return this->cancelled;
+    return this->cancelled == attempt;
 }
 
 } // namespace Currantfall::Daemon
--- a/Source/Daemon/BackendConnection.h
+++ b/Source/Daemon/BackendConnection.h
@@ -36,24 +36,32 @@
 public:
     /// `address` is "IP:PORT".
     explicit BackendConnection(const std::string &address);
+    ~BackendConnection();
+    BackendConnection(const BackendConnection &other) = delete;
+    BackendConnection &operator=(const BackendConnection &other) = delete;
 
     /// Sends the request once and reads the whole answer. Never sends it a second time.
     BackendResult execute(const std::string &attempt, const Request &request);
 
-    /// Aborts the execution of `attempt`, if it is the one in progress.
+    /// Aborts the execution of `attempt`, if it is the one in progress or the next one. Never
+    /// blocks.
     void cancel(const std::string &attempt);
 
 private:
     BackendResult exchange(const std::string &attempt, const Request &request,
                            absl::Duration remaining);
     void requestCancellation(const std::string &attempt);
-    bool wasCancelled() const;
+    void replaceSocket(int descriptor);
+    bool wasCancelled(const std::string &attempt) const;
 
     std::string address;
     httplib::Client client;
     mutable Common::Mutex mutex;
-    std::string current; // Attempt in progress.
-    bool cancelled = false;
+    std::string current;   // Attempt in progress.
+    std::string cancelled; // Attempt cancelled last.
+    // Duplicate of the connection's socket. The library's stop() would wait for a connect that is
+    // in progress, and the library may close its own descriptor at any time.
+    int socket = -1;
 };
 
 } // namespace Currantfall::Daemon
--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -16,6 +16,7 @@
     metrics.describe("currantfall_dropped_answers_total",
                      "Late, duplicate or mismatched answers of other VMs.");
     metrics.describe("currantfall_forwards_total", "Requests sent to an owner on another VM.");
+    metrics.describe("currantfall_hedges_total", "Second attempts of slow requests.");
     metrics.describe("currantfall_lookups_total", "Lookups answered or refused.");
     metrics.describe("currantfall_pauses_total", "Pauses after which leases had lapsed.");
     metrics.describe("currantfall_requests_in_progress", "Callers that wait for an answer.");
--- a/Source/Daemon/Dispatcher.cpp
+++ b/Source/Daemon/Dispatcher.cpp
@@ -26,6 +26,10 @@
 constexpr absl::Duration parkingInterval = absl::Milliseconds(50);
 constexpr std::size_t maxParked = 1000;
 
+constexpr std::size_t minHedgeSamples = 16;
+// A hedge right at the 90% quantile would use the whole budget without any slow server.
+constexpr double hedgeDelayFactor = 1.5;
+
 std::string forwardedKey(const Common::VmName &from, const std::string &attempt)
 {
     return from.value() + "/" + attempt;
@@ -57,6 +61,7 @@
     const FlightId id = ++this->lastFlight;
     Flight flight;
     flight.done = std::move(done);
+    flight.start = this->context.now;
     flight.timer = this->context.timers.subscribeOnce(
             request->deadline + replyGrace, [this, id](Common::Instant) { this->onTimeout(id); });
     this->budgets[request->service].onFirstAttempt();
@@ -66,6 +71,7 @@
     this->tryTargets(id, targets,
                      Common::notRun(Reason::NoCapacity, "no owner of the service is reachable",
                                     absl::Seconds(1)));
+    this->planHedge(id);
 }
 
 void Dispatcher::onForwardRequest(const Common::VmName &from, SharedRequest request,
@@ -105,9 +111,9 @@
 {
     const auto decision = this->attempts.onAnswer(attempt, from.value(), answer.outcome);
     if (const auto *settled = std::get_if<Execution::Settled>(&decision)) {
-        this->onResult(settled->request, from, {}, std::move(answer));
+        this->onResult(settled->request, attempt, {}, std::move(answer));
     } else if (const auto *failed = std::get_if<Execution::AttemptFailed>(&decision)) {
-        this->onResult(failed->request, from, {}, std::move(answer));
+        this->onResult(failed->request, attempt, {}, std::move(answer));
     } else {
         this->context.metrics.addToCounter("currantfall_dropped_answers_total");
     }
@@ -118,8 +124,13 @@
     std::vector<Execution::AttemptId> lost;
     for (const auto &entry : this->flights) {
         const Flight &flight = entry.second;
-        if (flight.remote == peer && linkClassOf(flight.request->rank) == linkClass) {
-            lost.push_back(flight.attempt);
+        if (linkClassOf(flight.request->rank) != linkClass) {
+            continue;
+        }
+        for (const Attempt &attempt : flight.open) {
+            if (!attempt.here && attempt.vm == peer) {
+                lost.push_back(attempt.id);
+            }
         }
     }
     for (const Execution::AttemptId &attempt : lost) {
@@ -178,6 +189,9 @@
     query.self = this->context.self.vm;
     query.service = flight.request->service;
     query.excluded.insert(flight.triedVms.begin(), flight.triedVms.end());
+    for (const Attempt &attempt : flight.open) {
+        query.excluded.insert(attempt.vm);
+    }
     query.withCredit = this->credits.usableVms(flight.request->service);
     query.random = this->context.random();
     const auto &members
@@ -207,13 +221,25 @@
 void Dispatcher::runHere(FlightId id)
 {
     Flight &flight = this->flights.at(id);
-    ++flight.targets;
-    flight.remote = {};
     const SharedRequest request = flight.request;
     const auto avoid = flight.triedServers;
-    this->scheduler.offer(request, avoid, [this, id](OwnerResult result) {
-        this->onResult(id, this->context.self.vm, result.server, std::move(result.answer));
-    });
+    const Execution::AttemptId attempt
+            = "here." + std::to_string(id) + "." + std::to_string(++flight.targets);
+    flight.open.push_back({ attempt, this->context.self.vm, true, 0, 0 });
+    const OwnerScheduler::Ticket ticket
+            = this->scheduler.offer(request, avoid, [this, id, attempt](OwnerResult result) {
+                  this->onResult(id, attempt, result.server, std::move(result.answer));
+              });
+    // The result may have come before the return.
+    const auto found = this->flights.find(id);
+    if (found == this->flights.end()) {
+        return;
+    }
+    for (Attempt &entry : found->second.open) {
+        if (entry.id == attempt) {
+            entry.ticket = ticket;
+        }
+    }
 }
 
 bool Dispatcher::forward(FlightId id, const RouteTarget &target)
@@ -242,15 +268,13 @@
         return false;
     }
     ++flight.targets;
-    flight.attempt = *attempt;
-    flight.remote = target.vm;
-    flight.credit = credit;
+    flight.open.push_back({ *attempt, target.vm, false, 0, credit });
     this->context.metrics.addToCounter("currantfall_forwards_total",
                                        { { "service", flight.request->service.value() } });
     return true;
 }
 
-void Dispatcher::onResult(FlightId id, const Common::VmName &vm,
+void Dispatcher::onResult(FlightId id, const Execution::AttemptId &attempt,
                           const Common::BackendServerName &server, Common::Answer answer)
 {
     const auto found = this->flights.find(id);
@@ -258,11 +282,30 @@
         return;
     }
     Flight &flight = found->second;
-    this->endAttempt(flight);
+    const Common::VmName vm = this->endAttempt(flight, attempt);
     if (answer.outcome == Outcome::Answered) {
+        this->answerTimes
+                .try_emplace(flight.request->service,
+                             Admission::ServiceTimeEstimator(absl::ZeroDuration()))
+                .first->second.record(this->context.now - flight.start);
+        this->finish(id, std::move(answer));
+        return;
+    }
+    this->noteFailure(flight, vm, server, answer);
+    if (!flight.open.empty()) {
+        return; // The other attempt of a hedged request decides.
+    }
+    const Targets targets = this->route(flight);
+    if (!isRoutingCorrection(answer) && !this->takeRetry(flight, targets, answer)) {
         this->finish(id, std::move(answer));
         return;
     }
+    this->tryTargets(id, targets, std::move(answer));
+}
+
+void Dispatcher::noteFailure(Flight &flight, const Common::VmName &vm,
+                             const Common::BackendServerName &server, const Common::Answer &answer)
+{
     if (answer.outcome == Outcome::OutcomeUnknown) {
         flight.unknown = answer;
     }
@@ -276,12 +319,63 @@
     if (!otherServerHere) {
         flight.triedVms.push_back(vm);
     }
-    const Targets targets = this->route(flight);
-    if (!isRoutingCorrection(answer) && !this->takeRetry(flight, targets, answer)) {
-        this->finish(id, std::move(answer));
+}
+
+void Dispatcher::planHedge(FlightId id)
+{
+    const auto found = this->flights.find(id);
+    if (found == this->flights.end() || !this->context.hedging
+        || found->second.request->rank != 0) {
         return;
     }
-    this->tryTargets(id, targets, std::move(answer));
+    Flight &flight = found->second;
+    const auto times = this->answerTimes.find(flight.request->service);
+    Execution::HedgeQuestion question;
+    question.idempotent = flight.request->idempotent;
+    question.firstStart = this->context.now;
+    question.openAttempts = flight.open.size();
+    if (times != this->answerTimes.end() && times->second.samples() >= minHedgeSamples) {
+        question.highQuantile = times->second.quantile90() * hedgeDelayFactor;
+    }
+    question.deadline = flight.request->deadline;
+    question.untriedCandidate = true; // Looked for when the hedge is due.
+    if (const auto due = Execution::hedgeAt(question, this->budgets[flight.request->service])) {
+        flight.hedgeTimer = this->context.timers.subscribeOnce(
+                *due, [this, id](Common::Instant) { this->hedge(id); });
+    }
+}
+
+void Dispatcher::hedge(FlightId id)
+{
+    const auto found = this->flights.find(id);
+    if (found == this->flights.end()) {
+        return;
+    }
+    Flight &flight = found->second;
+    flight.hedgeTimer = 0;
+    Execution::RetryBudget &budget = this->budgets[flight.request->service];
+    if (flight.open.size() != 1 || !budget.available()) {
+        return;
+    }
+    const SharedRequest request = flight.request;
+    for (const RouteTarget &target : this->route(flight)) {
+        // A hedge that waits in a queue delays others and is not faster.
+        if (this->hasFreeSlot(target.vm, request->service) && this->tryTarget(id, target)) {
+            this->context.metrics.addToCounter("currantfall_hedges_total",
+                                               { { "service", request->service.value() } });
+            static_cast<void>(budget.tryTake());
+            return;
+        }
+    }
+}
+
+bool Dispatcher::hasFreeSlot(const Common::VmName &vm, const Common::ServiceName &service)
+{
+    const auto &members = this->cluster.placementMembers(this->scheduler.loadOf(service));
+    return std::any_of(members.begin(), members.end(), [&](const auto &member) {
+        const Placement::PlacementLoad *load = member.loadOf(service);
+        return member.vm == vm && load != nullptr && load->freeSlots > load->queued;
+    });
 }
 
 bool Dispatcher::takeRetry(const Flight &flight, const Targets &targets,
@@ -313,23 +407,38 @@
     if (found == this->flights.end()) {
         return;
     }
-    Flight &flight = found->second;
-    if (!flight.remote.empty()) {
-        Peering::Wire::CancelAttemptT cancel;
-        cancel.attempt = flight.attempt;
-        this->context.sendOn(flight.remote, linkClassOf(flight.request->rank), std::move(cancel));
-    }
-    this->endAttempt(flight);
     this->finish(id, Common::outcomeUnknown(Reason::TimedOut, "no answer before the deadline"));
 }
 
-void Dispatcher::endAttempt(Flight &flight)
+Common::VmName Dispatcher::endAttempt(Flight &flight, const Execution::AttemptId &attempt)
+{
+    const auto found
+            = std::find_if(flight.open.begin(), flight.open.end(),
+                           [&attempt](const Attempt &entry) { return entry.id == attempt; });
+    if (found == flight.open.end()) {
+        return {};
+    }
+    const Attempt ended = std::move(*found);
+    flight.open.erase(found);
+    if (!ended.here) {
+        this->credits.giveBack(ended.vm, flight.request->service, ended.credit);
+    }
+    return ended.vm;
+}
+
+void Dispatcher::cancelAttempts(Flight &flight)
 {
-    if (!flight.remote.empty()) {
-        this->credits.giveBack(flight.remote, flight.request->service, flight.credit);
+    while (!flight.open.empty()) {
+        const Attempt attempt = flight.open.back();
+        this->endAttempt(flight, attempt.id);
+        if (attempt.here) {
+            this->scheduler.cancel(attempt.ticket);
+            continue;
+        }
+        Peering::Wire::CancelAttemptT cancel;
+        cancel.attempt = attempt.id;
+        this->context.sendOn(attempt.vm, linkClassOf(flight.request->rank), std::move(cancel));
     }
-    flight.remote = {};
-    flight.credit = 0;
 }
 
 void Dispatcher::finish(FlightId id, Common::Answer answer)
@@ -341,11 +450,16 @@
     if (answer.outcome == Outcome::NotRun && found->second.unknown) {
         answer = std::move(*found->second.unknown);
     }
-    const AnswerHandler done = std::move(found->second.done);
-    this->context.timers.unsubscribe(found->second.timer);
-    this->attempts.abandon(id);
+    // Cancelling may call back with the result of an attempt, which must find no flight.
+    Flight flight = std::move(found->second);
     this->flights.erase(found);
-    done(std::move(answer));
+    this->context.timers.unsubscribe(flight.timer);
+    if (flight.hedgeTimer != 0) {
+        this->context.timers.unsubscribe(flight.hedgeTimer);
+    }
+    this->attempts.abandon(id);
+    this->cancelAttempts(flight);
+    flight.done(std::move(answer));
 }
 
 void Dispatcher::reply(const Common::VmName &to, Peering::LinkClass linkClass,
--- a/Source/Daemon/Dispatcher.h
+++ b/Source/Daemon/Dispatcher.h
@@ -7,6 +7,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include "currantfall/Admission/ServiceTimeEstimator.h"
 #include "currantfall/Execution/AttemptTable.h"
 #include "currantfall/Execution/RetryPolicy.h"
 #include "currantfall/Placement/RequestRouter.h"
@@ -42,6 +43,18 @@
 private:
     using FlightId = Execution::RequestId;
 
+    using Targets = std::vector<Placement::RouteTarget>;
+
+    /// One open attempt of a request.
+    struct Attempt
+    {
+        Execution::AttemptId id; // Of attempts on this VM as well.
+        Common::VmName vm;
+        bool here = false;
+        OwnerScheduler::Ticket ticket = 0; // Set if the attempt is on this VM.
+        Credits::CreditId credit = 0;
+    };
+
     /// A request on its way from this VM.
     struct Flight
     {
@@ -50,10 +63,10 @@
         std::vector<Common::VmName> triedVms;
         std::vector<Common::BackendServerName> triedServers;
         std::size_t targets = 0;
-        Execution::AttemptId attempt;
-        Common::VmName remote; // Empty while the attempt is on this VM.
-        Credits::CreditId credit = 0;
+        Common::Instant start;
+        std::vector<Attempt> open; // Two while the request is hedged.
         Common::TimerService::SubscriptionId timer = 0;
+        Common::TimerService::SubscriptionId hedgeTimer = 0;
         Common::Instant parkedUntil; // Set when the request is parked for the first time.
         Common::Instant demandNoted;
         // Answer of an attempt that may have run; a later not-run does not hold for the request.
@@ -65,8 +78,6 @@
         OwnerScheduler::Ticket ticket = 0;
     };
 
-    using Targets = std::vector<Placement::RouteTarget>;
-
     /// Sends the request to the first target that takes it, else parks or finishes it.
     void tryTargets(FlightId id, const Targets &targets, Common::Answer lastAnswer);
     Targets route(const Flight &flight);
@@ -74,13 +85,19 @@
     bool tryTarget(FlightId id, const Placement::RouteTarget &target);
     void runHere(FlightId id);
     bool forward(FlightId id, const Placement::RouteTarget &target);
-    void onResult(FlightId id, const Common::VmName &vm, const Common::BackendServerName &server,
-                  Common::Answer answer);
+    void onResult(FlightId id, const Execution::AttemptId &attempt,
+                  const Common::BackendServerName &server, Common::Answer answer);
+    void noteFailure(Flight &flight, const Common::VmName &vm,
+                     const Common::BackendServerName &server, const Common::Answer &answer);
+    void planHedge(FlightId id);
+    void hedge(FlightId id);
+    bool hasFreeSlot(const Common::VmName &vm, const Common::ServiceName &service);
     bool park(FlightId id, const Common::Answer &answer);
     /// Takes a retry from the budget if one is allowed.
     bool takeRetry(const Flight &flight, const Targets &targets, const Common::Answer &answer);
     void onTimeout(FlightId id);
-    void endAttempt(Flight &flight);
+    Common::VmName endAttempt(Flight &flight, const Execution::AttemptId &attempt);
+    void cancelAttempts(Flight &flight);
     void finish(FlightId id, Common::Answer answer);
     void reply(const Common::VmName &to, Peering::LinkClass linkClass, const std::string &attempt,
                const Common::Answer &answer);
@@ -93,6 +110,8 @@
     absl::flat_hash_map<FlightId, Flight> flights;
     absl::flat_hash_map<std::string, Forwarded> forwarded; // By sender and attempt.
     absl::flat_hash_map<Common::ServiceName, Execution::RetryBudget> budgets;
+    // Times from the arrival to the answer.
+    absl::flat_hash_map<Common::ServiceName, Admission::ServiceTimeEstimator> answerTimes;
     FlightId lastFlight = 0;
     std::size_t parkedFlights = 0;
 };
--- a/Source/Daemon/Settings.cpp
+++ b/Source/Daemon/Settings.cpp
@@ -34,6 +34,8 @@
         { "log-level", "trace, debug, info (default), warn, error or off", "LEVEL" },
         { "connections-per-rank", "caller connections served at once per rank (default 400)", "N" },
         { "body-memory-mb", "MiB of request bodies held at the same time (default 256)", "N" },
+        { "hedging", "second attempts for slow idempotent requests: on (default) or off",
+          "on|off" },
         { "help", "print this text", "" },
         { "version", "print the version", "" },
     };
@@ -92,7 +94,13 @@
             return tl::unexpected(number->error());
         }
     }
+    const std::string hedging = line.valueOr("hedging", "on");
+    if (hedging != "on" && hedging != "off") {
+        return failure(ErrorCode::InvalidInput, step, {},
+                       "--hedging must be on or off, not '" + hedging + "'");
+    }
     Settings settings;
+    settings.hedging = hedging == "on";
     settings.vm = Common::VmName(*vm);
     settings.zone = Common::ZoneName(*zone);
     settings.region = Common::RegionName(*region);
--- a/Source/Daemon/Settings.h
+++ b/Source/Daemon/Settings.h
@@ -24,6 +24,7 @@
     std::string logLevel;
     std::size_t connectionsPerRank = 0;
     std::size_t bodyMemory = 0; ///< Bytes of request bodies held at the same time.
+    bool hedging = true;
 
     std::uint16_t lookupPort() const { return this->portBase; }
     std::uint16_t rankPort(Common::RankIndex rank) const;
--- a/Source/Daemon/Steering.cpp
+++ b/Source/Daemon/Steering.cpp
@@ -36,6 +36,7 @@
 {
     this->context.self = { settings.vm, incarnation };
     this->context.zone = settings.zone;
+    this->context.hedging = settings.hedging;
     this->context.region = settings.region;
     this->context.now = Common::monotonicNow();
     this->context.random.seed(incarnation);
--- a/Source/Daemon/SteeringContext.h
+++ b/Source/Daemon/SteeringContext.h
@@ -42,6 +42,8 @@
     Common::Revision revision = 0;
     std::vector<Drain::DrainTarget> drains;
     std::shared_ptr<const Membership::MemberView> members;
+    /// Second attempts for slow idempotent requests of the first rank.
+    bool hedging = true;
     /// This VM is shutting down or is being drained.
     bool leaving = false;
 
--- a/Source/UnitTests/Execution/AttemptTest.cpp
+++ b/Source/UnitTests/Execution/AttemptTest.cpp
@@ -122,7 +122,7 @@
     REQUIRE(retries == 100);
 }
 
-TEST_CASE("Only idempotent requests are hedged, once, after the p95 and within the deadline")
+TEST_CASE("Only idempotent requests are hedged, once, after the high quantile and within the deadline")
 {
     RetryBudget budget(0.1, 1.0, 5.0);
     HedgeQuestion question { true, at(100), 1, absl::Milliseconds(40), at(1000), true };
@@ -134,7 +134,7 @@
     changed.openAttempts = 2;
     REQUIRE(!hedgeAt(changed, budget));
     changed = question;
-    changed.p95 = std::nullopt;
+    changed.highQuantile = std::nullopt;
     REQUIRE(!hedgeAt(changed, budget));
     changed = question;
     changed.deadline = at(179);
--- a/Tests/Deployment/BackendFaultTest.cpp
+++ b/Tests/Deployment/BackendFaultTest.cpp
@@ -138,3 +138,19 @@
     requireFewFailures("dead");
     CHECK(deployment.slotOverruns() == 0);
 }
+
+// Guards against hedges that don't help, and against losing attempts that keep their slots.
+TEST_CASE("Hedges answer queries that hang, and cancel the losing attempts")
+{
+    const DeploymentFixture deployment;
+    Callers queries(deployment, callerThreads, false);
+    // Hedges need measured answer times first, and a budget.
+    waitForCalls(queries, callsPerStorm);
+    deployment.setBackendBehaviour({ { "hang", 0.05 } }, "slotview-");
+    waitForCalls(queries, callsPerStorm);
+    const auto records = queries.finish();
+    requireTrueOutcomes(deployment, records);
+    CHECK(deployment.metric("currantfall_hedges_total") > 0);
+    CHECK(deployment.executionSummary().at("totals").at("cancelled") > 0);
+    waitUntil([&] { return deployment.executionSummary().at("totals").at("in_use") == 0; });
+}
--- a/include/currantfall/Admission/ServiceTimeEstimator.h
+++ b/include/currantfall/Admission/ServiceTimeEstimator.h
@@ -17,7 +17,10 @@
 
     /// Exponentially weighted moving average.
     absl::Duration mean() const { return this->average; }
-    /// 90% quantile of the last samples, or the mean if it is higher.
+    /// 90% quantile of the last samples.
+    absl::Duration quantile90() const { return this->quantile; }
+    std::size_t samples() const { return this->recent.size(); }
+    /// The same, or the mean if it is higher.
     absl::Duration high() const;
 
 private:
--- a/include/currantfall/Execution/RetryPolicy.h
+++ b/include/currantfall/Execution/RetryPolicy.h
@@ -72,8 +72,8 @@
     /// Start of the request's only attempt.
     Common::Instant firstStart;
     std::size_t openAttempts = 1;
-    /// 95th percentile of the service's response time; nullopt while there are too few samples.
-    std::optional<absl::Duration> p95;
+    /// High quantile of the service's response time; nullopt while there are too few samples.
+    std::optional<absl::Duration> highQuantile;
     Common::Instant deadline;
     bool untriedCandidate = false;
 };
