Ask a peer again for a document that could not be requested

A revision notice comes with the control link; if the bulk link was not up yet, the request for the document could not be sent, and the VM fell back to the object store for good, since later notices of the same revision were ignored.

Change: a notice of the pending revision asks its sender again (peers repeat it every second). Only one retry of the object store runs at a time.

--- a/Source/Daemon/ConfigurationFlow.cpp
+++ b/Source/Daemon/ConfigurationFlow.cpp
@@ -24,6 +24,9 @@
     const Common::Revision known
             = this->pending ? this->pending->revision() : this->context.revision;
     if (row.revision() <= known) {
+        if (this->pending && row.revision() == known) {
+            this->askPeer(source);
+        }
         return;
     }
     this->context.log.info("revision " + std::to_string(row.revision()) + " by "
@@ -90,12 +93,19 @@
     }
 }
 
-void ConfigurationFlow::obtainDocument(const Common::VmName &source)
+bool ConfigurationFlow::askPeer(const Common::VmName &source)
 {
+    if (source.empty() || this->contentArrived == this->pending->document()) {
+        return false;
+    }
     Peering::Wire::DocumentRequestT request;
     request.hash = this->pending->document();
-    if (source.empty()
-        || !this->context.sendOn(source, Peering::LinkClass::Bulk, std::move(request))) {
+    return this->context.sendOn(source, Peering::LinkClass::Bulk, std::move(request));
+}
+
+void ConfigurationFlow::obtainDocument(const Common::VmName &source)
+{
+    if (!this->askPeer(source)) {
         this->fetchFromStore();
         return;
     }
@@ -112,17 +122,19 @@
 
 void ConfigurationFlow::fetchFromStore()
 {
-    if (!this->pending) {
+    if (!this->pending || this->fetching == this->pending->revision()) {
         return;
     }
     const Common::Revision wanted = this->pending->revision();
+    this->fetching = wanted;
     this->hooks.fetch(this->pending->document());
-    this->context.timers.subscribeOnce(
-            this->context.now + storeRetry, [this, wanted](Common::Instant) {
-                if (this->pending && this->pending->revision() == wanted) {
-                    this->fetchFromStore();
-                }
-            });
+    this->context.timers.subscribeOnce(this->context.now + storeRetry,
+                                       [this, wanted](Common::Instant) {
+                                           if (this->fetching == wanted) {
+                                               this->fetching = 0;
+                                               this->fetchFromStore();
+                                           }
+                                       });
 }
 
 void ConfigurationFlow::adoptIfReady()
--- a/Source/Daemon/ConfigurationFlow.h
+++ b/Source/Daemon/ConfigurationFlow.h
@@ -48,6 +48,9 @@
     void onPeerRevision(const Common::VmName &peer, Common::Revision revision);
 
 private:
+    /// Asks for the pending document. A peer repeats its notice every second, so that a request
+    /// that could not be sent because the bulk link was not up yet is made again.
+    bool askPeer(const Common::VmName &source);
     void obtainDocument(const Common::VmName &source);
     void fetchFromStore();
     void adoptIfReady();
@@ -60,6 +63,7 @@
     std::optional<Platform::EnvironmentRow> pending;
     std::optional<LoadedDocument> document; // Of the row in force, or newer.
     std::string contentArrived;             // Hash of the last document that a peer delivered.
+    Common::Revision fetching = 0; // Revision whose document is being fetched from the store.
     std::map<Common::VmName, Common::Instant> lastNotice;
 };
 
