--- a/Source/Daemon/Dispatcher.cpp
+++ b/Source/Daemon/Dispatcher.cpp
@@ -17,6 +17,7 @@
 using Placement::TargetKind;
 
 constexpr const char *partName = "dispatcher";
+
 constexpr std::size_t maxOpenAttempts = 100'000;
 // VMs asked for one request, the first included.
 constexpr std::size_t maxTargets = 4;
@@ -29,6 +30,10 @@
 constexpr absl::Duration parkingInterval = absl::Milliseconds(50);
 constexpr std::size_t maxParked = 1000;
 
+constexpr std::size_t minHedgeSamples = 16;
+// A hedge right at the 90% quantile would use the whole budget without any slow server.
+constexpr double hedgeDelayFactor = 1.5;
+
 std::string forwardedKey(const Common::VmName &from, const std::string &attempt)
 {
     return from.value() + "/" + attempt;
@@ -60,13 +65,17 @@
     const FlightId id = ++this->lastFlight;
     Flight flight;
     flight.done = std::move(done);
+    flight.start = this->context.now;
     flight.timer = this->context.timers.subscribeOnce(
             request->deadline + replyGrace, [this, id](Common::Instant) { this->onTimeout(id); });
     this->budgets[request->service].onFirstAttempt();
     flight.request = std::move(request);
+    const Targets targets = this->route(flight);
     this->flights.emplace(id, std::move(flight));
-    this->tryNext(id, Common::notRun(Reason::NoCapacity, "no owner of the service is reachable",
-                                     absl::Seconds(1)));
+    this->tryTargets(id, targets,
+                     Common::notRun(Reason::NoCapacity, "no owner of the service is reachable",
+                                    absl::Seconds(1)));
+    this->planHedge(id);
 }
 
 void Dispatcher::onForwardRequest(const Common::VmName &from, SharedRequest request,
@@ -106,9 +115,9 @@
 {
     const auto decision = this->attempts.onAnswer(attempt, from.value(), answer.outcome);
     if (const auto *settled = std::get_if<Execution::Settled>(&decision)) {
-        this->onResult(settled->request, from, {}, std::move(answer));
+        this->onResult(settled->request, attempt, {}, std::move(answer));
     } else if (const auto *failed = std::get_if<Execution::AttemptFailed>(&decision)) {
-        this->onResult(failed->request, from, {}, std::move(answer));
+        this->onResult(failed->request, attempt, {}, std::move(answer));
     } else {
         this->context.metrics.addToCounter("currantfall_dropped_answers_total");
     }
@@ -119,8 +128,13 @@
     std::vector<Execution::AttemptId> lost;
     for (const auto &entry : this->flights) {
         const Flight &flight = entry.second;
-        if (flight.remote == peer && linkClassOf(flight.request->rank) == linkClass) {
-            lost.push_back(flight.attempt);
+        if (linkClassOf(flight.request->rank) != linkClass) {
+            continue;
+        }
+        for (const Attempt &attempt : flight.open) {
+            if (!attempt.here && attempt.vm == peer) {
+                lost.push_back(attempt.id);
+            }
         }
     }
     for (const Execution::AttemptId &attempt : lost) {
@@ -130,13 +144,10 @@
     }
 }
 
-void Dispatcher::tryNext(FlightId id, Common::Answer lastAnswer)
+void Dispatcher::tryTargets(FlightId id, const Targets &targets, Common::Answer lastAnswer)
 {
-    const auto found = this->flights.find(id);
-    if (found == this->flights.end()) {
-        return;
-    }
-    for (const RouteTarget &target : this->targetsFor(found->second)) {
+    this->noteDemand(this->flights.at(id), targets);
+    for (const RouteTarget &target : targets) {
         if (this->tryTarget(id, target)) {
             return;
         }
@@ -168,12 +179,12 @@
                                            }
                                            found->second.targets = 0;
                                            found->second.triedVms.clear();
-                                           this->tryNext(id, answer);
+                                           this->tryTargets(id, this->route(found->second), answer);
                                        });
     return true;
 }
 
-std::vector<RouteTarget> Dispatcher::targetsFor(const Flight &flight)
+Dispatcher::Targets Dispatcher::route(const Flight &flight)
 {
     if (this->context.environment == nullptr || flight.targets >= maxTargets) {
         return {};
@@ -182,13 +193,24 @@
     query.self = this->context.self.vm;
     query.service = flight.request->service;
     query.excluded.insert(flight.triedVms.begin(), flight.triedVms.end());
+    for (const Attempt &attempt : flight.open) {
+        query.excluded.insert(attempt.vm);
+    }
     query.withCredit = this->credits.usableVms(flight.request->service);
     query.random = this->context.random();
     const auto &members
             = this->cluster.placementMembers(this->scheduler.loadOf(flight.request->service));
-    auto targets = Placement::RequestRouter::route(*this->context.environment, members, query);
+    return Placement::RequestRouter::route(*this->context.environment, members, query);
+}
+
+void Dispatcher::noteDemand(Flight &flight, const Targets &targets)
+{
+    const bool waiting = flight.parkedUntil != Common::Instant();
+    if (waiting && this->context.now - flight.demandNoted < CreditFlow::demandInterval) {
+        return;
+    }
+    flight.demandNoted = this->context.now;
     this->credits.onRouted(*flight.request, targets);
-    return targets;
 }
 
 bool Dispatcher::tryTarget(FlightId id, const RouteTarget &target)
@@ -207,13 +229,25 @@
 void Dispatcher::runHere(FlightId id)
 {
     Flight &flight = this->flights.at(id);
-    ++flight.targets;
-    flight.remote = {};
     const SharedRequest request = flight.request;
     const auto avoid = flight.triedServers;
-    this->scheduler.offer(request, avoid, [this, id](OwnerResult result) {
-        this->onResult(id, this->context.self.vm, result.server, std::move(result.answer));
-    });
+    const Execution::AttemptId attempt
+            = "here." + std::to_string(id) + "." + std::to_string(++flight.targets);
+    flight.open.push_back({ attempt, this->context.self.vm, true, 0, 0 });
+    const OwnerScheduler::Ticket ticket
+            = this->scheduler.offer(request, avoid, [this, id, attempt](OwnerResult result) {
+                  this->onResult(id, attempt, result.server, std::move(result.answer));
+              });
+    // The result may have come before the return.
+    const auto found = this->flights.find(id);
+    if (found == this->flights.end()) {
+        return;
+    }
+    for (Attempt &entry : found->second.open) {
+        if (entry.id == attempt) {
+            entry.ticket = ticket;
+        }
+    }
 }
 
 bool Dispatcher::forward(FlightId id, const RouteTarget &target)
@@ -242,15 +276,13 @@
         return false;
     }
     ++flight.targets;
-    flight.attempt = *attempt;
-    flight.remote = target.vm;
-    flight.credit = credit;
+    flight.open.push_back({ *attempt, target.vm, false, 0, credit });
     this->context.metrics.addToCounter("currantfall_forwards_total",
                                        { { "service", flight.request->service.value() } });
     return true;
 }
 
-void Dispatcher::onResult(FlightId id, const Common::VmName &vm,
+void Dispatcher::onResult(FlightId id, const Execution::AttemptId &attempt,
                           const Common::BackendServerName &server, Common::Answer answer)
 {
     const auto found = this->flights.find(id);
@@ -258,12 +290,31 @@
         return;
     }
     Flight &flight = found->second;
-    this->endAttempt(flight);
-    flight.mayHaveRun |= answer.outcome == Outcome::OutcomeUnknown;
+    const Common::VmName vm = this->endAttempt(flight, attempt);
     if (answer.outcome == Outcome::Answered) {
+        this->answerTimes
+                .try_emplace(flight.request->service,
+                             Admission::ServiceTimeEstimator(absl::ZeroDuration()))
+                .first->second.record(this->context.now - flight.start);
         this->finish(id, std::move(answer));
         return;
     }
+    this->noteFailure(flight, vm, server, answer);
+    if (!flight.open.empty()) {
+        return; // The other attempt of a hedged request decides.
+    }
+    const Targets targets = this->route(flight);
+    if (!isRoutingCorrection(answer) && !this->takeRetry(flight, targets, answer)) {
+        this->finish(id, outcomeOf(flight, std::move(answer)));
+        return;
+    }
+    this->tryTargets(id, targets, std::move(answer));
+}
+
+void Dispatcher::noteFailure(Flight &flight, const Common::VmName &vm,
+                             const Common::BackendServerName &server, const Common::Answer &answer)
+{
+    flight.mayHaveRun |= answer.outcome == Outcome::OutcomeUnknown;
     const bool firstHere = flight.triedServers.empty();
     if (!server.empty()) {
         flight.triedServers.push_back(server);
@@ -274,19 +325,68 @@
     if (!otherServerHere) {
         flight.triedVms.push_back(vm);
     }
-    if (!this->mayTryAgain(flight, answer)) {
-        this->finish(id, outcomeOf(flight, std::move(answer)));
+}
+
+void Dispatcher::planHedge(FlightId id)
+{
+    const auto found = this->flights.find(id);
+    if (found == this->flights.end() || !this->context.hedging
+        || found->second.request->rank != 0) {
         return;
     }
-    this->tryNext(id, std::move(answer));
+    Flight &flight = found->second;
+    const auto times = this->answerTimes.find(flight.request->service);
+    Execution::HedgeQuestion question;
+    question.idempotent = flight.request->idempotent;
+    question.firstStart = this->context.now;
+    question.openAttempts = flight.open.size();
+    if (times != this->answerTimes.end() && times->second.samples() >= minHedgeSamples) {
+        question.highQuantile = times->second.quantile90() * hedgeDelayFactor;
+    }
+    question.deadline = flight.request->deadline;
+    question.untriedCandidate = true; // Looked for when the hedge is due.
+    if (const auto due = Execution::hedgeAt(question, this->budgets[flight.request->service])) {
+        flight.hedgeTimer = this->context.timers.subscribeOnce(
+                *due, [this, id](Common::Instant) { this->hedge(id); });
+    }
 }
 
-bool Dispatcher::mayTryAgain(const Flight &flight, const Common::Answer &answer)
+void Dispatcher::hedge(FlightId id)
 {
-    if (isRoutingCorrection(answer)) {
-        return true;
+    const auto found = this->flights.find(id);
+    if (found == this->flights.end()) {
+        return;
+    }
+    Flight &flight = found->second;
+    flight.hedgeTimer = 0;
+    Execution::RetryBudget &budget = this->budgets[flight.request->service];
+    if (flight.open.size() != 1 || !budget.available()) {
+        return;
     }
-    const auto targets = this->targetsFor(flight);
+    const SharedRequest request = flight.request;
+    for (const RouteTarget &target : this->route(flight)) {
+        // A hedge that waits in a queue delays others and is not faster.
+        if (this->hasFreeSlot(target.vm, request->service) && this->tryTarget(id, target)) {
+            this->context.metrics.addToCounter("currantfall_hedges_total",
+                                               { { "service", request->service.value() } });
+            static_cast<void>(budget.tryTake());
+            return;
+        }
+    }
+}
+
+bool Dispatcher::hasFreeSlot(const Common::VmName &vm, const Common::ServiceName &service)
+{
+    const auto &members = this->cluster.placementMembers(this->scheduler.loadOf(service));
+    return std::any_of(members.begin(), members.end(), [&](const auto &member) {
+        const Placement::PlacementLoad *load = member.loadOf(service);
+        return member.vm == vm && load != nullptr && load->freeSlots > load->queued;
+    });
+}
+
+bool Dispatcher::takeRetry(const Flight &flight, const Targets &targets,
+                           const Common::Answer &answer)
+{
     Execution::RetryQuestion question;
     question.idempotent = flight.request->idempotent;
     question.keyed = !flight.request->key.empty();
@@ -313,23 +413,38 @@
     if (found == this->flights.end()) {
         return;
     }
-    Flight &flight = found->second;
-    if (!flight.remote.empty()) {
-        Peering::Wire::CancelAttemptT cancel;
-        cancel.attempt = flight.attempt;
-        this->context.sendOn(flight.remote, linkClassOf(flight.request->rank), std::move(cancel));
-    }
-    this->endAttempt(flight);
     this->finish(id, Common::outcomeUnknown(Reason::TimedOut, "no answer before the deadline"));
 }
 
-void Dispatcher::endAttempt(Flight &flight)
+Common::VmName Dispatcher::endAttempt(Flight &flight, const Execution::AttemptId &attempt)
+{
+    const auto found
+            = std::find_if(flight.open.begin(), flight.open.end(),
+                           [&attempt](const Attempt &entry) { return entry.id == attempt; });
+    if (found == flight.open.end()) {
+        return {};
+    }
+    const Attempt ended = std::move(*found);
+    flight.open.erase(found);
+    if (!ended.here) {
+        this->credits.giveBack(ended.vm, flight.request->service, ended.credit);
+    }
+    return ended.vm;
+}
+
+void Dispatcher::cancelAttempts(Flight &flight)
 {
-    if (!flight.remote.empty()) {
-        this->credits.giveBack(flight.remote, flight.request->service, flight.credit);
+    while (!flight.open.empty()) {
+        const Attempt attempt = flight.open.back();
+        this->endAttempt(flight, attempt.id);
+        if (attempt.here) {
+            this->scheduler.cancel(attempt.ticket);
+            continue;
+        }
+        Peering::Wire::CancelAttemptT cancel;
+        cancel.attempt = attempt.id;
+        this->context.sendOn(attempt.vm, linkClassOf(flight.request->rank), std::move(cancel));
     }
-    flight.remote = {};
-    flight.credit = 0;
 }
 
 void Dispatcher::finish(FlightId id, Common::Answer answer)
@@ -341,11 +456,16 @@
     Common::requireInvariant(answer.outcome != Outcome::NotRun || !found->second.mayHaveRun,
                              partName, "not-run is never said of a request that may have run",
                              [&] { return describe(found->second, answer); });
-    const AnswerHandler done = std::move(found->second.done);
-    this->context.timers.unsubscribe(found->second.timer);
-    this->attempts.abandon(id);
+    // Cancelling may call back with the result of an attempt, which must find no flight.
+    Flight flight = std::move(found->second);
     this->flights.erase(found);
-    done(std::move(answer));
+    this->context.timers.unsubscribe(flight.timer);
+    if (flight.hedgeTimer != 0) {
+        this->context.timers.unsubscribe(flight.hedgeTimer);
+    }
+    this->attempts.abandon(id);
+    this->cancelAttempts(flight);
+    flight.done(std::move(answer));
 }
 
 Common::Answer Dispatcher::outcomeOf(const Flight &flight, Common::Answer lastAnswer)
--- a/Source/Daemon/Dispatcher.h
+++ b/Source/Daemon/Dispatcher.h
@@ -6,6 +6,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include "currantfall/Admission/ServiceTimeEstimator.h"
 #include "currantfall/Execution/AttemptTable.h"
 #include "currantfall/Execution/RetryPolicy.h"
 #include "currantfall/Placement/RequestRouter.h"
@@ -41,6 +42,18 @@
 private:
     using FlightId = Execution::RequestId;
 
+    using Targets = std::vector<Placement::RouteTarget>;
+
+    /// One open attempt of a request.
+    struct Attempt
+    {
+        Execution::AttemptId id; // Of attempts on this VM as well.
+        Common::VmName vm;
+        bool here = false;
+        OwnerScheduler::Ticket ticket = 0; // Set if the attempt is on this VM.
+        Credits::CreditId credit = 0;
+    };
+
     /// A request on its way from this VM.
     struct Flight
     {
@@ -49,12 +62,13 @@
         std::vector<Common::VmName> triedVms;
         std::vector<Common::BackendServerName> triedServers;
         std::size_t targets = 0;
-        Execution::AttemptId attempt;
-        Common::VmName remote; // Empty while the attempt is on this VM.
-        Credits::CreditId credit = 0;
+        Common::Instant start;
+        std::vector<Attempt> open; // Two while the request is hedged.
         Common::TimerService::SubscriptionId timer = 0;
-        bool mayHaveRun = false;     // An attempt ended without a proven outcome.
+        Common::TimerService::SubscriptionId hedgeTimer = 0;
         Common::Instant parkedUntil; // Set when the request is parked for the first time.
+        Common::Instant demandNoted;
+        bool mayHaveRun = false; // An attempt ended without a proven outcome.
     };
 
     struct Forwarded
@@ -62,17 +76,26 @@
         OwnerScheduler::Ticket ticket = 0;
     };
 
-    void tryNext(FlightId id, Common::Answer lastAnswer);
-    std::vector<Placement::RouteTarget> targetsFor(const Flight &flight);
+    /// Sends the request to the first target that takes it, else parks or finishes it.
+    void tryTargets(FlightId id, const Targets &targets, Common::Answer lastAnswer);
+    Targets route(const Flight &flight);
+    void noteDemand(Flight &flight, const Targets &targets);
     bool tryTarget(FlightId id, const Placement::RouteTarget &target);
     void runHere(FlightId id);
     bool forward(FlightId id, const Placement::RouteTarget &target);
-    void onResult(FlightId id, const Common::VmName &vm, const Common::BackendServerName &server,
-                  Common::Answer answer);
+    void onResult(FlightId id, const Execution::AttemptId &attempt,
+                  const Common::BackendServerName &server, Common::Answer answer);
+    void noteFailure(Flight &flight, const Common::VmName &vm,
+                     const Common::BackendServerName &server, const Common::Answer &answer);
+    void planHedge(FlightId id);
+    void hedge(FlightId id);
+    bool hasFreeSlot(const Common::VmName &vm, const Common::ServiceName &service);
     bool park(FlightId id, const Common::Answer &answer);
-    bool mayTryAgain(const Flight &flight, const Common::Answer &answer);
+    /// Takes a retry from the budget if one is allowed.
+    bool takeRetry(const Flight &flight, const Targets &targets, const Common::Answer &answer);
     void onTimeout(FlightId id);
-    void endAttempt(Flight &flight);
+    Common::VmName endAttempt(Flight &flight, const Execution::AttemptId &attempt);
+    void cancelAttempts(Flight &flight);
     void finish(FlightId id, Common::Answer answer);
     /// The last answer, or outcome-unknown if it is a refusal and an earlier attempt may have run.
     static Common::Answer outcomeOf(const Flight &flight, Common::Answer lastAnswer);
@@ -88,6 +111,8 @@
     absl::flat_hash_map<FlightId, Flight> flights;
     absl::flat_hash_map<std::string, Forwarded> forwarded; // By sender and attempt.
     absl::flat_hash_map<Common::ServiceName, Execution::RetryBudget> budgets;
+    // Times from the arrival to the answer.
+    absl::flat_hash_map<Common::ServiceName, Admission::ServiceTimeEstimator> answerTimes;
     FlightId lastFlight = 0;
     std::size_t parkedFlights = 0;
 };
