Close the longest idle connection when another one waits for its thread

Cause: under an availability flood bookings waited for up to 4.5 s. Both are of the first rank and share its listener of 400 connections; beyond that, a connection waited until an idle one of the flood had timed out after 5 s. Change: when a connection arrives and all threads are busy, the connection that is idle for the longest time (at least 20 ms) is closed, so that its thread serves the new one.

--- a/Source/Daemon/ElasticThreadPool.cpp
+++ b/Source/Daemon/ElasticThreadPool.cpp
@@ -12,7 +12,9 @@
 
 } // namespace
 
-ElasticThreadPool::ElasticThreadPool(std::size_t mostThreads) : mostThreads(mostThreads) { }
+ElasticThreadPool::ElasticThreadPool(std::size_t mostThreads, std::function<void()> onFull)
+    : mostThreads(mostThreads), onFull(std::move(onFull))
+{ }
 
 ElasticThreadPool::~ElasticThreadPool()
 {
@@ -24,8 +26,13 @@
     const Common::MutexLock lock(&this->mutex);
     this->joinFinished();
     this->tasks.push_back(std::move(task));
-    if (this->tasks.size() > this->idle && this->threads.size() < this->mostThreads) {
+    if (this->tasks.size() <= this->idle) {
+        return;
+    }
+    if (this->threads.size() < this->mostThreads) {
         this->startThread();
+    } else {
+        this->onFull();
     }
 }
 
--- a/Source/Daemon/ElasticThreadPool.h
+++ b/Source/Daemon/ElasticThreadPool.h
@@ -17,7 +17,8 @@
 class ElasticThreadPool : public httplib::TaskQueue
 {
 public:
-    explicit ElasticThreadPool(std::size_t mostThreads);
+    /// `onFull` is called for each task that has to wait because all threads are busy.
+    ElasticThreadPool(std::size_t mostThreads, std::function<void()> onFull);
     ~ElasticThreadPool() override;
 
     void enqueue(std::function<void()> task) override;
@@ -33,6 +34,7 @@
     void joinFinished();
 
     const std::size_t mostThreads;
+    const std::function<void()> onFull;
     Common::Mutex mutex;
     std::deque<std::function<void()>> tasks;
     Threads threads;
--- a/Source/Daemon/HttpListener.cpp
+++ b/Source/Daemon/HttpListener.cpp
@@ -18,10 +18,41 @@
 constexpr std::size_t keepAliveRequests = 1'000'000'000;
 constexpr int readTimeoutSeconds = 10;
 constexpr int millisecondsPerSecond = 1000;
+// A caller that repeats requests sends the next one within this time; its connection stays.
+constexpr int leastIdleMs = 20;
 constexpr absl::Duration startPoll = absl::Milliseconds(1);
 
 } // namespace
 
+void HttpListener::Server::closeIdleConnection()
+{
+    const Common::MutexLock lock(&this->mutex);
+    if (this->idle.empty()) {
+        ++this->closesDue;
+        return;
+    }
+    // Wakes only the thread of this connection, which still serves a request that has arrived.
+    ::shutdown(this->idle.front(), SHUT_RD);
+    this->idle.pop_front();
+}
+
+bool HttpListener::Server::enterIdle(socket_t descriptor)
+{
+    const Common::MutexLock lock(&this->mutex);
+    if (this->closesDue > 0) {
+        --this->closesDue;
+        return false;
+    }
+    this->idle.push_back(descriptor);
+    return true;
+}
+
+void HttpListener::Server::leaveIdle(socket_t descriptor)
+{
+    const Common::MutexLock lock(&this->mutex);
+    this->idle.remove(descriptor);
+}
+
 bool HttpListener::Server::process_and_close_socket(socket_t descriptor)
 {
     HttpStream::SocketStream stream(descriptor, absl::Seconds(readTimeoutSeconds));
@@ -36,16 +67,26 @@
     return true;
 }
 
-bool HttpListener::Server::waitForRequest(socket_t descriptor) const
+bool HttpListener::Server::waitForRequest(socket_t descriptor)
 {
     pollfd entry { descriptor, POLLIN, 0 };
+    if (poll(&entry, 1, leastIdleMs) == 1) {
+        return true;
+    }
+    if (!this->enterIdle(descriptor)) {
+        return false;
+    }
     const int idleMs = static_cast<int>(this->keep_alive_timeout_sec_) * millisecondsPerSecond;
-    return poll(&entry, 1, idleMs) == 1;
+    const bool readable = poll(&entry, 1, idleMs) == 1;
+    this->leaveIdle(descriptor);
+    return readable;
 }
 
 HttpListener::HttpListener(std::size_t connections, int idleSeconds)
 {
-    this->server.new_task_queue = [connections] { return new ElasticThreadPool(connections); };
+    this->server.new_task_queue = [this, connections] {
+        return new ElasticThreadPool(connections, [this] { this->server.closeIdleConnection(); });
+    };
     this->server.set_keep_alive_max_count(keepAliveRequests);
     this->server.set_keep_alive_timeout(idleSeconds);
     this->server.set_read_timeout(readTimeoutSeconds);
--- a/Source/Daemon/HttpListener.h
+++ b/Source/Daemon/HttpListener.h
@@ -2,12 +2,14 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <list>
 #include <string>
 #include <thread>
 
 #include <httplib.h>
 
 #include "currantfall/Common/Error.h"
+#include "currantfall/Common/Mutex.h"
 
 namespace Currantfall::Daemon {
 
@@ -35,10 +37,23 @@
     /// time at 600 idle connections and delays requests that arrive during the sleep.
     class Server : public httplib::Server
     {
+    public:
+        /// Closes the connection that is idle for the longest time, now or when there is one, so
+        /// that its thread can serve a connection that waits.
+        void closeIdleConnection();
+
     private:
         // NOLINTNEXTLINE(readability-identifier-naming)
         bool process_and_close_socket(socket_t descriptor) override;
-        bool waitForRequest(socket_t descriptor) const;
+        bool waitForRequest(socket_t descriptor);
+        /// False if the connection is to be closed now instead.
+        bool enterIdle(socket_t descriptor);
+        void leaveIdle(socket_t descriptor);
+
+        Common::Mutex mutex;
+        std::list<socket_t> idle; // Longest first.
+        /// Connections that wait for one to become idle.
+        std::size_t closesDue = 0;
     };
 
     Server server;
