--- a/Source/Load/Caller.cpp
+++ b/Source/Load/Caller.cpp
@@ -49,8 +49,9 @@
 
 } // namespace
 
-Caller::Caller(const Settings &settings, const RequestClass &requestClass, LookupCache &lookups)
-    : settings(settings), requestClass(requestClass), lookups(lookups)
+Caller::Caller(const Settings &settings, const RequestClass &requestClass, LookupCache &lookups,
+               BalancerFleet *balancers)
+    : settings(settings), requestClass(requestClass), lookups(lookups), balancers(balancers)
 { }
 
 httplib::Client &Caller::client(const Endpoint &endpoint)
@@ -118,10 +119,10 @@
     }
 }
 
-CallOutcome Caller::send(const Endpoint &endpoint, const httplib::Request &request,
-                         const std::string &requestId, bool isSteered)
+CallOutcome Caller::send(httplib::Client &client, const httplib::Request &request,
+                         const std::string &requestId, bool isSteered) const
 {
-    const httplib::Result result = this->client(endpoint).send(request);
+    const httplib::Result result = client.send(request);
     if (result) {
         return this->classify(*result, request, requestId, isSteered);
     }
@@ -132,15 +133,47 @@
 
 Caller::Call Caller::direct(const std::string &requestId, std::uint64_t number)
 {
+    if (this->balancers != nullptr) {
+        return this->balanced(requestId, number);
+    }
     const Endpoint &endpoint = this->settings.direct.at(number % this->settings.direct.size());
     const httplib::Request request = this->request(requestId, this->requestClass.path);
-    return { this->send(endpoint, request, requestId, false), 1 };
+    return { this->send(this->client(endpoint), request, requestId, false), 1 };
+}
+
+Caller::Call Caller::balanced(const std::string &requestId, std::uint64_t number)
+{
+    httplib::Request request = this->request(requestId, this->requestClass.path);
+    const bool limited = this->requestClass.deadline > absl::ZeroDuration();
+    const absl::Duration deadline = limited ? this->requestClass.deadline : this->settings.timeout;
+    DirectBalancer &balancer = this->balancers->balancerFor(this->requestClass.service, number);
+    const DirectBalancer::Call call
+            = balancer.call(deadline, [&](httplib::Client &client, absl::Duration remaining) {
+                  request.headers.erase("Currantfall-Deadline-Ms");
+                  request.headers.emplace("Currantfall-Deadline-Ms",
+                                          std::to_string(absl::ToInt64Milliseconds(remaining)));
+                  client.set_read_timeout(absl::ToChronoMilliseconds(this->settings.timeout));
+                  return this->send(client, request, requestId, false);
+              });
+    return { call.outcome, call.attempts };
+}
+
+Common::Result<std::vector<Entry>> Caller::entries(std::uint64_t number)
+{
+    if (this->requestClass.entry) {
+        return std::vector<Entry> { Entry { *this->requestClass.entry,
+                                            this->requestClass.keyPrefix } };
+    }
+    const std::vector<std::string> &clients = this->settings.clients;
+    return this->lookups.entries(this->requestClass.service,
+                                 clients.empty() ? std::string()
+                                                 : clients[number % clients.size()]);
 }
 
-Caller::Call Caller::steered(const std::string &requestId)
+Caller::Call Caller::steered(const std::string &requestId, std::uint64_t number)
 {
     Call call;
-    const auto entries = this->lookups.entries(this->requestClass.service);
+    const auto entries = this->entries(number);
     if (!entries) {
         return call;
     }
@@ -160,7 +193,8 @@
             request.headers.emplace("Idempotency-Key", key);
         }
         ++call.attempts;
-        const CallOutcome outcome = this->send(entry.endpoint, request, requestId, true);
+        const CallOutcome outcome
+                = this->send(this->client(entry.endpoint), request, requestId, true);
         if (outcome == CallOutcome::Unreachable) {
             continue;
         }
--- a/Source/Load/Caller.h
+++ b/Source/Load/Caller.h
@@ -9,6 +9,7 @@
 
 #include <httplib.h>
 
+#include "Load/BalancerFleet.h"
 #include "Load/LookupCache.h"
 #include "Load/Results.h"
 #include "Load/Settings.h"
@@ -25,26 +26,31 @@
         std::uint64_t attempts = 0;
     };
 
-    Caller(const Settings &settings, const RequestClass &requestClass, LookupCache &lookups);
+    /// Direct calls go through `balancers` if there are any.
+    Caller(const Settings &settings, const RequestClass &requestClass, LookupCache &lookups,
+           BalancerFleet *balancers = nullptr);
 
     /// Calls through an entry VM: the next one after a failed connection, a lost answer that may be
-    /// repeated, or not-run; two more tries at most.
-    Call steered(const std::string &requestId);
+    /// repeated, or not-run; two more tries at most. `number` spreads requests over the clients.
+    Call steered(const std::string &requestId, std::uint64_t number);
 
     /// Calls a backend server once; `number` spreads requests over the servers.
     Call direct(const std::string &requestId, std::uint64_t number);
 
 private:
+    Call balanced(const std::string &requestId, std::uint64_t number);
+    Common::Result<std::vector<Entry>> entries(std::uint64_t number);
     httplib::Client &client(const Endpoint &endpoint);
     httplib::Request request(const std::string &requestId, const std::string &path) const;
-    CallOutcome send(const Endpoint &endpoint, const httplib::Request &request,
-                     const std::string &requestId, bool isSteered);
+    CallOutcome send(httplib::Client &client, const httplib::Request &request,
+                     const std::string &requestId, bool isSteered) const;
     CallOutcome classify(const httplib::Response &response, const httplib::Request &request,
                          const std::string &requestId, bool isSteered) const;
 
     const Settings &settings;
     const RequestClass &requestClass;
     LookupCache &lookups;
+    BalancerFleet *balancers;
     std::map<std::string, std::unique_ptr<httplib::Client>> clients;
 };
 
--- a/Source/Load/LoadRun.cpp
+++ b/Source/Load/LoadRun.cpp
@@ -53,9 +53,10 @@
 class ClassLoad
 {
 public:
-    ClassLoad(const Settings &settings, std::size_t index, std::string runId, LookupCache &lookups)
+    ClassLoad(const Settings &settings, std::size_t index, std::string runId, LookupCache &lookups,
+              BalancerFleet *balancers)
         : settings(settings), requestClass(settings.classes.at(index)), index(index),
-          runId(std::move(runId)), lookups(lookups), queue(queueCapacity)
+          runId(std::move(runId)), lookups(lookups), balancers(balancers), queue(queueCapacity)
     { }
 
     void start(const std::vector<Phase> &phases)
@@ -108,7 +109,7 @@
 
     void serve(std::size_t worker, const std::vector<Phase> &phases)
     {
-        Caller caller(this->settings, this->requestClass, this->lookups);
+        Caller caller(this->settings, this->requestClass, this->lookups, this->balancers);
         while (true) {
             // Read before the queue: only then does an empty queue stay empty.
             const bool last = this->generated;
@@ -126,7 +127,8 @@
     {
         std::string id = this->runId + "-" + std::to_string(this->index) + "-"
                          + std::to_string(arrival.number);
-        const Caller::Call call = direct ? caller.direct(id, arrival.number) : caller.steered(id);
+        const Caller::Call call
+                = direct ? caller.direct(id, arrival.number) : caller.steered(id, arrival.number);
         result.add(call.outcome, Common::monotonicNow() - arrival.scheduled);
         result.attempts += call.attempts;
         if (!this->settings.verify.empty()) {
@@ -139,6 +141,7 @@
     std::size_t index;
     std::string runId;
     LookupCache &lookups;
+    BalancerFleet *balancers;
     Common::BoundedRing<Arrival> queue;
     std::vector<std::vector<ClassResult>> results;
     std::vector<std::uint64_t> notSent;
@@ -201,9 +204,14 @@
     // Request ids of two runs with one seed must differ, as stand-ins count by request id.
     const std::string runId
             = absl::StrCat(absl::Hex(settings.seed), "-", absl::Hex(absl::GetCurrentTimeNanos()));
+    std::optional<BalancerFleet> balancers;
+    if (!settings.balancers.groups.empty()) {
+        balancers.emplace(settings.balancers, settings.seed);
+    }
+    BalancerFleet *const direct = balancers ? &*balancers : nullptr;
     std::vector<std::unique_ptr<ClassLoad>> loads;
     for (std::size_t index = 0; index < settings.classes.size(); ++index) {
-        loads.push_back(std::make_unique<ClassLoad>(settings, index, runId, lookups));
+        loads.push_back(std::make_unique<ClassLoad>(settings, index, runId, lookups, direct));
         loads.back()->start(report.phases);
     }
     for (const std::unique_ptr<ClassLoad> &load : loads) {
--- a/Source/Load/LookupCache.cpp
+++ b/Source/Load/LookupCache.cpp
@@ -34,20 +34,22 @@
     : lookups(std::move(lookups)), timeout(timeout)
 { }
 
-Common::Result<std::vector<Entry>> LookupCache::entries(const std::string &service)
+Common::Result<std::vector<Entry>> LookupCache::entries(const std::string &service,
+                                                        const std::string &client)
 {
+    const std::string query = "service=" + service + (client.empty() ? "" : "&client=" + client);
     {
         const std::lock_guard lock(this->mutex);
-        Cached &cached = this->cache[service];
+        Cached &cached = this->cache[query];
         const bool fresh = Common::monotonicNow() < cached.expiry || cached.refreshing;
         if (fresh && !cached.entries.empty()) {
             return cached.entries;
         }
         cached.refreshing = true;
     }
-    Common::Result<Cached> found = this->lookUp(service);
+    Common::Result<Cached> found = this->lookUp(query);
     const std::lock_guard lock(this->mutex);
-    Cached &cached = this->cache[service];
+    Cached &cached = this->cache[query];
     cached.refreshing = false;
     if (found) {
         cached = *std::move(found);
@@ -57,7 +59,7 @@
     return cached.entries;
 }
 
-Common::Result<LookupCache::Cached> LookupCache::lookUp(const std::string &service) const
+Common::Result<LookupCache::Cached> LookupCache::lookUp(const std::string &query) const
 {
     Common::Error last(Common::ErrorCode::Unavailable, lookupStep, {}, "no lookup address");
     for (const Endpoint &lookup : this->lookups) {
@@ -65,7 +67,7 @@
         client.set_tcp_nodelay(true);
         client.set_connection_timeout(absl::ToChronoMilliseconds(this->timeout));
         client.set_read_timeout(absl::ToChronoMilliseconds(this->timeout));
-        const httplib::Result reply = client.Get("/v1/lookup?service=" + service);
+        const httplib::Result reply = client.Get("/v1/lookup?" + query);
         if (!reply || reply->status != 200) {
             last = Common::Error(Common::ErrorCode::Unavailable, lookupStep, lookup.toString(),
                                  reply ? "status " + std::to_string(reply->status)
--- a/Source/Load/LookupCache.h
+++ b/Source/Load/LookupCache.h
@@ -30,7 +30,9 @@
 
     /// Entry VMs for `service` in order of preference. While one thread refreshes a response, and
     /// if the refresh fails, the others use the old one.
-    Common::Result<std::vector<Entry>> entries(const std::string &service);
+    /// The lookup is made for the caller address `client`, or the own one if that is empty.
+    Common::Result<std::vector<Entry>> entries(const std::string &service,
+                                               const std::string &client = {});
 
 private:
     struct Cached
@@ -40,13 +42,13 @@
         bool refreshing = false;
     };
 
-    Common::Result<Cached> lookUp(const std::string &service) const;
+    Common::Result<Cached> lookUp(const std::string &query) const;
 
     std::vector<Endpoint> lookups;
     absl::Duration timeout;
     /// Not an absl::Mutex: ThreadSanitizer does not see the locks of the uninstrumented library.
     std::mutex mutex;
-    std::map<std::string, Cached> cache;
+    std::map<std::string, Cached> cache; // By query.
 };
 
 } // namespace Currantfall::Load
--- a/Source/Load/Settings.cpp
+++ b/Source/Load/Settings.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cstdlib>
-#include <optional>
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
@@ -34,12 +33,23 @@
     all.add_options()("lookup", "IP:PORT of an entry VM's lookups (repeated)",
                       cxxopts::value<Strings>())(
             "class",
-            "service=S,tenant=T,method=M,path=P,rate=R,body-bytes=N,key=yes|no,deadline-ms=D "
-            "(repeated)",
+            "service=S,tenant=T,method=M,path=P,rate=R,body-bytes=N,key=yes|no,deadline-ms=D,"
+            "key-prefix=P,entry=IP:PORT (repeated)",
             cxxopts::value<Strings>())("direct",
                                        "IP:PORT of a backend server to call directly "
                                        "(repeated)",
                                        cxxopts::value<Strings>())(
+            "direct-power-of-two",
+            "SERVICE/N=IP:PORT,... calls these servers directly through N independent balancers "
+            "(repeated)",
+            cxxopts::value<Strings>())("balancer-limit",
+                                       "concurrent requests of a balancer, in shares of the slots",
+                                       cxxopts::value<double>()->default_value("2"))(
+            "balancer-counts-own", "balancers add their own requests to the reported load")(
+            "report-interval-ms", "between two reads of the load reports",
+            cxxopts::value<int>()->default_value("250"))(
+            "client", "address of callers in lookups (repeated, used in turn)",
+            cxxopts::value<Strings>())(
             "verify", "IP:PORT of a backend stand-in to ask for executions (repeated)",
             cxxopts::value<Strings>())("duration-s", "length of the run",
                                        cxxopts::value<double>()->default_value("10"))(
@@ -59,8 +69,20 @@
 Strings withEnvironment(int count, const char *const *arguments)
 {
     Strings all(arguments, arguments + count);
-    const Strings names { "lookup",     "class",     "direct", "verify",      "duration-s",
-                          "timeout-ms", "settle-ms", "seed",   "connections", "alternate" };
+    const Strings names { "lookup",
+                          "class",
+                          "direct",
+                          "verify",
+                          "duration-s",
+                          "timeout-ms",
+                          "settle-ms",
+                          "seed",
+                          "connections",
+                          "alternate",
+                          "direct-power-of-two",
+                          "balancer-limit",
+                          "report-interval-ms",
+                          "client" };
     for (const std::string &name : names) {
         const std::string option = "--" + name;
         const bool given
@@ -121,9 +143,13 @@
         target.key = value == "yes";
     } else if (name == "deadline-ms" && isNumber) {
         target.deadline = absl::Milliseconds(number);
+    } else if (name == "key-prefix") {
+        target.keyPrefix = value;
+    } else if (name == "entry" && Endpoint::parse(value)) {
+        target.entry = *Endpoint::parse(value);
     } else {
         return "a class has service, tenant, method, path (from '/'), rate (> 0), body-bytes, "
-               "key (yes or no) and deadline-ms, not "
+               "key (yes or no), deadline-ms, key-prefix and entry (IP:PORT), not "
                + name + "=" + value;
     }
     return std::nullopt;
@@ -145,12 +171,41 @@
         || settings.settle < absl::ZeroDuration()) {
         return invalid("settings", "--duration-s and --timeout-ms must be positive");
     }
+    if (settings.balancers.limitFactor <= 0
+        || settings.balancers.reportInterval <= absl::ZeroDuration()) {
+        return invalid("settings", "--balancer-limit and --report-interval-ms must be positive");
+    }
     if (settings.connections == 0 || settings.connections > maxConnections) {
         return invalid("settings", "--connections must be in 1..256");
     }
     return settings;
 }
 
+/// Adds the balancers to the settings.
+Common::Result<Settings> withBalancers(Settings settings, const cxxopts::ParseResult &parsed)
+{
+    const auto groups = parseAll<BalancerGroup>(parsed, "direct-power-of-two");
+    if (!groups) {
+        return tl::unexpected<Common::Error>(groups.error());
+    }
+    settings.balancers.groups = *groups;
+    settings.balancers.limitFactor = parsed["balancer-limit"].as<double>();
+    settings.balancers.countsOwn = parsed.count("balancer-counts-own") > 0;
+    settings.balancers.reportInterval = absl::Milliseconds(parsed["report-interval-ms"].as<int>());
+    for (const BalancerGroup &group : *groups) {
+        settings.direct.insert(settings.direct.end(), group.servers.begin(), group.servers.end());
+    }
+    for (const RequestClass &requestClass : settings.classes) {
+        const bool found = std::any_of(groups->begin(), groups->end(), [&](const auto &group) {
+            return group.service == requestClass.service;
+        });
+        if (!groups->empty() && !found) {
+            return invalid("settings", "no --direct-power-of-two for " + requestClass.service);
+        }
+    }
+    return check(std::move(settings));
+}
+
 Common::Result<Settings> convert(const cxxopts::ParseResult &parsed)
 {
     Settings settings;
@@ -177,7 +232,10 @@
     settings.connections = parsed["connections"].as<std::size_t>();
     settings.alternate = parsed["alternate"].as<std::size_t>();
     settings.json = parsed.count("json") > 0;
-    return check(std::move(settings));
+    if (parsed.count("client") > 0) {
+        settings.clients = parsed["client"].as<Strings>();
+    }
+    return withBalancers(std::move(settings), parsed);
 }
 
 } // namespace
--- a/Source/Load/Settings.h
+++ b/Source/Load/Settings.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -9,6 +10,9 @@
 
 #include "currantfall/Common/Error.h"
 
+#include "Load/BalancerSettings.h"
+#include "Load/Endpoint.h"
+
 namespace Currantfall::Load {
 
 /// One kind of request with its own arrival rate.
@@ -23,6 +27,10 @@
     std::size_t bodyBytes = 0;
     /// Sends an idempotency key, as non-idempotent routes require.
     bool key = false;
+    /// Gets all requests instead of the entries of lookups.
+    std::optional<Endpoint> entry;
+    /// Makes the keys of requests to `entry`.
+    std::string keyPrefix;
     /// Remaining time that is announced to the entry VM; zero announces none.
     absl::Duration deadline = absl::ZeroDuration();
 
@@ -30,26 +38,19 @@
     std::string toString() const;
 
     /// Parses "service=...,tenant=...,method=...,path=...,rate=...,body-bytes=...,key=yes|no,
-    /// deadline-ms=...". Only the service is required.
+    /// deadline-ms=...,key-prefix=...,entry=IP:PORT". Only the service is required.
     static Common::Result<RequestClass> parse(const std::string &text);
 };
 
-struct Endpoint
-{
-    std::string address;
-    int port = 0;
-
-    std::string toString() const { return this->address + ":" + std::to_string(this->port); }
-    static Common::Result<Endpoint> parse(const std::string &text);
-
-    friend bool operator==(const Endpoint &left, const Endpoint &right) = default;
-};
-
 struct Settings
 {
     std::vector<Endpoint> lookups;
     std::vector<Endpoint> direct;
     std::vector<Endpoint> verify;
+    /// With groups, `direct` has the addresses of all of them.
+    BalancerSettings balancers;
+    /// Addresses of callers in lookups, used in turn; the own one if empty.
+    std::vector<std::string> clients;
     std::vector<RequestClass> classes;
     absl::Duration duration = absl::Seconds(10);
     absl::Duration timeout = absl::Seconds(10);
