--- a/Source/Load/Caller.cpp
+++ b/Source/Load/Caller.cpp
@@ -16,6 +16,13 @@
 constexpr int firstErrorStatus = 300;
 /// A dead VM must not use up the time of the other entries.
 constexpr absl::Duration connectTimeout = absl::Seconds(1);
+const char *const deadlineHeader = "Currantfall-Deadline-Ms";
+
+void setDeadline(httplib::Request &request, absl::Duration remaining)
+{
+    request.headers.erase(deadlineHeader);
+    request.headers.emplace(deadlineHeader, std::to_string(absl::ToInt64Milliseconds(remaining)));
+}
 
 /// A body that no other request has.
 std::string bodyOf(const std::string &requestId, std::size_t bytes)
@@ -79,8 +86,7 @@
         request.headers.emplace("Currantfall-Tenant", this->requestClass.tenant);
     }
     if (this->requestClass.deadline > absl::ZeroDuration()) {
-        const auto deadline = absl::ToInt64Milliseconds(this->requestClass.deadline);
-        request.headers.emplace("Currantfall-Deadline-Ms", std::to_string(deadline));
+        setDeadline(request, this->requestClass.deadline);
     }
     request.body = bodyOf(requestId, this->requestClass.bodyBytes);
     return request;
@@ -149,9 +155,7 @@
     DirectBalancer &balancer = this->balancers->balancerFor(this->requestClass.service, number);
     const DirectBalancer::Call call
             = balancer.call(deadline, [&](httplib::Client &client, absl::Duration remaining) {
-                  request.headers.erase("Currantfall-Deadline-Ms");
-                  request.headers.emplace("Currantfall-Deadline-Ms",
-                                          std::to_string(absl::ToInt64Milliseconds(remaining)));
+                  setDeadline(request, remaining);
                   client.set_read_timeout(absl::ToChronoMilliseconds(this->settings.timeout));
                   return this->send(client, request, requestId, false);
               });
@@ -181,6 +185,7 @@
             = this->request(requestId, "/" + this->requestClass.service + this->requestClass.path);
     std::string key;
     bool unknown = false;
+    const Common::Instant ends = Common::monotonicNow() + this->requestClass.deadline;
     for (const Entry &entry : *entries) {
         if (call.attempts == maxTries) {
             break;
@@ -192,6 +197,14 @@
             request.headers.erase("Idempotency-Key");
             request.headers.emplace("Idempotency-Key", key);
         }
+        if (call.attempts > 0 && this->requestClass.deadline > absl::ZeroDuration()) {
+            // All tries share the deadline of the request.
+            const absl::Duration remaining = ends - Common::monotonicNow();
+            if (remaining < absl::Milliseconds(1)) {
+                break;
+            }
+            setDeadline(request, remaining);
+        }
         ++call.attempts;
         const CallOutcome outcome
                 = this->send(this->client(entry.endpoint), request, requestId, true);
