--- a/Source/Load/LoadRun.cpp
+++ b/Source/Load/LoadRun.cpp
@@ -19,6 +19,7 @@
 #include "currantfall/Common/Time.h"
 
 #include "Load/Caller.h"
+#include "Load/Timeline.h"
 
 namespace Currantfall::Load {
 
@@ -54,9 +55,10 @@
 {
 public:
     ClassLoad(const Settings &settings, std::size_t index, std::string runId, LookupCache &lookups,
-              BalancerFleet *balancers)
+              BalancerFleet *balancers, Timeline &timeline)
         : settings(settings), requestClass(settings.classes.at(index)), index(index),
-          runId(std::move(runId)), lookups(lookups), balancers(balancers), queue(queueCapacity)
+          runId(std::move(runId)), lookups(lookups), balancers(balancers), timeline(timeline),
+          queue(queueCapacity)
     { }
 
     void start(const std::vector<Phase> &phases)
@@ -129,7 +131,9 @@
                          + std::to_string(arrival.number);
         const Caller::Call call
                 = direct ? caller.direct(id, arrival.number) : caller.steered(id, arrival.number);
-        result.add(call.outcome, Common::monotonicNow() - arrival.scheduled);
+        const absl::Duration latency = Common::monotonicNow() - arrival.scheduled;
+        result.add(call.outcome, latency);
+        this->timeline.add(arrival.scheduled, call.outcome, latency);
         result.attempts += call.attempts;
         if (!this->settings.verify.empty()) {
             result.records.push_back(RequestRecord { std::move(id), call.outcome });
@@ -142,6 +146,7 @@
     std::string runId;
     LookupCache &lookups;
     BalancerFleet *balancers;
+    Timeline &timeline;
     Common::BoundedRing<Arrival> queue;
     std::vector<std::vector<ClassResult>> results;
     std::vector<std::uint64_t> notSent;
@@ -208,15 +213,18 @@
     if (!settings.balancers.groups.empty()) {
         balancers.emplace(settings.balancers, settings.seed);
     }
+    Timeline timeline(settings.timelineInterval);
     BalancerFleet *const direct = balancers ? &*balancers : nullptr;
     std::vector<std::unique_ptr<ClassLoad>> loads;
     for (std::size_t index = 0; index < settings.classes.size(); ++index) {
-        loads.push_back(std::make_unique<ClassLoad>(settings, index, runId, lookups, direct));
+        loads.push_back(
+                std::make_unique<ClassLoad>(settings, index, runId, lookups, direct, timeline));
         loads.back()->start(report.phases);
     }
     for (const std::unique_ptr<ClassLoad> &load : loads) {
         load->finish(report.phases);
     }
+    report.timeline = timeline.toText();
     if (settings.verify.empty()) {
         return report;
     }
--- a/Source/Load/LoadRun.h
+++ b/Source/Load/LoadRun.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <string>
 #include <vector>
 
 #include "currantfall/Common/Error.h"
@@ -24,6 +25,8 @@
     std::vector<Phase> phases;
     /// True if the backend stand-ins were asked for their executions.
     bool verified = false;
+    /// Text of the timeline; empty without one.
+    std::string timeline;
 
     /// All results of one class in phases that are direct or steered.
     ClassResult total(std::size_t classIndex, bool direct) const;
--- a/Source/Load/ReportText.cpp
+++ b/Source/Load/ReportText.cpp
@@ -146,7 +146,7 @@
                     ratio.p99, ratio.addedP99);
         }
     }
-    return text;
+    return text + report.timeline;
 }
 
 std::string reportJson(const LoadReport &report, const Settings &settings)
--- a/Source/Load/Settings.cpp
+++ b/Source/Load/Settings.cpp
@@ -60,7 +60,9 @@
             cxxopts::value<std::uint64_t>()->default_value("1"))(
             "connections", "of each class", cxxopts::value<std::size_t>()->default_value("32"))(
             "alternate", "pairs of a direct and a steered phase",
-            cxxopts::value<std::size_t>()->default_value("0"))("json", "report as JSON")(
+            cxxopts::value<std::size_t>()->default_value("0"))(
+            "timeline-ms", "length of the intervals of a timeline in the text report; 0 for none",
+            cxxopts::value<int>()->default_value("0"))("json", "report as JSON")(
             "help", "this text")("version", "print the version");
     return all;
 }
@@ -231,6 +233,7 @@
     settings.seed = parsed["seed"].as<std::uint64_t>();
     settings.connections = parsed["connections"].as<std::size_t>();
     settings.alternate = parsed["alternate"].as<std::size_t>();
+    settings.timelineInterval = absl::Milliseconds(parsed["timeline-ms"].as<int>());
     settings.json = parsed.count("json") > 0;
     if (parsed.count("client") > 0) {
         settings.clients = parsed["client"].as<Strings>();
--- a/Source/Load/Settings.h
+++ b/Source/Load/Settings.h
@@ -62,6 +62,8 @@
     std::size_t connections = 32;
     /// Pairs of a direct and a steered phase; 0 for one phase.
     std::size_t alternate = 0;
+    /// Length of the intervals of the timeline; zero for none.
+    absl::Duration timelineInterval = absl::ZeroDuration();
     bool json = false;
 
     /// Reads the command line. An option that is absent there is taken from CURRANTFALL_<NAME>;
