Make the listen queue of entry VMs longer

Cause: cpp-httplib listens with a queue of 5. After an entry VM was killed, its callers connected to the next one at once; connections beyond the queue were only tried again after a second, which is the callers' connection timeout.

--- a/Source/Daemon/HttpListener.cpp
+++ b/Source/Daemon/HttpListener.cpp
@@ -1,5 +1,7 @@
 #include "HttpListener.h"
 
+#include <sys/socket.h>
+
 #include <absl/time/clock.h>
 #include <absl/time/time.h>
 
@@ -12,6 +14,9 @@
 // cpp-httplib closes a connection after five requests by default.
 constexpr std::size_t keepAliveRequests = 1'000'000'000;
 constexpr int readTimeoutSeconds = 10;
+// cpp-httplib has a queue of 5. When an entry VM fails, its callers connect to the next ones at
+// once, and a connection that finds the queue full is only tried again after a second.
+constexpr int listenQueue = 1024;
 constexpr absl::Duration startPoll = absl::Milliseconds(1);
 
 } // namespace
@@ -23,6 +28,10 @@
     this->server.set_keep_alive_timeout(idleSeconds);
     this->server.set_read_timeout(readTimeoutSeconds);
     this->server.set_tcp_nodelay(true);
+    this->server.set_socket_options([this](socket_t created) {
+        httplib::default_socket_options(created);
+        this->descriptor = created;
+    });
 }
 
 HttpListener::~HttpListener()
@@ -41,6 +50,12 @@
                                address + ":" + std::to_string(port),
                                "the address is in use or not of this VM");
     }
+    // The library has called listen() with its own length; a second call changes it.
+    if (::listen(this->descriptor, listenQueue) != 0) {
+        return Common::failure(Common::ErrorCode::Unavailable, step,
+                               address + ":" + std::to_string(port),
+                               "the listen queue can't be made longer");
+    }
     this->acceptor = std::thread([this] { this->server.listen_after_bind(); });
     // stop() has no effect before the acceptor runs.
     while (!this->server.is_running()) {
--- a/Source/Daemon/HttpListener.h
+++ b/Source/Daemon/HttpListener.h
@@ -31,6 +31,7 @@
 
 private:
     httplib::Server server;
+    socket_t descriptor = INVALID_SOCKET;
     std::thread acceptor;
 };
 
