--- a/Source/Daemon/HttpListener.cpp
+++ b/Source/Daemon/HttpListener.cpp
@@ -18,10 +18,19 @@
 constexpr std::size_t keepAliveRequests = 1'000'000'000;
 constexpr int readTimeoutSeconds = 10;
 constexpr int millisecondsPerSecond = 1000;
+// cpp-httplib has a queue of 5. When an entry VM fails, its callers connect to the next ones at
+// once, and a connection that finds the queue full is only tried again after a second.
+constexpr int listenQueue = 1024;
 constexpr absl::Duration startPoll = absl::Milliseconds(1);
 
 } // namespace
 
+bool HttpListener::Server::lengthenQueue() const
+{
+    // The library has called listen() with its own length; a second call changes it.
+    return ::listen(this->svr_sock_, listenQueue) == 0;
+}
+
 bool HttpListener::Server::process_and_close_socket(socket_t descriptor)
 {
     HttpStream::SocketStream stream(descriptor, absl::Seconds(readTimeoutSeconds));
@@ -68,6 +77,11 @@
                                address + ":" + std::to_string(port),
                                "the address is in use or not of this VM");
     }
+    if (!this->server.lengthenQueue()) {
+        return Common::failure(Common::ErrorCode::Unavailable, step,
+                               address + ":" + std::to_string(port),
+                               "the listen queue can't be made longer");
+    }
     this->acceptor = std::thread([this] { this->server.listen_after_bind(); });
     // stop() has no effect before the acceptor runs.
     while (!this->server.is_running()) {
--- a/Source/Daemon/HttpListener.h
+++ b/Source/Daemon/HttpListener.h
@@ -35,6 +35,10 @@
     /// time at 600 idle connections and delays requests that arrive during the sleep.
     class Server : public httplib::Server
     {
+    public:
+        /// Replaces the library's listen queue after the address is bound.
+        bool lengthenQueue() const;
+
     private:
         // NOLINTNEXTLINE(readability-identifier-naming)
         bool process_and_close_socket(socket_t descriptor) override;
--- a/Source/Load/Caller.cpp
+++ b/Source/Load/Caller.cpp
@@ -8,6 +8,8 @@
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 
+#include "Load/HttpClient.h"
+
 namespace Currantfall::Load {
 
 namespace {
@@ -16,6 +18,13 @@
 constexpr int firstErrorStatus = 300;
 /// A dead VM must not use up the time of the other entries.
 constexpr absl::Duration connectTimeout = absl::Seconds(1);
+const char *const deadlineHeader = "Currantfall-Deadline-Ms";
+
+void setDeadline(httplib::Request &request, absl::Duration remaining)
+{
+    request.headers.erase(deadlineHeader);
+    request.headers.emplace(deadlineHeader, std::to_string(absl::ToInt64Milliseconds(remaining)));
+}
 
 /// A body that no other request has.
 std::string bodyOf(const std::string &requestId, std::size_t bytes)
@@ -49,21 +58,17 @@
 
 } // namespace
 
-Caller::Caller(const Settings &settings, const RequestClass &requestClass, LookupCache &lookups)
-    : settings(settings), requestClass(requestClass), lookups(lookups)
+Caller::Caller(const Settings &settings, const RequestClass &requestClass, LookupCache &lookups,
+               BalancerFleet *balancers)
+    : settings(settings), requestClass(requestClass), lookups(lookups), balancers(balancers)
 { }
 
 httplib::Client &Caller::client(const Endpoint &endpoint)
 {
     std::unique_ptr<httplib::Client> &found = this->clients[endpoint.toString()];
     if (!found) {
-        found = std::make_unique<httplib::Client>(endpoint.address, endpoint.port);
-        found->set_keep_alive(true);
-        found->set_tcp_nodelay(true);
-        const absl::Duration connect = std::min(connectTimeout, this->settings.timeout);
-        found->set_connection_timeout(absl::ToChronoMilliseconds(connect));
-        found->set_read_timeout(absl::ToChronoMilliseconds(this->settings.timeout));
-        found->set_write_timeout(absl::ToChronoMilliseconds(this->settings.timeout));
+        found = makeClient(endpoint, std::min(connectTimeout, this->settings.timeout),
+                           this->settings.timeout);
     }
     return *found;
 }
@@ -77,18 +82,19 @@
 
 void Caller::openConnections()
 {
-    std::vector<Endpoint> endpoints = this->settings.direct;
+    std::vector<Endpoint> endpoints;
+    if (this->balancers == nullptr) {
+        endpoints = this->settings.direct;
+    }
     const std::size_t clients = std::max<std::size_t>(1, this->requestClass.clients.size());
     for (std::uint64_t number = 0; number < clients && !this->settings.lookups.empty(); ++number) {
-        const auto entries
-                = this->lookups.entries(this->requestClass.service, this->clientAddress(number));
+        const auto entries = this->entries(number);
         for (const Entry &entry : entries.value_or(std::vector<Entry>())) {
             endpoints.push_back(entry.endpoint);
         }
     }
     for (const Endpoint &endpoint : endpoints) {
-        // No service has this path: an entry VM refuses it, a backend server answers.
-        this->client(endpoint).Get("/_health");
+        openConnection(this->client(endpoint));
     }
 }
 
@@ -102,8 +108,7 @@
         request.headers.emplace("Currantfall-Tenant", this->requestClass.tenant);
     }
     if (this->requestClass.deadline > absl::ZeroDuration()) {
-        const auto deadline = absl::ToInt64Milliseconds(this->requestClass.deadline);
-        request.headers.emplace("Currantfall-Deadline-Ms", std::to_string(deadline));
+        setDeadline(request, this->requestClass.deadline);
     }
     request.body = bodyOf(requestId, this->requestClass.bodyBytes);
     return request;
@@ -142,10 +147,10 @@
     }
 }
 
-CallOutcome Caller::send(const Endpoint &endpoint, const httplib::Request &request,
-                         const std::string &requestId, bool isSteered)
+CallOutcome Caller::send(httplib::Client &client, const httplib::Request &request,
+                         const std::string &requestId, bool isSteered) const
 {
-    const httplib::Result result = this->client(endpoint).send(request);
+    const httplib::Result result = client.send(request);
     if (result) {
         return this->classify(*result, request, requestId, isSteered);
     }
@@ -156,16 +161,43 @@
 
 Caller::Call Caller::direct(const std::string &requestId, std::uint64_t number)
 {
+    if (this->balancers != nullptr) {
+        return this->balanced(requestId, number);
+    }
     const Endpoint &endpoint = this->settings.direct.at(number % this->settings.direct.size());
     const httplib::Request request = this->request(requestId, this->requestClass.path);
-    return { this->send(endpoint, request, requestId, false), 1 };
+    return { this->send(this->client(endpoint), request, requestId, false), 1 };
+}
+
+Caller::Call Caller::balanced(const std::string &requestId, std::uint64_t number)
+{
+    httplib::Request request = this->request(requestId, this->requestClass.path);
+    const bool limited = this->requestClass.deadline > absl::ZeroDuration();
+    const absl::Duration deadline = limited ? this->requestClass.deadline : this->settings.timeout;
+    DirectBalancer &balancer = this->balancers->balancerFor(this->requestClass.service, number);
+    const DirectBalancer::Call call
+            = balancer.call(deadline, [&](httplib::Client &client, absl::Duration remaining) {
+                  setDeadline(request, remaining);
+                  client.set_read_timeout(absl::ToChronoMilliseconds(this->settings.timeout));
+                  client.set_write_timeout(absl::ToChronoMilliseconds(this->settings.timeout));
+                  return this->send(client, request, requestId, false);
+              });
+    return { call.outcome, call.attempts };
+}
+
+Common::Result<std::vector<Entry>> Caller::entries(std::uint64_t number)
+{
+    if (this->requestClass.entry) {
+        return std::vector<Entry> { Entry { *this->requestClass.entry,
+                                            this->requestClass.keyPrefix } };
+    }
+    return this->lookups.entries(this->requestClass.service, this->clientAddress(number));
 }
 
 Caller::Call Caller::steered(const std::string &requestId, std::uint64_t number)
 {
     Call call;
-    const auto entries
-            = this->lookups.entries(this->requestClass.service, this->clientAddress(number));
+    const auto entries = this->entries(number);
     if (!entries) {
         return call;
     }
@@ -173,6 +205,7 @@
             = this->request(requestId, "/" + this->requestClass.service + this->requestClass.path);
     std::string key;
     bool unknown = false;
+    const Common::Instant ends = Common::monotonicNow() + this->requestClass.deadline;
     for (const Entry &entry : *entries) {
         if (call.attempts == maxTries) {
             break;
@@ -184,8 +217,17 @@
             request.headers.erase("Idempotency-Key");
             request.headers.emplace("Idempotency-Key", key);
         }
+        if (call.attempts > 0 && this->requestClass.deadline > absl::ZeroDuration()) {
+            // All tries share the deadline of the request.
+            const absl::Duration remaining = ends - Common::monotonicNow();
+            if (remaining < absl::Milliseconds(1)) {
+                break;
+            }
+            setDeadline(request, remaining);
+        }
         ++call.attempts;
-        const CallOutcome outcome = this->send(entry.endpoint, request, requestId, true);
+        const CallOutcome outcome
+                = this->send(this->client(entry.endpoint), request, requestId, true);
         if (outcome == CallOutcome::Unreachable) {
             continue;
         }
--- a/Source/Load/LoadRun.cpp
+++ b/Source/Load/LoadRun.cpp
@@ -21,6 +21,7 @@
 #include "currantfall/Common/Time.h"
 
 #include "Load/Caller.h"
+#include "Load/Timeline.h"
 
 namespace Currantfall::Load {
 
@@ -56,9 +57,11 @@
 class ClassLoad
 {
 public:
-    ClassLoad(const Settings &settings, std::size_t index, std::string runId, LookupCache &lookups)
+    ClassLoad(const Settings &settings, std::size_t index, std::string runId, LookupCache &lookups,
+              BalancerFleet *balancers, Timeline &timeline)
         : settings(settings), requestClass(settings.classes.at(index)), index(index),
-          runId(std::move(runId)), lookups(lookups), queue(queueCapacity)
+          runId(std::move(runId)), lookups(lookups), balancers(balancers), timeline(timeline),
+          queue(queueCapacity)
     { }
 
     /// The planned time begins when `ready` has been reached by all threads of all classes.
@@ -122,7 +125,7 @@
 
     void serve(std::size_t worker, const std::vector<Phase> &phases, std::barrier<> &ready)
     {
-        Caller caller(this->settings, this->requestClass, this->lookups);
+        Caller caller(this->settings, this->requestClass, this->lookups, this->balancers);
         if (this->settings.openConnections) {
             caller.openConnections();
         }
@@ -146,6 +149,7 @@
         if (this->settings.abandonAfter > absl::ZeroDuration()
             && late > this->settings.abandonAfter) {
             ++result.abandoned;
+            this->timeline.add(arrival.scheduled, CallOutcome::NotRun, late);
             return;
         }
         std::string id = this->runId + "-" + std::to_string(this->index) + "-"
@@ -153,7 +157,9 @@
         const Caller::Call call
                 = direct ? caller.direct(id, arrival.number) : caller.steered(id, arrival.number);
         const Common::Instant now = Common::monotonicNow();
-        result.add(call.outcome, now - arrival.scheduled);
+        const absl::Duration latency = now - arrival.scheduled;
+        result.add(call.outcome, latency);
+        this->timeline.add(arrival.scheduled, call.outcome, latency);
         if (call.outcome == CallOutcome::Answered && now <= arrival.phaseEnd) {
             ++result.answeredInPhase;
         }
@@ -168,6 +174,8 @@
     std::size_t index;
     std::string runId;
     LookupCache &lookups;
+    BalancerFleet *balancers;
+    Timeline &timeline;
     Common::BoundedRing<Arrival> queue;
     std::vector<std::vector<ClassResult>> results;
     std::vector<std::uint64_t> notSent;
@@ -231,10 +239,17 @@
     // Request ids of two runs with one seed must differ, as stand-ins count by request id.
     const std::string runId
             = absl::StrCat(absl::Hex(settings.seed), "-", absl::Hex(absl::GetCurrentTimeNanos()));
+    std::optional<BalancerFleet> balancers;
+    if (!settings.balancers.groups.empty()) {
+        balancers.emplace(settings.balancers, settings.seed);
+    }
+    Timeline timeline(settings.timelineInterval);
+    BalancerFleet *const direct = balancers ? &*balancers : nullptr;
     std::vector<std::unique_ptr<ClassLoad>> loads;
     std::size_t threads = 0;
     for (std::size_t index = 0; index < settings.classes.size(); ++index) {
-        loads.push_back(std::make_unique<ClassLoad>(settings, index, runId, lookups));
+        loads.push_back(
+                std::make_unique<ClassLoad>(settings, index, runId, lookups, direct, timeline));
         threads += loads.back()->connections() + 1;
     }
     std::barrier<> ready(static_cast<std::ptrdiff_t>(threads));
@@ -244,6 +259,7 @@
     for (const std::unique_ptr<ClassLoad> &load : loads) {
         load->finish(report.phases);
     }
+    report.timeline = timeline.toText();
     if (settings.verify.empty()) {
         return report;
     }
--- a/Source/Load/LookupCache.cpp
+++ b/Source/Load/LookupCache.cpp
@@ -6,6 +6,8 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include "Load/HttpClient.h"
+
 namespace Currantfall::Load {
 
 namespace {
@@ -37,18 +39,19 @@
 Common::Result<std::vector<Entry>> LookupCache::entries(const std::string &service,
                                                         const std::string &client)
 {
+    const std::string query = "service=" + service + (client.empty() ? "" : "&client=" + client);
     {
         const std::lock_guard lock(this->mutex);
-        Cached &cached = this->cache[{ service, client }];
+        Cached &cached = this->cache[query];
         const bool fresh = Common::monotonicNow() < cached.expiry || cached.refreshing;
         if (fresh && !cached.entries.empty()) {
             return cached.entries;
         }
         cached.refreshing = true;
     }
-    Common::Result<Cached> found = this->lookUp(service, client);
+    Common::Result<Cached> found = this->lookUp(query);
     const std::lock_guard lock(this->mutex);
-    Cached &cached = this->cache[{ service, client }];
+    Cached &cached = this->cache[query];
     cached.refreshing = false;
     if (found) {
         cached = *std::move(found);
@@ -58,18 +61,12 @@
     return cached.entries;
 }
 
-Common::Result<LookupCache::Cached> LookupCache::lookUp(const std::string &service,
-                                                        const std::string &client) const
+Common::Result<LookupCache::Cached> LookupCache::lookUp(const std::string &query) const
 {
-    const std::string target = "/v1/lookup?service=" + service
-                               + (client.empty() ? std::string() : "&client=" + client);
     Common::Error last(Common::ErrorCode::Unavailable, lookupStep, {}, "no lookup address");
     for (const Endpoint &lookup : this->lookups) {
-        httplib::Client http(lookup.address, lookup.port);
-        http.set_tcp_nodelay(true);
-        http.set_connection_timeout(absl::ToChronoMilliseconds(this->timeout));
-        http.set_read_timeout(absl::ToChronoMilliseconds(this->timeout));
-        const httplib::Result reply = http.Get(target);
+        const auto client = makeClient(lookup, this->timeout, this->timeout);
+        const httplib::Result reply = client->Get("/v1/lookup?" + query);
         if (!reply || reply->status != 200) {
             last = Common::Error(Common::ErrorCode::Unavailable, lookupStep, lookup.toString(),
                                  reply ? "status " + std::to_string(reply->status)
--- a/Source/Load/LookupCache.h
+++ b/Source/Load/LookupCache.h
@@ -4,7 +4,6 @@
 #include <map>
 #include <mutex>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include <absl/time/time.h>
@@ -43,13 +42,13 @@
         bool refreshing = false;
     };
 
-    Common::Result<Cached> lookUp(const std::string &service, const std::string &client) const;
+    Common::Result<Cached> lookUp(const std::string &query) const;
 
     std::vector<Endpoint> lookups;
     absl::Duration timeout;
     /// Not an absl::Mutex: ThreadSanitizer does not see the locks of the uninstrumented library.
     std::mutex mutex;
-    std::map<std::pair<std::string, std::string>, Cached> cache; // By service and client.
+    std::map<std::string, Cached> cache; // By query.
 };
 
 } // namespace Currantfall::Load
--- a/Source/Load/Settings.cpp
+++ b/Source/Load/Settings.cpp
@@ -36,9 +36,16 @@
         // Without a variable: commas separate the fields of a class.
         { "class",
           "service=S,tenant=T,method=M,path=P,rate=R,body-bytes=N,key=yes|no,deadline-ms=D,"
-          "clients=IP+IP...,connections=N",
+          "clients=IP+IP...,connections=N,key-prefix=P,entry=IP:PORT",
           "FIELDS", true, false },
         { "direct", "a backend server to call directly", "IP:PORT", true },
+        // Without a variable: commas separate the servers of a group.
+        { "direct-power-of-two", "servers to call directly through N independent balancers",
+          "SERVICE/N=IP:PORT,IP:PORT...", true, false },
+        { "balancer-limit", "concurrent requests of a balancer, in shares of the slots (2)",
+          "FACTOR" },
+        { "balancer-counts-own", "balancers add their own requests to the reported load", "" },
+        { "report-interval-ms", "between two reads of the load reports (250)", "MS" },
         { "verify", "a backend stand-in to ask for executions", "IP:PORT", true },
         { "duration-s", "length of the run (10)", "SECONDS" },
         { "timeout-ms", "limit of one call (10000)", "MS" },
@@ -48,6 +55,7 @@
         { "connections", "of each class without its own number (32)", "NUMBER" },
         { "alternate", "pairs of a direct and a steered phase (0)", "NUMBER" },
         { "open-connections", "opens all connections before the first request", "" },
+        { "timeline-ms", "intervals of a timeline in the text report (0: none)", "MS" },
         { "json", "report as JSON", "", false, false },
         { "help", "this text", "", false, false },
         { "version", "print the version", "", false, false },
@@ -99,15 +107,20 @@
         target.deadline = absl::Milliseconds(number);
     } else if (name == "connections" && isNumber && number >= 1 && number <= maxConnections) {
         target.connections = static_cast<std::size_t>(number);
-    } else if (name == "client" || name == "clients") {
+    } else if (name == "clients") {
         const Strings clients = absl::StrSplit(value, '+');
         if (!std::all_of(clients.begin(), clients.end(), isIpv4)) {
             return "clients are IPv4 addresses joined by '+', not " + value;
         }
         target.clients.insert(target.clients.end(), clients.begin(), clients.end());
+    } else if (name == "key-prefix") {
+        target.keyPrefix = value;
+    } else if (name == "entry" && Endpoint::parse(value)) {
+        target.entry = *Endpoint::parse(value);
     } else {
         return "a class has service, tenant, method, path (from '/'), rate (> 0), body-bytes, "
-               "key (yes or no), deadline-ms, clients and connections (1..1024), not "
+               "key (yes or no), deadline-ms, clients, connections (1..1024), key-prefix and "
+               "entry (IP:PORT), not "
                + name + "=" + value;
     }
     return std::nullopt;
@@ -125,17 +138,63 @@
     if (settings.alternate > 0 && settings.direct.empty()) {
         return invalid("settings", "--alternate requires --direct");
     }
+    const std::vector<BalancerGroup> &groups = settings.balancers.groups;
+    for (const RequestClass &requestClass : settings.classes) {
+        const bool found = std::any_of(groups.begin(), groups.end(), [&](const auto &group) {
+            return group.service == requestClass.service;
+        });
+        if (!groups.empty() && !found) {
+            return invalid("settings", "no --direct-power-of-two for " + requestClass.service);
+        }
+    }
     return settings;
 }
 
+/// Reads a number above 0 that may have a fraction.
+Common::Result<double> readPositive(const CommandLine &line, const std::string &name,
+                                    const std::string &fallback)
+{
+    double number = 0;
+    const std::string text = line.valueOr(name, fallback);
+    if (!absl::SimpleAtod(text, &number) || !(number > 0 && number <= 1e6)) {
+        return invalid("settings",
+                       "--" + name + ": expected a number above 0, found '" + text + "'");
+    }
+    return number;
+}
+
+/// Adds the balancers, and their servers to those that are called directly.
+Common::Result<void> readBalancers(const CommandLine &line, Settings &settings)
+{
+    BalancerSettings &balancers = settings.balancers;
+    auto groups = readAll(line, "direct-power-of-two", balancers.groups);
+    if (!groups) {
+        return groups;
+    }
+    const auto limitFactor = readPositive(line, "balancer-limit", "2");
+    const auto reportInterval = line.number("report-interval-ms", 250, 1, longestMs);
+    if (!limitFactor) {
+        return tl::unexpected<Common::Error>(limitFactor.error());
+    }
+    if (!reportInterval) {
+        return tl::unexpected<Common::Error>(reportInterval.error());
+    }
+    balancers.limitFactor = *limitFactor;
+    balancers.reportInterval = absl::Milliseconds(*reportInterval);
+    balancers.countsOwn = line.enabled("balancer-counts-own");
+    for (const BalancerGroup &group : balancers.groups) {
+        settings.direct.insert(settings.direct.end(), group.servers.begin(), group.servers.end());
+    }
+    return {};
+}
+
 Common::Result<void> readDuration(const CommandLine &line, Settings &settings)
 {
-    double seconds = 0;
-    const std::string text = line.valueOr("duration-s", "10");
-    if (!absl::SimpleAtod(text, &seconds) || !(seconds > 0 && seconds <= 1e6)) {
-        return invalid("settings", "--duration-s: expected seconds above 0, found '" + text + "'");
+    const auto seconds = readPositive(line, "duration-s", "10");
+    if (!seconds) {
+        return tl::unexpected<Common::Error>(seconds.error());
     }
-    settings.duration = absl::Seconds(seconds);
+    settings.duration = absl::Seconds(*seconds);
     return {};
 }
 
@@ -147,8 +206,9 @@
     const auto seed = line.number("seed", 1, 0, std::numeric_limits<long>::max());
     const auto connections = line.number("connections", 32, 1, maxConnections);
     const auto alternate = line.number("alternate", 0, 0, 1000);
+    const auto timeline = line.number("timeline-ms", 0, 0, longestMs);
     for (const auto *number :
-         { &timeout, &abandonAfter, &settle, &seed, &connections, &alternate }) {
+         { &timeout, &abandonAfter, &settle, &seed, &connections, &alternate, &timeline }) {
         if (!*number) {
             return tl::unexpected<Common::Error>(number->error());
         }
@@ -159,6 +219,7 @@
     settings.seed = static_cast<std::uint64_t>(*seed);
     settings.connections = static_cast<std::size_t>(*connections);
     settings.alternate = static_cast<std::size_t>(*alternate);
+    settings.timelineInterval = absl::Milliseconds(*timeline);
     return readDuration(line, settings);
 }
 
@@ -168,7 +229,7 @@
     for (const auto &read :
          { readAll(line, "lookup", settings.lookups), readAll(line, "direct", settings.direct),
            readAll(line, "verify", settings.verify), readAll(line, "class", settings.classes),
-           readNumbers(line, settings) }) {
+           readBalancers(line, settings), readNumbers(line, settings) }) {
         if (!read) {
             return tl::unexpected<Common::Error>(read.error());
         }
