--- a/Source/UnitTests/LoadGenerator/DirectBalancerTest.cpp
+++ b/Source/UnitTests/LoadGenerator/DirectBalancerTest.cpp
@@ -132,6 +132,7 @@
     };
     std::atomic<int> answered = 0;
     std::vector<std::thread> callers;
+    callers.reserve(8);
     for (int index = 0; index < 8; ++index) {
         callers.emplace_back([&] {
             for (int round = 0; round < 50; ++round) {
--- a/Tests/Deployment/ConnectionBurstTest.cpp
+++ b/Tests/Deployment/ConnectionBurstTest.cpp
@@ -28,7 +28,8 @@
     target.sin_port = htons(static_cast<std::uint16_t>(port));
     inet_pton(AF_INET, address.c_str(), &target.sin_addr);
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    connect(descriptor, reinterpret_cast<const sockaddr *>(&target), sizeof(target));
+    // The result, EINPROGRESS or success, shows when the connection is polled.
+    (void)connect(descriptor, reinterpret_cast<const sockaddr *>(&target), sizeof(target));
     return descriptor;
 }
 
