Tests: no semicolons in test names

Cause: catch_discover_tests splits the list of names at ';', so ctest runs two filters that match no test, and Catch reports success without running anything. Two tests of the load generator and one of Execution were never run by ctest.

Change: the names have commas instead.

--- a/Source/UnitTests/Execution/FailureTest.cpp
+++ b/Source/UnitTests/Execution/FailureTest.cpp
@@ -94,7 +94,8 @@
     REQUIRE(pair.deputy.query(at(6), key) == answered("done"));
 }
 
-TEST_CASE("An unreachable deputy seals its keys; new prefixes name another deputy, old keys do not")
+TEST_CASE("An unreachable deputy seals its keys, and new prefixes but not old keys name another "
+          "deputy")
 {
     Pair pair;
     const IdempotencyKey key = pair.key("k");
--- a/Source/UnitTests/LoadGenerator/LoadRunTest.cpp
+++ b/Source/UnitTests/LoadGenerator/LoadRunTest.cpp
@@ -275,7 +275,7 @@
 }
 
 // Guards against callers that all come from the zone of the generator.
-TEST_CASE("Lookups name the clients of the class in turn; opening connections is not counted")
+TEST_CASE("Lookups name the clients of the class in turn, and opening connections is not counted")
 {
     FakeEntry entry;
     Settings settings = settingsFor(entry, "service=shop,rate=200,clients=127.11.0.1+127.12.0.1");
@@ -300,7 +300,7 @@
     REQUIRE(reportText(report, settings).find("pair 2 shop GET /") != std::string::npos);
 }
 
-TEST_CASE("Settings come from the command line, then from the environment; errors are named")
+TEST_CASE("Settings come from the command line, then from the environment, and errors are named")
 {
     setenv("CURRANTFALL_LOOKUP", "127.0.0.1:1,127.0.0.2:2", 1);
     setenv("CURRANTFALL_SEED", "5", 1);
