--- a/Source/Daemon/HttpListener.h
+++ b/Source/Daemon/HttpListener.h
@@ -41,6 +41,8 @@
         /// Closes the connection that is idle for the longest time, now or when there is one, so
         /// that its thread can serve a connection that waits.
         void closeIdleConnection();
+        /// Replaces the library's listen queue after the address is bound.
+        bool lengthenQueue() const;
 
     private:
         // NOLINTNEXTLINE(readability-identifier-naming)
