--- a/Tests/Deployment/DeploymentFixture.h
+++ b/Tests/Deployment/DeploymentFixture.h
@@ -102,7 +102,7 @@
     std::string outcome; ///< "answered", "not-run", "outcome-unknown" or "unreachable".
     int status = 0;
     std::string refusal; ///< Body of an answer that is not "answered".
-    bool wrong = false; ///< The answer is not the one to this request.
+    bool wrong = false;  ///< The answer is not the one to this request.
     bool keyed = false;
 };
 
--- a/Tests/Deployment/PartitionTest.cpp
+++ b/Tests/Deployment/PartitionTest.cpp
@@ -165,9 +165,9 @@
     for (const std::string &holder : holders) {
         const json status = deployment.status(deployment.vm(holder));
         for (const json &credit : status["credits"]["held"]) {
-            const bool chosen = std::find(granters.begin(), granters.end(),
-                                          credit["vm"].get<std::string>())
-                                != granters.end();
+            const bool chosen
+                    = std::find(granters.begin(), granters.end(), credit["vm"].get<std::string>())
+                      != granters.end();
             sum += chosen ? credit[field].get<int>() : 0;
         }
     }
@@ -200,9 +200,8 @@
     const int taken = held(deployment, lowerMainland, okanagan, "taken");
     const int takenElsewhere = held(deployment, lowerMainland, island, "taken");
     waitForState(deployment, "entry-1", "entry-5", "suspect");
-    waitUntil([&] {
-        return held(deployment, lowerMainland, island, "taken") > takenElsewhere + 10;
-    });
+    waitUntil(
+            [&] { return held(deployment, lowerMainland, island, "taken") > takenElsewhere + 10; });
     CHECK(held(deployment, lowerMainland, okanagan, "taken") == taken);
     waitForCalls(elsewhere, calls);
     const auto records = elsewhere.finish();
@@ -257,8 +256,8 @@
 
 } // namespace
 
-// Guards against a region that is overrun by shifted work, and a link above its cap, while and after
-// the link is cut.
+// Guards against a region that is overrun by shifted work, and a link above its cap, while and
+// after the link is cut.
 TEST_CASE("A link between regions that is cut and healed under load stays under its cap")
 {
     // A tenth of 20 Mbit/s, split over the 4 services of the region's 4 VMs.
