Add a failing test: callers of a lost region need no credit

When a region is lost, lookups send its callers to entry VMs of other regions, where their requests are admitted like those of own callers.

A remedy is to find the caller's region from its client block at the entry VM, and to have the owner count such requests against a holder of its granter; ForwardRequest has no field for the region yet.

--- a/Tests/Deployment/PartitionTest.cpp
+++ b/Tests/Deployment/PartitionTest.cpp
@@ -335,3 +335,26 @@
     requireTrueOutcomes(deployment, flood.finish());
     CHECK(deployment.slotOverruns() == 0);
 }
+
+// Guards against a lost region's callers who take more of another region than it would grant: their
+// requests arrive at its entry VMs and look like those of its own callers.
+TEST_CASE("Callers of a lost region are served by other regions only within credits")
+{
+    constexpr int grantableSlots = 6;
+    DeploymentFixture deployment(
+            slowServers("{interval_ms: 250, max_step: 1.0, reserve: 0.5, slow_start_ms: 500}"));
+    for (const std::string &vm : okanagan) {
+        deployment.vm(vm).process.reset();
+    }
+    waitForState(deployment, "entry-1", "entry-5", "suspect");
+    waitForState(deployment, "entry-9", "entry-5", "suspect");
+    Callers callers(deployment, floodThreads, false, { "ok-a", "ok-b" });
+    while (callers.completed() < 25 * calls) {
+        int inUse = 0;
+        for (const std::string &vm : island) {
+            const json services = deployment.status(deployment.vm(vm))["services"];
+            inUse += services.value("slotview", json::object()).value("in_use", 0);
+        }
+        REQUIRE(inUse <= grantableSlots);
+    }
+}
