--- a/Tests/Deployment/PartitionTest.cpp
+++ b/Tests/Deployment/PartitionTest.cpp
@@ -256,6 +256,8 @@
     constexpr double capOfGranter = 15'625.0;
     // What a holder may save up, and the time for which a grant is counted.
     constexpr double graceSeconds = 2.25;
+    // Must fit into one second of a holder's share of the cap.
+    constexpr std::size_t bodyBytes = 7500;
     DeploymentOptions options
             = slowServers("{interval_ms: 250, max_step: 1.0, reserve: 0.0, slow_start_ms: 500}");
     options.editDocument = [edit = options.editDocument](const std::string &text) {
@@ -265,7 +267,8 @@
     };
     DeploymentFixture deployment(options);
     const auto start = std::chrono::steady_clock::now();
-    Callers flood(deployment, floodThreads, false, floodZones, { .uploadBytes = 4000 });
+    // In one zone, so that at most two VMs share a granter.
+    Callers flood(deployment, floodThreads, false, { "lm-a" }, { .uploadBytes = bodyBytes });
     const auto cutRegions = [&](bool cut) {
         for (const std::string &zone : floodZones) {
             for (const char *other : { "ok-a", "ok-b" }) {
@@ -290,11 +293,11 @@
             requireUnderCap();
         }
     };
-    waitForTaken(10);
+    waitForTaken(8);
     cutRegions(true);
     waitUntil([&] { return held(deployment, lowerMainland, okanagan, "available") == 0; });
     cutRegions(false);
-    waitForTaken(taken() + 20);
+    waitForTaken(taken() + 40); // Exceeds a cap that is ten times too high.
     requireUnderCap();
     requireTrueOutcomes(deployment, flood.finish());
     CHECK(deployment.slotOverruns() == 0);
@@ -324,3 +327,26 @@
     requireTrueOutcomes(deployment, flood.finish());
     CHECK(deployment.slotOverruns() == 0);
 }
+
+// Guards against a lost region's callers who take more of another region than it would grant: their
+// requests arrive at its entry VMs and look like those of its own callers.
+TEST_CASE("Callers of a lost region are served by other regions only within credits")
+{
+    constexpr int grantableSlots = 6;
+    DeploymentFixture deployment(
+            slowServers("{interval_ms: 250, max_step: 1.0, reserve: 0.5, slow_start_ms: 500}"));
+    for (const std::string &vm : okanagan) {
+        deployment.vm(vm).process.reset();
+    }
+    waitForState(deployment, "entry-1", "entry-5", "suspect");
+    waitForState(deployment, "entry-9", "entry-5", "suspect");
+    Callers callers(deployment, floodThreads, false, { "ok-a", "ok-b" });
+    while (callers.completed() < 25 * calls) {
+        int inUse = 0;
+        for (const std::string &vm : island) {
+            const json services = deployment.status(deployment.vm(vm))["services"];
+            inUse += services.value("slotview", json::object()).value("in_use", 0);
+        }
+        REQUIRE(inUse <= grantableSlots);
+    }
+}
