Give concurrent deployment tests different addresses

Cause: the addresses of a deployment came from the process id modulo 20.

Change: the fixture takes the first choice, from the process id on, whose platform address is free.

--- a/Tests/Deployment/DeploymentFixture.cpp
+++ b/Tests/Deployment/DeploymentFixture.cpp
@@ -1,12 +1,14 @@
 #include "DeploymentFixture.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <regex>
 #include <sstream>
 #include <stdexcept>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <httplib.h>
@@ -34,6 +36,33 @@
     return text.str();
 }
 
+bool canListen(const std::string &address, int port)
+{
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in name {};
+    name.sin_family = AF_INET;
+    name.sin_port = htons(static_cast<std::uint16_t>(port));
+    inet_pton(AF_INET, address.c_str(), &name.sin_addr);
+    const bool free
+            = ::bind(descriptor, reinterpret_cast<const sockaddr *>(&name), sizeof(name)) == 0;
+    ::close(descriptor);
+    return free;
+}
+
+/// Second octet of a deployment's addresses. Process ids alone let deployments of test programs
+/// that run at the same time collide.
+int unusedOctet()
+{
+    const int first = static_cast<int>(getpid());
+    for (int choice = first; choice < first + octetChoices; ++choice) {
+        const int octet = firstOctet + octetStep * (choice % octetChoices);
+        if (canListen("127." + std::to_string(octet) + ".9.9", platformPort)) {
+            return octet;
+        }
+    }
+    throw std::runtime_error("the addresses of all deployments are in use");
+}
+
 /// The document at `path`; an empty object if there is no answer.
 json getJson(const std::string &address, int port, const std::string &path)
 {
@@ -48,8 +77,7 @@
 
 DeploymentFixture::DeploymentFixture(const std::vector<std::string> &without,
                                      const std::vector<std::string> &separate)
-    : octet(firstOctet + octetStep * static_cast<int>(getpid() % octetChoices)),
-      directory("/tmp/currantfall-" + std::to_string(getpid())),
+    : octet(unusedOctet()), directory("/tmp/currantfall-" + std::to_string(getpid())),
       document(this->directory + "/environment.yaml"), zones { "lm-a", "lm-b", "ok-a",
                                                                "ok-b", "is-a", "is-b" }
 {
