Ignore closed connections when a deployment test looks for free addresses

Cause: without SO_REUSEADDR an address whose connections were closed in the last minute counted as in use, so that the 20th run within a minute ended with "the addresses of all deployments are in use". The platform stand-in itself sets the option, so the earlier collisions were with live listeners.

--- a/Tests/Deployment/DeploymentFixture.cpp
+++ b/Tests/Deployment/DeploymentFixture.cpp
@@ -39,6 +39,9 @@
 bool canListen(const std::string &address, int port)
 {
     const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    // Closed connections of an earlier deployment don't count; listeners do.
+    const int enabled = 1;
+    ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
     sockaddr_in name {};
     name.sin_family = AF_INET;
     name.sin_port = htons(static_cast<std::uint16_t>(port));
