--- a/Tests/Deployment/DeploymentFixture.cpp
+++ b/Tests/Deployment/DeploymentFixture.cpp
@@ -283,9 +283,9 @@
 }
 
 Callers::Callers(const DeploymentFixture &deployment, std::size_t threads, bool keyed,
-                 std::vector<std::string> zones, std::size_t uploadBytes)
+                 const std::vector<std::string> &zones, std::size_t uploadBytes)
     : deployment(deployment), instance(++instances), keyed(keyed),
-      zones(zones.empty() ? deployment.zoneNames() : std::move(zones)), uploadBytes(uploadBytes)
+      zones(zones.empty() ? deployment.zoneNames() : zones), uploadBytes(uploadBytes)
 {
     for (std::size_t index = 0; index < threads; ++index) {
         this->threads.emplace_back([this, index] { this->run(index); });
--- a/Tests/Deployment/DeploymentFixture.h
+++ b/Tests/Deployment/DeploymentFixture.h
@@ -114,7 +114,7 @@
     /// Clients in `zones`, by default in all. With `uploadBytes` they send uploads of that size
     /// instead of queries.
     Callers(const DeploymentFixture &deployment, std::size_t threads, bool keyed,
-            std::vector<std::string> zones = {}, std::size_t uploadBytes = 0);
+            const std::vector<std::string> &zones = {}, std::size_t uploadBytes = 0);
     ~Callers();
 
     std::size_t completed() const { return this->completedCalls; }
