--- a/Tests/Deployment/AddressBlock.cpp
+++ b/Tests/Deployment/AddressBlock.cpp
@@ -13,16 +13,15 @@
 constexpr int blockSize = 10;
 constexpr int blocks = 20;
 constexpr std::uint16_t reservationPort = 7899;
-// Test programs that reserve nothing are recognised by their platform stand-in.
-constexpr std::uint16_t platformPort = 7900;
 
-/// A socket bound to 127.`octet`.9.9, or -1 if the address is in use.
-int bindAt(int octet, std::uint16_t port)
+/// A socket bound to 127.`octet`.9.9, or -1 if the block is taken. UDP, because a TCP address
+/// counts as in use for a minute after its connections have closed.
+int reserve(int octet)
 {
-    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
     sockaddr_in address {};
     address.sin_family = AF_INET;
-    address.sin_port = htons(port);
+    address.sin_port = htons(reservationPort);
     inet_pton(AF_INET, ("127." + std::to_string(octet) + ".9.9").c_str(), &address.sin_addr);
     if (bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0) {
         return descriptor;
@@ -37,14 +36,9 @@
 {
     for (int attempt = 0; attempt < blocks; ++attempt) {
         this->octet = firstBlock + blockSize * static_cast<int>((getpid() + attempt) % blocks);
-        this->reservation = bindAt(this->octet, reservationPort);
-        const int platform = this->reservation < 0 ? -1 : bindAt(this->octet, platformPort);
-        if (platform >= 0) {
-            close(platform);
-            return;
-        }
+        this->reservation = reserve(this->octet);
         if (this->reservation >= 0) {
-            close(this->reservation);
+            return;
         }
     }
     throw std::runtime_error("all address blocks are in use");
--- a/Tests/Deployment/Callers.cpp
+++ b/Tests/Deployment/Callers.cpp
@@ -1,7 +1,5 @@
 #include "Callers.h"
 
-#include <utility>
-
 #include <nlohmann/json.hpp>
 
 namespace Currantfall::Tests {
@@ -30,10 +28,10 @@
 } // namespace
 
 Callers::Callers(const DeploymentFixture &deployment, std::size_t threads, bool keyed,
-                 std::vector<std::string> zones, CallerOptions options)
+                 const std::vector<std::string> &zones, CallerOptions options)
     : deployment(deployment), keyed(keyed),
       idPrefix((keyed ? "booking-" : "query-") + std::to_string(++instances) + "-"),
-      zones(zones.empty() ? deployment.zoneNames() : std::move(zones)), options(options)
+      zones(zones.empty() ? deployment.zoneNames() : zones), options(options)
 {
     for (std::size_t index = 0; index < threads; ++index) {
         this->threads.emplace_back([this, index] { this->run(index); });
--- a/Tests/Deployment/Callers.h
+++ b/Tests/Deployment/Callers.h
@@ -44,7 +44,7 @@
 public:
     /// Clients in `zones`, by default in all.
     Callers(const DeploymentFixture &deployment, std::size_t threads, bool keyed,
-            std::vector<std::string> zones = {}, CallerOptions options = {});
+            const std::vector<std::string> &zones = {}, CallerOptions options = {});
     ~Callers();
 
     std::size_t completed() const { return this->completedCalls; }
