--- a/Source/UnitTests/Execution/AttemptTest.cpp
+++ b/Source/UnitTests/Execution/AttemptTest.cpp
@@ -122,7 +122,8 @@
     REQUIRE(retries == 100);
 }
 
-TEST_CASE("Only idempotent requests are hedged, once, after the high quantile and within the deadline")
+TEST_CASE("Only idempotent requests are hedged, once, after the high quantile and within the "
+          "deadline")
 {
     RetryBudget budget(0.1, 1.0, 5.0);
     HedgeQuestion question { true, at(100), 1, absl::Milliseconds(40), at(1000), true };
