Check headroom against the mean load; measure a zone's drain

Cause: the headroom check took the slots in use at one moment. At 60% load of the whole deployment a drain of one zone was refused ("scrollcast: region okanagan would need 7.6 of 6 slots, 2.5 above the limit"), although 72% of the remaining slots were needed: 3 of 12 slots more or less at one moment are usual.

Change: daemons report the mean of about ten seconds (Drain::LoadAverage) and the check uses it.

--- a/Source/Daemon/OwnerScheduler.cpp
+++ b/Source/Daemon/OwnerScheduler.cpp
@@ -192,6 +192,12 @@
     return load;
 }
 
+double OwnerScheduler::meanInUse(const Common::ServiceName &service) const
+{
+    const auto found = this->queues.find(service);
+    return found == this->queues.end() ? 0.0 : found->second.use.mean();
+}
+
 Drain::HeldWork OwnerScheduler::held(const Drain::DrainTarget &target) const
 {
     Drain::HeldWork work;
@@ -216,6 +222,8 @@
     std::vector<Common::ServiceName> services;
     for (auto &[service, queue] : this->queues) {
         queue.queue->setSlots(this->context.now, this->usableSlots(queue));
+        const Membership::ServiceLoad load = this->loadOf(service);
+        queue.use.add(this->context.now, load.totalSlots - load.freeSlots);
         services.push_back(service);
     }
     for (const Common::ServiceName &service : services) {
--- a/Source/Daemon/OwnerScheduler.h
+++ b/Source/Daemon/OwnerScheduler.h
@@ -11,6 +11,7 @@
 #include "currantfall/Admission/CircuitBreaker.h"
 #include "currantfall/Admission/ConcurrencyLimit.h"
 #include "currantfall/Drain/DrainState.h"
+#include "currantfall/Drain/LoadAverage.h"
 #include "currantfall/Membership/Member.h"
 #include "currantfall/Placement/OwnershipTable.h"
 
@@ -53,6 +54,9 @@
     std::vector<Membership::ServiceLoad> loads() const;
     Membership::ServiceLoad loadOf(const Common::ServiceName &service) const;
 
+    /// Mean of the service's slots in use over about ten seconds.
+    double meanInUse(const Common::ServiceName &service) const;
+
     /// Work on the target's backend servers.
     Drain::HeldWork held(const Drain::DrainTarget &target) const;
     /// True if a backend server that is not in `tried` could start a request of the service.
@@ -96,6 +100,7 @@
     {
         std::unique_ptr<Admission::AdmissionQueue> queue;
         std::vector<Common::BackendServerName> servers;
+        Drain::LoadAverage use;
     };
 
     void tick();
--- a/Source/Daemon/SteeringMessages.cpp
+++ b/Source/Daemon/SteeringMessages.cpp
@@ -179,9 +179,11 @@
     }
     nlohmann::ordered_json services = nlohmann::ordered_json::object();
     for (const Membership::ServiceLoad &load : this->scheduler->loads()) {
-        services[load.service.value()] = { { "slots", load.totalSlots },
-                                           { "in_use", load.totalSlots - load.freeSlots },
-                                           { "queued", load.queued } };
+        services[load.service.value()]
+                = { { "slots", load.totalSlots },
+                    { "in_use", load.totalSlots - load.freeSlots },
+                    { "mean_in_use", this->scheduler->meanInUse(load.service) },
+                    { "queued", load.queued } };
     }
     nlohmann::ordered_json members = nlohmann::ordered_json::array();
     for (const auto &member : this->context.members->members()) {
--- a/Source/Tool/LoadSurvey.cpp
+++ b/Source/Tool/LoadSurvey.cpp
@@ -50,7 +50,7 @@
     Fractions fractions;
     for (const auto &[place, sum] : sums) {
         if (sum.slots > 0) {
-            fractions[place] = static_cast<double>(sum.inUse) / static_cast<double>(sum.slots);
+            fractions[place] = sum.inUse / static_cast<double>(sum.slots);
         }
     }
     return fractions;
--- a/Source/Tool/VmStatus.cpp
+++ b/Source/Tool/VmStatus.cpp
@@ -28,8 +28,10 @@
     status.hasServices = document.contains("services");
     const json services = document.value("services", json::object());
     for (const auto &[name, use] : services.items()) {
+        // Daemons of an earlier version report the use at the moment only.
+        const auto inUse = use.value("mean_in_use", use.at("in_use").get<double>());
         status.services[Common::ServiceName(name)]
-                = { use.at("slots").get<std::uint64_t>(), use.at("in_use").get<std::uint64_t>() };
+                = { use.at("slots").get<std::uint64_t>(), inUse };
     }
     return status;
 }
--- a/Source/Tool/VmStatus.h
+++ b/Source/Tool/VmStatus.h
@@ -14,7 +14,7 @@
 struct SlotUse
 {
     std::uint64_t slots = 0;
-    std::uint64_t inUse = 0;
+    double inUse = 0.0; ///< Mean over about ten seconds.
 
     friend bool operator==(const SlotUse &left, const SlotUse &right) = default;
 };
