--- a/Source/Core/Credits/CreditHolder.cpp
+++ b/Source/Core/Credits/CreditHolder.cpp
@@ -51,7 +51,7 @@
     ++this->used;
     ++this->takes;
     Common::requireInvariant(
-            now < this->expires && this->used <= this->concurrent && this->tokensAtChange >= 0.0,
+            this->isValid(now) && this->used <= this->concurrent && this->tokensAtChange >= 0.0,
             "credit-holder", "a credit is used before it lapses and within what was granted",
             [&] { return this->describe(now); });
     return this->credit;
@@ -85,7 +85,7 @@
 
 std::size_t CreditHolder::available(Common::Instant now) const
 {
-    if (now >= this->expires || this->used >= this->concurrent) {
+    if (!this->isValid(now) || this->used >= this->concurrent) {
         return 0;
     }
     return this->concurrent - this->used;
--- a/Source/Daemon/CreditFlow.cpp
+++ b/Source/Daemon/CreditFlow.cpp
@@ -40,6 +40,7 @@
     for (const auto &[key, holder] : this->holders) {
         held.push_back({ { "vm", key.first.value() },
                          { "service", key.second.value() },
+                         { "valid", holder.isValid(this->context.now) },
                          { "available", holder.available(this->context.now) },
                          { "in_flight", holder.inFlight() },
                          { "taken", holder.taken() } });
--- a/Tests/Deployment/PartitionTest.cpp
+++ b/Tests/Deployment/PartitionTest.cpp
@@ -188,7 +188,8 @@
     for (const std::string &vm : okanagan) {
         deployment.vm(vm).process->pause();
     }
-    waitUntil([&] { return held(deployment, lowerMainland, okanagan, "available") == 0; });
+    // Not "available", which is 0 as well while all of a valid credit is in use.
+    waitUntil([&] { return held(deployment, lowerMainland, okanagan, "valid") == 0; });
     const int taken = held(deployment, lowerMainland, okanagan, "taken");
     const int takenElsewhere = held(deployment, lowerMainland, island, "taken");
     waitForState(deployment, "entry-1", "entry-5", "suspect");
--- a/include/currantfall/Credits/CreditHolder.h
+++ b/include/currantfall/Credits/CreditHolder.h
@@ -34,6 +34,8 @@
     /// The daemon was paused for longer than the validity: nothing is usable until a new grant.
     void pause();
 
+    /// False once the credit has lapsed; nothing is taken from it then, whatever is in use.
+    bool isValid(Common::Instant now) const { return now < this->expires; }
     /// Requests that take() would allow now.
     std::size_t available(Common::Instant now) const;
     /// The rate that may be used now.
