Warm up the HTTP library before fake daemons start

The suppression file is empty, and a suppression of the library would hide races in its handlers.

Change: the test process lets one server end a request before others start.

--- a/Tests/Platform/PlatformFixture.cpp
+++ b/Tests/Platform/PlatformFixture.cpp
@@ -25,6 +25,21 @@
     return result->body;
 }
 
+/// Lets a server end its first request before others start. The library initialises its tables
+/// then; it is not built for ThreadSanitizer, which takes the first requests of two servers for a
+/// race.
+bool warmUpHttpServer()
+{
+    httplib::Server server;
+    const int port = server.bind_to_any_port(ownAddress());
+    std::thread thread([&server] { server.listen_after_bind(); });
+    waitUntil([&server] { return server.is_running(); });
+    const bool answered = static_cast<bool>(httplib::Client(ownAddress(), port).Get("/"));
+    server.stop();
+    thread.join();
+    return answered;
+}
+
 } // namespace
 
 std::string ownAddress()
@@ -111,6 +126,8 @@
 
 void FakeDaemon::serve(httplib::Server &server, int port)
 {
+    static const bool warmedUp = warmUpHttpServer();
+    static_cast<void>(warmedUp);
     server.new_task_queue = [] { return new httplib::ThreadPool(2); };
     if (!server.bind_to_port(ownAddress(), port)) {
         throw std::runtime_error("the port is in use");
