Report owned slots, and wait for those in deployment tests

Cause: the randomised run hung in 1 of 4 copies, as it did once before this in a whole test run. It waited until the usable slots of all VMs were 144. A backend server whose breaker is half-open counts as one usable slot until a request probes it, and after the faults there are no callers: 142 slots for ever. What the wait is for is ownership.

Change: /status reports owned_slots, and waitAllSlotsOwned uses it. The check that fresh callers are all answered afterwards is unchanged.

Ruled out: a lost owner (all slots had one) and a limit that does not regrow (it does so by time).

--- a/Source/Daemon/OwnerScheduler.cpp
+++ b/Source/Daemon/OwnerScheduler.cpp
@@ -192,6 +192,15 @@
     return load;
 }
 
+std::size_t OwnerScheduler::ownedSlots() const
+{
+    std::size_t slots = 0;
+    for (const auto &entry : this->servers) {
+        slots += entry.second.startable ? entry.second.settings.slots : 0;
+    }
+    return slots;
+}
+
 double OwnerScheduler::meanInUse(const Common::ServiceName &service) const
 {
     const auto found = this->queues.find(service);
--- a/Source/Daemon/OwnerScheduler.h
+++ b/Source/Daemon/OwnerScheduler.h
@@ -54,6 +54,9 @@
     std::vector<Membership::ServiceLoad> loads() const;
     Membership::ServiceLoad loadOf(const Common::ServiceName &service) const;
 
+    /// Slots of the backend servers that are owned and not drained, whether or not a breaker or a
+    /// lowered limit keeps some of them from use.
+    std::size_t ownedSlots() const;
     /// Mean of the service's slots in use over about ten seconds.
     double meanInUse(const Common::ServiceName &service) const;
 
--- a/Source/Daemon/SteeringMessages.cpp
+++ b/Source/Daemon/SteeringMessages.cpp
@@ -201,6 +201,7 @@
         { "revision", this->context.revision },
         { "state", this->context.leaving ? "leaving" : "live" },
         { "requests_in_progress", this->callersInProgress },
+        { "owned_slots", this->scheduler->ownedSlots() },
         { "slot_overruns", this->scheduler->slotOverruns() },
         { "key_records", this->keyed->recordCount() },
         { "drains", drains },
--- a/Tests/Deployment/DeploymentFixture.cpp
+++ b/Tests/Deployment/DeploymentFixture.cpp
@@ -151,9 +151,7 @@
             if (vm.process == nullptr) {
                 continue;
             }
-            for (const auto &service : this->status(vm).value("services", json::object())) {
-                slots += service.at("slots").get<std::size_t>();
-            }
+            slots += this->status(vm).value("owned_slots", std::size_t { 0 });
         }
         return slots == backendSlots;
     });
