--- a/Source/Daemon/Dispatcher.h
+++ b/Source/Daemon/Dispatcher.h
@@ -19,7 +19,8 @@
 namespace Currantfall::Daemon {
 
 /// Takes requests to the owners of backend servers, on this VM or over peer links, and decides
-/// about retries. Also serves the requests that other VMs forward to this owner.
+/// about retries. Also serves the requests that other VMs forward to this owner. Hedging is in
+/// DispatcherHedging.cpp.
 class Dispatcher
 {
 public:
--- a/Tests/Deployment/DeploymentFixture.cpp
+++ b/Tests/Deployment/DeploymentFixture.cpp
@@ -163,14 +163,19 @@
     client.Post("/_faults", faults.dump(), "application/json");
 }
 
-void DeploymentFixture::setBackendBehaviour(const json &behaviour, const std::string &part) const
+std::size_t DeploymentFixture::setBackendBehaviour(const json &behaviour,
+                                                   const std::string &part) const
 {
+    std::size_t changed = 0;
     for (const auto &[name, address] : this->backendAddresses) {
         if (name.find(part) != std::string::npos) {
             httplib::Client client("http://" + address);
-            client.Post("/_control/behaviour", behaviour.dump(), "application/json");
+            const auto response
+                    = client.Post("/_control/behaviour", behaviour.dump(), "application/json");
+            changed += response ? 1 : 0;
         }
     }
+    return changed;
 }
 
 json DeploymentFixture::status(const EntryVm &vm) const
--- a/Tests/Deployment/DeploymentFixture.h
+++ b/Tests/Deployment/DeploymentFixture.h
@@ -61,8 +61,10 @@
     std::vector<EntryVm> &allVms() { return this->vms; }
     ProcessFixture &platform() { return *this->platformProcess; }
     void setPlatformFaults(const nlohmann::json &faults) const;
-    /// Changes the behaviour of the backend servers whose name contains `part`.
-    void setBackendBehaviour(const nlohmann::json &behaviour, const std::string &part = {}) const;
+    /// Changes the behaviour of the backend servers whose name contains `part`. Returns how many
+    /// took the change.
+    std::size_t setBackendBehaviour(const nlohmann::json &behaviour,
+                                    const std::string &part = {}) const;
     ProcessFixture &separateBackends() { return *this->separateProcess; }
 
     nlohmann::json status(const EntryVm &vm) const;
--- a/Tests/Deployment/OutcomeTest.cpp
+++ b/Tests/Deployment/OutcomeTest.cpp
@@ -1,4 +1,3 @@
-#include <algorithm>
 #include <string>
 #include <thread>
 #include <unistd.h>
@@ -9,6 +8,7 @@
 
 #include "Callers.h"
 #include "DeploymentFixture.h"
+#include "Outcomes.h"
 
 using namespace Currantfall::Tests;
 using nlohmann::json;
@@ -17,21 +17,7 @@
 
 constexpr std::size_t callerThreads = 4;
 constexpr std::size_t calls = 80;
-constexpr int backendPort = 9000;
-
-/// Changes the servers of one service: the one at x.x.`service`.1 and x.x.`service`.2 of the zone.
-void setService(const DeploymentFixture &deployment, const std::string &zone, int service,
-                const json &behaviour)
-{
-    const std::string client = deployment.clientIn(zone);
-    const std::string network = client.substr(0, client.find(".200.200"));
-    for (int server = 1; server <= 2; ++server) {
-        httplib::Client control(network + "." + std::to_string(service) + "."
-                                        + std::to_string(server),
-                                backendPort);
-        REQUIRE(control.Post("/_control/behaviour", behaviour.dump(), "application/json"));
-    }
-}
+constexpr std::size_t serversPerZone = 2;
 
 /// The VM that the key prefix names at `index`: 1 for the issuer, 3 for the deputy.
 std::string vmInPrefix(const std::string &prefix, std::size_t index)
@@ -51,18 +37,14 @@
     DeploymentFixture deployment;
     // The first attempt in the callers' zone runs and its answer is cut; all others shed.
     for (const std::string &zone : deployment.zoneNames()) {
-        setService(deployment, zone, 1,
-                   zone == "lm-a" ? json { { "truncate", 1 } } : json { { "draining", true } });
+        const json behaviour
+                = zone == "lm-a" ? json { { "truncate", 1 } } : json { { "draining", true } };
+        REQUIRE(deployment.setBackendBehaviour(behaviour, "slotview-" + zone) == serversPerZone);
     }
     Callers queries(deployment, callerThreads, false);
-    waitUntil([&] { return queries.completed() >= calls; });
+    waitForCalls(queries, calls);
     const auto records = queries.finish();
-    std::vector<std::string> ids;
-    ids.reserve(records.size());
-    for (const CallRecord &record : records) {
-        ids.push_back(record.requestId);
-    }
-    const json executions = deployment.executions(ids);
+    const json executions = executionsOf(deployment, records);
     std::size_t ranUnanswered = 0;
     for (const CallRecord &record : records) {
         INFO(record.requestId << " " << record.outcome);
--- a/Tests/Deployment/Outcomes.cpp
+++ b/Tests/Deployment/Outcomes.cpp
@@ -32,15 +32,20 @@
     }
 }
 
-void requireTrueOutcomes(const DeploymentFixture &deployment,
-                         const std::vector<CallRecord> &records)
+json executionsOf(const DeploymentFixture &deployment, const std::vector<CallRecord> &records)
 {
     std::vector<std::string> ids;
     ids.reserve(records.size());
     for (const CallRecord &record : records) {
         ids.push_back(record.requestId);
     }
-    const json executions = deployment.executions(ids);
+    return deployment.executions(ids);
+}
+
+void requireTrueOutcomes(const DeploymentFixture &deployment,
+                         const std::vector<CallRecord> &records)
+{
+    const json executions = executionsOf(deployment, records);
     for (const CallRecord &record : records) {
         INFO(record.requestId << " " << record.outcome << " " << record.status << " "
                               << record.refusal);
