Send each object to one backend server, over all zones

Also: replicas ignore rows at a version they know (rows travelled in circles after a restart of all VMs: 220,000 changes of servers in 17 s), and requests without an object are not refused for their unknown work.

--- a/Source/Core/Steering/ServerSelector.cpp
+++ b/Source/Core/Steering/ServerSelector.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <optional>
 
 #include "currantfall/Common/RendezvousHash.h"
 
@@ -10,10 +9,10 @@
 
 namespace {
 
-// Servers of an object's order that are considered; more would scatter it over many caches.
-constexpr std::size_t consideredServers = 4;
+// Servers of an object's order that are considered first; more would scatter it over many caches.
+constexpr std::size_t preferredServers = 1;
 // Requests per slot, running and waiting, up to which a server is used.
-constexpr double requestsPerSlot = 3.0;
+constexpr double requestsPerSlot = 4.0;
 // Until they are measured, work with and without a cached object is taken as these multiples of
 // the route's target latency.
 constexpr double warmPerTarget = 0.55;
@@ -21,7 +20,9 @@
 // Weight of the latest request in the mean times.
 constexpr double timeWeight = 0.1;
 // A later server of the order must be this much faster, so that objects stay on few servers.
-constexpr double moveGain = 1.3;
+constexpr double moveGain = 3.0;
+// A request is sent if this part of the mean work fits into the time that is left.
+constexpr double likelyWorkPart = 0.85;
 // Weight of servers that the caller's zone does not need: used only after all others.
 constexpr double spareWeight = 1e-6;
 // Space between two requests of this VM to one cold server. It exceeds the second in which they
@@ -103,6 +104,7 @@
 ServerSelector::candidates(const SelectionQuestion &question, Common::Instant now)
 {
     const auto &weights = this->weightsOf(question.service);
+    const std::string &key = question.object.empty() ? question.requestId : question.object;
     std::vector<Candidate> result;
     for (ServerRecord *server : this->servers.ofService(question.service)) {
         const BackendServer &entry = server->server();
@@ -110,16 +112,15 @@
             continue;
         }
         const auto found = weights.find(entry.zone);
-        const double weight = std::max(found == weights.end() ? 0.0 : found->second, spareWeight)
+        const double weight = std::max(found == weights.end() ? 0.0 : 1.0, spareWeight)
                               * std::max<std::uint32_t>(entry.slots, 1);
         // Weighted rendezvous hashing: the smallest value is the first of the order.
         result.push_back(
-                { server, -std::log(unitHash(question.object, entry.name.value())) / weight });
+                { server, -std::log(unitHash(key, entry.name.value())) / weight });
     }
-    const std::size_t kept = std::min(consideredServers, result.size());
-    std::partial_sort(
-            result.begin(), result.begin() + static_cast<std::ptrdiff_t>(kept), result.end(),
-            [](const Candidate &left, const Candidate &right) { return left.score < right.score; });
+    std::sort(result.begin(), result.end(), [](const Candidate &left, const Candidate &right) {
+        return left.score < right.score;
+    });
     return result;
 }
 
@@ -152,6 +153,42 @@
     return route.targetLatency * (warm ? warmPerTarget : missedPerTarget);
 }
 
+void ServerSelector::consider(const SelectionQuestion &question, const ServiceTerms *terms,
+                              Common::Instant now, ServerRecord &server, std::size_t position,
+                              Offers &offers) const
+{
+    if (server.cold(now)) {
+        const Common::Instant permit = this->coldPermit(server, terms);
+        if (permit > now) {
+            offers.earliestPermit = std::min(offers.earliestPermit, permit);
+            return;
+        }
+    }
+    const absl::Duration warmTime = this->workTime(question.service, *question.route, true);
+    const absl::Duration missedTime = this->workTime(question.service, *question.route, false);
+    const double slots = std::max<std::uint32_t>(server.server().slots, 1);
+    const double load = server.load(now);
+    // The first server of the order has the object from other VMs, if not from this one.
+    const bool warm = !question.object.empty()
+                      && (server.hasHandled(question.object, now) || position == 0);
+    const absl::Duration wait
+            = load < slots ? absl::ZeroDuration() : warmTime * ((load - slots + 1.0) / slots);
+    const absl::Duration finish = wait + (warm ? warmTime : missedTime);
+    offers.shortestFinish = std::min(offers.shortestFinish, finish);
+    // How long a request without an object takes is not known.
+    const absl::Duration likely
+            = question.object.empty() ? wait : wait + (finish - wait) * likelyWorkPart;
+    if (load >= slots * requestsPerSlot || likely > question.remaining) {
+        return;
+    }
+    const absl::Duration cost
+            = finish + question.route->targetLatency * (2.0 * server.failureRate());
+    if (!offers.best || cost * moveGain < offers.bestCost) {
+        offers.best = SendTo { &server, position, warm, finish };
+        offers.bestCost = cost;
+    }
+}
+
 Selection ServerSelector::select(const SelectionQuestion &question, const ServiceTerms *terms,
                                  Common::Instant now)
 {
@@ -159,55 +196,27 @@
     if (order.empty()) {
         return Reject { RejectReason::NoServer, absl::Seconds(1) };
     }
-    const absl::Duration warmTime = this->workTime(question.service, *question.route, true);
-    const absl::Duration missedTime = this->workTime(question.service, *question.route, false);
-
-    std::optional<SendTo> best;
-    absl::Duration bestCost;
-    Common::Instant earliestPermit = Common::Instant::infinite();
-    absl::Duration shortestFinish = absl::InfiniteDuration();
-    const std::size_t considered = std::min(consideredServers, order.size());
-    for (std::size_t position = 0; position < considered; ++position) {
-        ServerRecord &server = *order[position].server;
-        if (server.cold(now)) {
-            const Common::Instant permit = this->coldPermit(server, terms);
-            if (permit > now) {
-                earliestPermit = std::min(earliestPermit, permit);
-                continue;
-            }
-        }
-        const double slots = std::max<std::uint32_t>(server.server().slots, 1);
-        const double load = server.load(now);
-        // The first server of the order has the object from other VMs, if not from this one.
-        const bool warm = !question.object.empty()
-                          && (server.hasHandled(question.object, now) || position == 0);
-        const absl::Duration mean = (warmTime + missedTime) / 2;
-        const absl::Duration wait
-                = load < slots ? absl::ZeroDuration() : mean * ((load - slots + 1.0) / slots);
-        const absl::Duration finish = wait + (warm ? warmTime : missedTime);
-        shortestFinish = std::min(shortestFinish, finish);
-        if (load >= slots * requestsPerSlot) {
-            continue;
-        }
-        const absl::Duration cost
-                = finish + question.route->targetLatency * (2.0 * server.failureRate());
-        if (!best || cost * moveGain < bestCost) {
-            best = SendTo { &server, position, warm, finish };
-            bestCost = cost;
+    Offers offers;
+    for (std::size_t position = 0; position < order.size(); ++position) {
+        if (position >= preferredServers && (offers.best || !question.object.empty())) {
+            break;
         }
+        this->consider(question, terms, now, *order[position].server, position, offers);
     }
-    if (best && best->expected <= question.remaining) {
-        return *best;
+    if (offers.best) {
+        return *offers.best;
     }
-    if (!best && earliestPermit < Common::Instant::infinite()) {
+    if (offers.earliestPermit < Common::Instant::infinite()) {
         const absl::Duration longest = question.route->targetLatency * longestWaitPerTarget;
-        if (question.waited + (earliestPermit - now) <= longest) {
-            return WaitUntil { earliestPermit };
+        if (question.waited + (offers.earliestPermit - now) <= longest) {
+            return WaitUntil { offers.earliestPermit };
         }
     }
-    const absl::Duration drain
-            = shortestFinish == absl::InfiniteDuration() ? missedTime : shortestFinish - warmTime;
-    return Reject { RejectReason::Overloaded, std::max(drain, shortestRetryAfter) };
+    const absl::Duration warmTime = this->workTime(question.service, *question.route, true);
+    const absl::Duration retryAfter = offers.shortestFinish == absl::InfiniteDuration()
+            ? warmTime
+            : offers.shortestFinish - warmTime;
+    return Reject { RejectReason::Overloaded, std::max(retryAfter, shortestRetryAfter) };
 }
 
 void ServerSelector::onSent(const SelectionQuestion &question, const SendTo &choice,
--- a/Source/Core/Steering/TableReplica.cpp
+++ b/Source/Core/Steering/TableReplica.cpp
@@ -25,6 +25,12 @@
         return outcome;
     }
     outcome.verdict = Verdict::Applied;
+    this->confirmed = std::max(this->confirmed, update.confirmedAt,
+                               [](auto left, auto right) { return left < right; });
+    if (this->isLoaded && update.to == this->currentVersion) {
+        // Nothing new; rows that are passed on at one version would travel in circles.
+        return outcome;
+    }
     std::set<std::string> named;
     for (const RowChange &row : update.rows) {
         named.insert(row.key);
@@ -38,6 +44,9 @@
             continue;
         }
         if (found == this->current.end()) {
+            if (this->deletedSince(row)) {
+                continue;
+            }
             this->current.emplace(row.key, row);
             outcome.changes.push_back(row);
         } else if (found->second.version < row.version) {
@@ -64,11 +73,17 @@
     }
     this->isLoaded = true;
     this->currentVersion = update.to;
-    this->confirmed = std::max(this->confirmed, update.confirmedAt,
-                               [](auto left, auto right) { return left < right; });
     return outcome;
 }
 
+bool TableReplica::deletedSince(const RowChange &row) const
+{
+    return std::any_of(this->deletions.begin(), this->deletions.end(),
+                       [&row](const RowChange &deletion) {
+                           return deletion.key == row.key && deletion.version >= row.version;
+                       });
+}
+
 void TableReplica::remember(const RowChange &deletion)
 {
     this->deletions.push_back(deletion);
--- a/Source/Entry/RequestSteering.cpp
+++ b/Source/Entry/RequestSteering.cpp
@@ -161,6 +161,7 @@
         const Steering::SelectionQuestion question { &route,
                                                      work.service,
                                                      work.caller.object,
+                                                     work.caller.id,
                                                      work.limit - now,
                                                      now - work.start,
                                                      work.tried };
--- a/include/currantfall/Steering/ServerSelector.h
+++ b/include/currantfall/Steering/ServerSelector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -43,6 +44,8 @@
     Common::ServiceName service;
     /// Requests with the same object are faster on a server that has handled it; may be empty.
     std::string object;
+    /// Orders the servers of requests without an object; differs from request to request.
+    std::string requestId;
     /// Time until the caller or the route gives up.
     absl::Duration remaining = absl::ZeroDuration();
     /// Time since the request arrived.
@@ -120,7 +123,18 @@
         std::map<Common::ZoneName, double> weights;
     };
 
+    /// Usable servers in the object's order.
     std::vector<Candidate> candidates(const SelectionQuestion &question, Common::Instant now);
+    /// What the servers that were looked at so far offer.
+    struct Offers
+    {
+        std::optional<SendTo> best;
+        absl::Duration bestCost;
+        Common::Instant earliestPermit = Common::Instant::infinite();
+        absl::Duration shortestFinish = absl::InfiniteDuration();
+    };
+    void consider(const SelectionQuestion &question, const ServiceTerms *terms, Common::Instant now,
+                  ServerRecord &server, std::size_t position, Offers &offers) const;
     const std::map<Common::ZoneName, double> &weightsOf(const Common::ServiceName &service);
     /// When a cold server may get the next request from this VM.
     Common::Instant coldPermit(const ServerRecord &server, const ServiceTerms *terms) const;
--- a/include/currantfall/Steering/TableReplica.h
+++ b/include/currantfall/Steering/TableReplica.h
@@ -81,6 +81,8 @@
     StoreVersion deletionsSince = 0;
 
     void remember(const RowChange &deletion);
+    /// Whether the row was deleted after it was written.
+    bool deletedSince(const RowChange &row) const;
 };
 
 } // namespace Currantfall::Steering
