Move objects off servers that are busy for long; name larger VMs only

Cause: the busiest server of a service gets twice the mean, because few objects share a server; on the grown sites small VMs reuse few connections.

Change: a VM that sees a server busy over two seconds moves one object a second to a calm server of the object's order and tells its peers. The directory names VMs with at least half of the largest processor share.

--- a/Source/Core/Steering/EntryDirectory.cpp
+++ b/Source/Core/Steering/EntryDirectory.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+// VMs with less than this part of the largest one's processor are spared.
+constexpr double largePart = 0.5;
 // A caller with one address only waits for its next lookup when that VM fails.
 constexpr std::size_t fewestEntries = 2;
 
@@ -31,6 +33,14 @@
     if (result.size() < fewestEntries) {
         result = vms;
     }
+    const auto larger = [](const EntryVm &left, const EntryVm &right) {
+        return left.processorShare > right.processorShare;
+    };
+    std::stable_sort(result.begin(), result.end(), larger);
+    while (result.size() > fewestEntries
+           && result.back().processorShare < result.front().processorShare * largePart) {
+        result.pop_back();
+    }
     if (result.size() > most) {
         result.resize(most);
     }
--- a/Source/Core/Steering/ServerSelector.cpp
+++ b/Source/Core/Steering/ServerSelector.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "currantfall/Common/RendezvousHash.h"
 
@@ -23,13 +24,24 @@
 constexpr double moveGain = 3.0;
 // A request is sent if this part of the mean work fits into the time that is left.
 constexpr double likelyWorkPart = 0.85;
-// Weight of servers that the caller's zone does not need: used only after all others.
-constexpr double spareWeight = 1e-6;
+// Part of the requests that follow locality; the others go to all zones alike, so that a zone whose
+// callers all come at once has the servers of the other zones.
+constexpr double localityPart = 0.0;
 // Space between two requests of this VM to one cold server. It exceeds the second in which they
 // are counted by the largest delay that may differ between two requests.
 constexpr absl::Duration coldSpacing = absl::Milliseconds(1100);
 // Longest part of the target latency that a request waits for a cold server's permit.
 constexpr double longestWaitPerTarget = 0.5;
+// Requests per slot, on average, at which a server gives up an object, and below which another
+// server takes it.
+constexpr double busyLoad = 0.9;
+constexpr double calmLoad = 0.5;
+// Servers of an object's order to which it may move.
+constexpr std::size_t moveTargets = 6;
+// Moves that are remembered; more than the objects of all services of one deployment.
+constexpr std::size_t mostMoves = 16384;
+// Time in which a move takes effect on the mean load of a server.
+constexpr absl::Duration moveInterval = absl::Seconds(1);
 constexpr absl::Duration shortestRetryAfter = absl::Milliseconds(300);
 
 /// Uniform in (0, 1], the same on all VMs.
@@ -97,6 +109,10 @@
     }
     cached.generation = this->servers.generation();
     cached.weights = localityWeights(this->settings.zone, capacities, demands);
+    // Relative to the weight that all zones would have without locality.
+    for (auto &[zone, weight] : cached.weights) {
+        weight *= static_cast<double>(demands.size());
+    }
     return cached.weights;
 }
 
@@ -112,7 +128,8 @@
             continue;
         }
         const auto found = weights.find(entry.zone);
-        const double weight = std::max(found == weights.end() ? 0.0 : 1.0, spareWeight)
+        const double local = found == weights.end() ? 0.0 : found->second;
+        const double weight = (1.0 - localityPart + localityPart * local)
                               * std::max<std::uint32_t>(entry.slots, 1);
         // Weighted rendezvous hashing: the smallest value is the first of the order.
         result.push_back(
@@ -189,13 +206,101 @@
     }
 }
 
+void ServerSelector::applyOwnOrder(const SelectionQuestion &question,
+                                   std::vector<Candidate> &order) const
+{
+    const auto moved = this->movedObjects.find({ question.service, question.object });
+    if (moved == this->movedObjects.end()) {
+        return;
+    }
+    const auto target = std::find_if(order.begin(), order.end(), [&](const Candidate &candidate) {
+        return candidate.server->server().name == moved->second.server;
+    });
+    if (target != order.end()) {
+        std::rotate(order.begin(), target, target + 1);
+    }
+}
+
+void ServerSelector::relieve(const SelectionQuestion &question, std::vector<Candidate> &order,
+                             Common::Instant now)
+{
+    const ServerRecord &first = *order.front().server;
+    if (question.object.empty() || first.meanLoad(now) < busyLoad) {
+        return;
+    }
+    const auto relieved = this->relievedAt.find(first.server().name);
+    if (relieved != this->relievedAt.end() && now - relieved->second < moveInterval) {
+        return;
+    }
+    const std::size_t targets = std::min(order.size(), moveTargets);
+    std::size_t calmest = 0;
+    for (std::size_t position = 1; position < targets; ++position) {
+        const ServerRecord &server = *order[position].server;
+        if (!server.cold(now)
+            && server.meanLoad(now) < order[calmest].server->meanLoad(now)) {
+            calmest = position;
+        }
+    }
+    const ServerRecord &target = *order[calmest].server;
+    if (calmest == 0 || target.meanLoad(now) > calmLoad) {
+        return;
+    }
+    const ObjectMove move { question.service, question.object, target.server().name,
+                            first.server().name, this->lastSequence + 1 };
+    this->applyMove(move, now);
+    this->newMoves.push_back(move);
+    std::rotate(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(calmest),
+                order.begin() + static_cast<std::ptrdiff_t>(calmest) + 1);
+}
+
+std::vector<ObjectMove> ServerSelector::takeMoves()
+{
+    return std::exchange(this->newMoves, {});
+}
+
+bool ServerSelector::applyMove(const ObjectMove &move, Common::Instant now)
+{
+    this->lastSequence = std::max(this->lastSequence, move.sequence);
+    if (this->movedObjects.size() >= mostMoves
+        && !this->movedObjects.contains({ move.service, move.object })) {
+        return false;
+    }
+    const auto [known, added]
+            = this->movedObjects.try_emplace({ move.service, move.object }, move);
+    if (!added) {
+        const bool newer = move.sequence > known->second.sequence
+                           || (move.sequence == known->second.sequence
+                               && move.server > known->second.server);
+        if (!newer) {
+            return false;
+        }
+        known->second = move;
+    }
+    // Both servers' mean loads are about to change.
+    this->relievedAt[move.from] = now;
+    this->relievedAt[move.server] = now;
+    return true;
+}
+
+std::vector<ObjectMove> ServerSelector::moves() const
+{
+    std::vector<ObjectMove> result;
+    result.reserve(this->movedObjects.size());
+    for (const auto &[key, move] : this->movedObjects) {
+        result.push_back(move);
+    }
+    return result;
+}
+
 Selection ServerSelector::select(const SelectionQuestion &question, const ServiceTerms *terms,
                                  Common::Instant now)
 {
-    const std::vector<Candidate> order = this->candidates(question, now);
+    std::vector<Candidate> order = this->candidates(question, now);
     if (order.empty()) {
         return Reject { RejectReason::NoServer, absl::Seconds(1) };
     }
+    this->applyOwnOrder(question, order);
+    this->relieve(question, order, now);
     Offers offers;
     for (std::size_t position = 0; position < order.size(); ++position) {
         if (position >= preferredServers && (offers.best || !question.object.empty())) {
--- a/Source/Core/Steering/ServerTable.cpp
+++ b/Source/Core/Steering/ServerTable.cpp
@@ -9,6 +9,10 @@
 
 // A report of other VMs' work counts half after this time; about the length of a request.
 constexpr absl::Duration reportHalfLife = absl::Milliseconds(400);
+// Time over which the load of a server is averaged: several requests long.
+constexpr absl::Duration loadMeanTime = absl::Seconds(2);
+// A report stands for the time since the one before it, up to this.
+constexpr absl::Duration reportWeightTime = absl::Milliseconds(500);
 // Objects remembered per backend server; more than any server keeps in its cache.
 constexpr std::size_t handledObjects = 128;
 // An object that was not requested for this time counts as evicted from the cache.
@@ -70,6 +74,15 @@
     return others + this->inFlight;
 }
 
+double ServerRecord::meanLoad(Common::Instant now) const
+{
+    const absl::Duration silent = now - this->smoothedAt - reportWeightTime;
+    if (silent <= absl::ZeroDuration()) {
+        return this->smoothedLoad;
+    }
+    return this->smoothedLoad * std::exp(-absl::FDivDuration(silent, loadMeanTime));
+}
+
 void ServerRecord::onSent(Common::Instant now, const std::string &object)
 {
     ++this->inFlight;
@@ -92,6 +105,15 @@
         --this->inFlight;
     }
     if (latest != nullptr) {
+        const double perSlot = static_cast<double>(latest->running + latest->waiting)
+                               / std::max<std::uint32_t>(latest->slots, 1);
+        const double before = this->meanLoad(now);
+        const double weight = 1.0
+                              - std::exp(-absl::FDivDuration(
+                                      std::min(now - this->smoothedAt, reportWeightTime),
+                                      loadMeanTime));
+        this->smoothedLoad = before + (perSlot - before) * weight;
+        this->smoothedAt = now;
         this->report = *latest;
         this->reportedAt = now;
         this->ownAtReport = this->inFlight;
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -107,10 +107,13 @@
             this->store->onUpdate(peer, *update, now);
         } else if (const auto *request = message.body.AsStoreRequest()) {
             this->store->onRequest(peer, *request, now);
+        } else if (const auto *moves = message.body.AsObjectMoves()) {
+            this->onMoves(peer, *moves);
         }
     };
     hooks.onLinkUp = [this](const Common::VmName &peer) {
         this->store->onLinkUp(peer, Common::monotonicNow());
+        this->sendMoves(this->steering.selector().moves(), { peer });
     };
     hooks.onMembers = [this] { this->onMembers(); };
     hooks.ownState = [this] {
@@ -189,6 +192,14 @@
         this->cluster->advance(at);
         this->store->advance(at);
         this->advanceShutdown(at);
+        const auto moves = this->steering.selector().takeMoves();
+        this->sendMoves(moves, this->cluster->linkedPeers());
+        for (const Steering::ObjectMove &move : moves) {
+            this->log.important("object_moved", { { "service", move.service.value() },
+                                                  { "object", move.object },
+                                                  { "from", move.from.value() },
+                                                  { "to", move.server.value() } });
+        }
     });
     this->timers.subscribeEvery(now, housekeepingPeriod, [this](Common::Instant at) {
         this->steering.setServersConfirmed(
@@ -282,15 +293,16 @@
     if (this->registered || this->registering || this->leaving) {
         return;
     }
-    Membership::ListedVm vm;
-    vm.vm = this->settings.vm;
-    vm.zone = this->settings.zone;
-    vm.region = this->settings.region;
-    vm.address = this->settings.address;
-    vm.portBase = this->cluster->portBase();
+    RegisteredVm own;
+    own.vm.vm = this->settings.vm;
+    own.vm.zone = this->settings.zone;
+    own.vm.region = this->settings.region;
+    own.vm.address = this->settings.address;
+    own.vm.portBase = this->cluster->portBase();
+    own.processorShare = this->settings.processorShare;
     const auto &rows = this->store->replica(vmTable).rows();
-    const auto own = rows.find(vm.vm.value());
-    if (own != rows.end() && own->second.value == writeVmRow(vm)) {
+    const auto row = rows.find(own.vm.vm.value());
+    if (row != rows.end() && row->second.value == writeVmRow(own)) {
         this->registered = true;
         return;
     }
@@ -304,7 +316,50 @@
         });
     };
     this->registering
-            = this->writer->submit(WriteRow { vmTable, vm.vm.value(), writeVmRow(vm) }, done);
+            = this->writer->submit(WriteRow { vmTable, own.vm.vm.value(), writeVmRow(own) }, done);
+}
+
+void EntryDaemon::sendMoves(const std::vector<Steering::ObjectMove> &moves,
+                            const std::vector<Common::VmName> &peers)
+{
+    if (moves.empty()) {
+        return;
+    }
+    Peering::Wire::ObjectMovesT message;
+    for (const Steering::ObjectMove &move : moves) {
+        auto entry = std::make_unique<Peering::Wire::ObjectMoveT>();
+        entry->service = move.service.value();
+        entry->object = move.object;
+        entry->server = move.server.value();
+        entry->from = move.from.value();
+        entry->sequence = move.sequence;
+        message.moves.push_back(std::move(entry));
+    }
+    for (const Common::VmName &peer : peers) {
+        auto copy = message;
+        Peering::Wire::BodyUnion body;
+        body.Set(std::move(copy));
+        this->cluster->send(peer, std::move(body));
+    }
+}
+
+void EntryDaemon::onMoves(const Common::VmName &peer, const Peering::Wire::ObjectMovesT &message)
+{
+    std::vector<Steering::ObjectMove> news;
+    for (const auto &entry : message.moves) {
+        if (entry == nullptr) {
+            continue;
+        }
+        Steering::ObjectMove move { Common::ServiceName(entry->service), entry->object,
+                                    Common::BackendServerName(entry->server),
+                                    Common::BackendServerName(entry->from), entry->sequence };
+        if (this->steering.selector().applyMove(move, Common::monotonicNow())) {
+            news.push_back(std::move(move));
+        }
+    }
+    std::vector<Common::VmName> others = this->cluster->linkedPeers();
+    std::erase(others, peer);
+    this->sendMoves(news, others);
 }
 
 std::vector<Steering::RowChange>
@@ -416,7 +471,8 @@
     for (const auto &[name, row] : this->store->replica(vmTable).rows()) {
         auto vm = readVmRow(name, row.value);
         if (vm) {
-            vms.push_back(std::move(*vm));
+            this->processorShares[vm->vm.vm] = vm->processorShare;
+            vms.push_back(std::move(vm->vm));
         } else {
             this->log.important("vm_row_ignored", Common::errorFields(vm.error()));
         }
@@ -439,6 +495,12 @@
     this->log.important("members", { { "states", std::move(states) } });
 }
 
+double EntryDaemon::processorShareOf(const Common::VmName &vm) const
+{
+    const auto found = this->processorShares.find(vm);
+    return found == this->processorShares.end() ? this->settings.processorShare : found->second;
+}
+
 bool EntryDaemon::ready() const
 {
     return !this->leaving && this->steering.configuration() != nullptr
@@ -458,7 +520,8 @@
         const bool serves = own ? this->ready()
                                 : member->state == MemberState::Live && member->revision > 0;
         if (serves) {
-            vms.push_back({ member->vm, member->zone, member->region, member->address + port });
+            vms.push_back({ member->vm, member->zone, member->region, member->address + port,
+                            this->processorShareOf(member->vm) });
         }
     }
     const auto entries
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -56,6 +56,11 @@
     void onMembers();
     void adopt(const Steering::RowChange &row);
     void registerVm();
+    /// Tells peers which objects were moved; all but the one that told this VM.
+    void sendMoves(const std::vector<Steering::ObjectMove> &moves,
+                   const std::vector<Common::VmName> &peers);
+    void onMoves(const Common::VmName &peer, const Peering::Wire::ObjectMovesT &message);
+    double processorShareOf(const Common::VmName &vm) const;
 
     bool ready() const;
     EndpointAnswer answerDirectory(const std::string &target) const;
@@ -72,6 +77,8 @@
     std::unique_ptr<Cluster> cluster;
     std::unique_ptr<StoreSync> store;
     std::unique_ptr<StoreWorker> writer;
+    /// As registered, by VM.
+    std::map<Common::VmName, double> processorShares;
     bool registered = false;
     bool registering = false;
     std::unique_ptr<CallerListener> callers;
--- a/include/currantfall/Peering/Messages_generated.h
+++ b/include/currantfall/Peering/Messages_generated.h
@@ -121,6 +121,14 @@
 struct StoreRequestBuilder;
 struct StoreRequestT;
 
+struct ObjectMove;
+struct ObjectMoveBuilder;
+struct ObjectMoveT;
+
+struct ObjectMoves;
+struct ObjectMovesBuilder;
+struct ObjectMovesT;
+
 struct Message;
 struct MessageBuilder;
 struct MessageT;
@@ -244,11 +252,12 @@
   CreditGrant = 19,
   StoreUpdate = 20,
   StoreRequest = 21,
+  ObjectMoves = 22,
   MIN = NONE,
-  MAX = StoreRequest
+  MAX = ObjectMoves
 };
 
-inline const Body (&EnumValuesBody())[22] {
+inline const Body (&EnumValuesBody())[23] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -271,13 +280,14 @@
     Body::CreditRequest,
     Body::CreditGrant,
     Body::StoreUpdate,
-    Body::StoreRequest
+    Body::StoreRequest,
+    Body::ObjectMoves
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[23] = {
+  static const char * const names[24] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -300,13 +310,14 @@
     "CreditGrant",
     "StoreUpdate",
     "StoreRequest",
+    "ObjectMoves",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::StoreRequest)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ObjectMoves)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -399,6 +410,10 @@
   static const Body enum_value = Body::StoreRequest;
 };
 
+template<> struct BodyTraits<Currantfall::Peering::Wire::ObjectMoves> {
+  static const Body enum_value = Body::ObjectMoves;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -487,6 +502,10 @@
   static const Body enum_value = Body::StoreRequest;
 };
 
+template<> struct BodyUnionTraits<Currantfall::Peering::Wire::ObjectMovesT> {
+  static const Body enum_value = Body::ObjectMoves;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -685,6 +704,14 @@
     return type == Body::StoreRequest ?
       reinterpret_cast<const Currantfall::Peering::Wire::StoreRequestT *>(value) : nullptr;
   }
+  Currantfall::Peering::Wire::ObjectMovesT *AsObjectMoves() {
+    return type == Body::ObjectMoves ?
+      reinterpret_cast<Currantfall::Peering::Wire::ObjectMovesT *>(value) : nullptr;
+  }
+  const Currantfall::Peering::Wire::ObjectMovesT *AsObjectMoves() const {
+    return type == Body::ObjectMoves ?
+      reinterpret_cast<const Currantfall::Peering::Wire::ObjectMovesT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -3561,6 +3588,193 @@
 
 flatbuffers::Offset<StoreRequest> CreateStoreRequest(flatbuffers::FlatBufferBuilder &_fbb, const StoreRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ObjectMoveT : public flatbuffers::NativeTable {
+  typedef ObjectMove TableType;
+  std::string service{};
+  std::string object{};
+  std::string server{};
+  std::string from{};
+  uint64_t sequence = 0;
+};
+
+struct ObjectMove FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ObjectMoveT NativeTableType;
+  typedef ObjectMoveBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_OBJECT = 6,
+    VT_SERVER = 8,
+    VT_FROM = 10,
+    VT_SEQUENCE = 12
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *object() const {
+    return GetPointer<const flatbuffers::String *>(VT_OBJECT);
+  }
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  const flatbuffers::String *from() const {
+    return GetPointer<const flatbuffers::String *>(VT_FROM);
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_OBJECT) &&
+           verifier.VerifyString(object()) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyOffset(verifier, VT_FROM) &&
+           verifier.VerifyString(from()) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           verifier.EndTable();
+  }
+  ObjectMoveT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ObjectMoveT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ObjectMove> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ObjectMoveT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ObjectMoveBuilder {
+  typedef ObjectMove Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(ObjectMove::VT_SERVICE, service);
+  }
+  void add_object(flatbuffers::Offset<flatbuffers::String> object) {
+    fbb_.AddOffset(ObjectMove::VT_OBJECT, object);
+  }
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(ObjectMove::VT_SERVER, server);
+  }
+  void add_from(flatbuffers::Offset<flatbuffers::String> from) {
+    fbb_.AddOffset(ObjectMove::VT_FROM, from);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(ObjectMove::VT_SEQUENCE, sequence, 0);
+  }
+  explicit ObjectMoveBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ObjectMove> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ObjectMove>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ObjectMove> CreateObjectMove(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> object = 0,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    flatbuffers::Offset<flatbuffers::String> from = 0,
+    uint64_t sequence = 0) {
+  ObjectMoveBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
+  builder_.add_from(from);
+  builder_.add_server(server);
+  builder_.add_object(object);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ObjectMove> CreateObjectMoveDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    const char *object = nullptr,
+    const char *server = nullptr,
+    const char *from = nullptr,
+    uint64_t sequence = 0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto object__ = object ? _fbb.CreateString(object) : 0;
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  auto from__ = from ? _fbb.CreateString(from) : 0;
+  return Currantfall::Peering::Wire::CreateObjectMove(
+      _fbb,
+      service__,
+      object__,
+      server__,
+      from__,
+      sequence);
+}
+
+flatbuffers::Offset<ObjectMove> CreateObjectMove(flatbuffers::FlatBufferBuilder &_fbb, const ObjectMoveT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ObjectMovesT : public flatbuffers::NativeTable {
+  typedef ObjectMoves TableType;
+  std::vector<std::unique_ptr<Currantfall::Peering::Wire::ObjectMoveT>> moves{};
+  ObjectMovesT() = default;
+  ObjectMovesT(const ObjectMovesT &o);
+  ObjectMovesT(ObjectMovesT&&) FLATBUFFERS_NOEXCEPT = default;
+  ObjectMovesT &operator=(ObjectMovesT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct ObjectMoves FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ObjectMovesT NativeTableType;
+  typedef ObjectMovesBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_MOVES = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::ObjectMove>> *moves() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::ObjectMove>> *>(VT_MOVES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_MOVES) &&
+           verifier.VerifyVector(moves()) &&
+           verifier.VerifyVectorOfTables(moves()) &&
+           verifier.EndTable();
+  }
+  ObjectMovesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ObjectMovesT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ObjectMoves> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ObjectMovesT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ObjectMovesBuilder {
+  typedef ObjectMoves Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_moves(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::ObjectMove>>> moves) {
+    fbb_.AddOffset(ObjectMoves::VT_MOVES, moves);
+  }
+  explicit ObjectMovesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ObjectMoves> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ObjectMoves>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ObjectMoves> CreateObjectMoves(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::ObjectMove>>> moves = 0) {
+  ObjectMovesBuilder builder_(_fbb);
+  builder_.add_moves(moves);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ObjectMoves> CreateObjectMovesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<Currantfall::Peering::Wire::ObjectMove>> *moves = nullptr) {
+  auto moves__ = moves ? _fbb.CreateVector<flatbuffers::Offset<Currantfall::Peering::Wire::ObjectMove>>(*moves) : 0;
+  return Currantfall::Peering::Wire::CreateObjectMoves(
+      _fbb,
+      moves__);
+}
+
+flatbuffers::Offset<ObjectMoves> CreateObjectMoves(flatbuffers::FlatBufferBuilder &_fbb, const ObjectMovesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct MessageT : public flatbuffers::NativeTable {
   typedef Message TableType;
   Currantfall::Peering::Wire::BodyUnion body{};
@@ -3643,6 +3857,9 @@
   const Currantfall::Peering::Wire::StoreRequest *body_as_StoreRequest() const {
     return body_type() == Currantfall::Peering::Wire::Body::StoreRequest ? static_cast<const Currantfall::Peering::Wire::StoreRequest *>(body()) : nullptr;
   }
+  const Currantfall::Peering::Wire::ObjectMoves *body_as_ObjectMoves() const {
+    return body_type() == Currantfall::Peering::Wire::Body::ObjectMoves ? static_cast<const Currantfall::Peering::Wire::ObjectMoves *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -3739,6 +3956,10 @@
   return body_as_StoreRequest();
 }
 
+template<> inline const Currantfall::Peering::Wire::ObjectMoves *Message::body_as<Currantfall::Peering::Wire::ObjectMoves>() const {
+  return body_as_ObjectMoves();
+}
+
 struct MessageBuilder {
   typedef Message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -4920,6 +5141,80 @@
       _version);
 }
 
+inline ObjectMoveT *ObjectMove::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<ObjectMoveT>(new ObjectMoveT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ObjectMove::UnPackTo(ObjectMoveT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = object(); if (_e) _o->object = _e->str(); }
+  { auto _e = server(); if (_e) _o->server = _e->str(); }
+  { auto _e = from(); if (_e) _o->from = _e->str(); }
+  { auto _e = sequence(); _o->sequence = _e; }
+}
+
+inline flatbuffers::Offset<ObjectMove> ObjectMove::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ObjectMoveT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateObjectMove(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ObjectMove> CreateObjectMove(flatbuffers::FlatBufferBuilder &_fbb, const ObjectMoveT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ObjectMoveT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _object = _o->object.empty() ? 0 : _fbb.CreateString(_o->object);
+  auto _server = _o->server.empty() ? 0 : _fbb.CreateString(_o->server);
+  auto _from = _o->from.empty() ? 0 : _fbb.CreateString(_o->from);
+  auto _sequence = _o->sequence;
+  return Currantfall::Peering::Wire::CreateObjectMove(
+      _fbb,
+      _service,
+      _object,
+      _server,
+      _from,
+      _sequence);
+}
+
+inline ObjectMovesT::ObjectMovesT(const ObjectMovesT &o) {
+  moves.reserve(o.moves.size());
+  for (const auto &moves_ : o.moves) { moves.emplace_back((moves_) ? new Currantfall::Peering::Wire::ObjectMoveT(*moves_) : nullptr); }
+}
+
+inline ObjectMovesT &ObjectMovesT::operator=(ObjectMovesT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(moves, o.moves);
+  return *this;
+}
+
+inline ObjectMovesT *ObjectMoves::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<ObjectMovesT>(new ObjectMovesT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ObjectMoves::UnPackTo(ObjectMovesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = moves(); if (_e) { _o->moves.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->moves[_i] = std::unique_ptr<Currantfall::Peering::Wire::ObjectMoveT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<ObjectMoves> ObjectMoves::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ObjectMovesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateObjectMoves(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ObjectMoves> CreateObjectMoves(flatbuffers::FlatBufferBuilder &_fbb, const ObjectMovesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ObjectMovesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _moves = _o->moves.size() ? _fbb.CreateVector<flatbuffers::Offset<Currantfall::Peering::Wire::ObjectMove>> (_o->moves.size(), [](size_t i, _VectorArgs *__va) { return CreateObjectMove(*__va->__fbb, __va->__o->moves[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return Currantfall::Peering::Wire::CreateObjectMoves(
+      _fbb,
+      _moves);
+}
+
 inline MessageT *Message::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<MessageT>(new MessageT());
   UnPackTo(_o.get(), _resolver);
@@ -5038,6 +5333,10 @@
       auto ptr = reinterpret_cast<const Currantfall::Peering::Wire::StoreRequest *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::ObjectMoves: {
+      auto ptr = reinterpret_cast<const Currantfall::Peering::Wire::ObjectMoves *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -5141,6 +5440,10 @@
       auto ptr = reinterpret_cast<const Currantfall::Peering::Wire::StoreRequest *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::ObjectMoves: {
+      auto ptr = reinterpret_cast<const Currantfall::Peering::Wire::ObjectMoves *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -5232,6 +5535,10 @@
       auto ptr = reinterpret_cast<const Currantfall::Peering::Wire::StoreRequestT *>(value);
       return CreateStoreRequest(_fbb, ptr, _rehasher).Union();
     }
+    case Body::ObjectMoves: {
+      auto ptr = reinterpret_cast<const Currantfall::Peering::Wire::ObjectMovesT *>(value);
+      return CreateObjectMoves(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -5322,6 +5629,10 @@
       value = new Currantfall::Peering::Wire::StoreRequestT(*reinterpret_cast<Currantfall::Peering::Wire::StoreRequestT *>(u.value));
       break;
     }
+    case Body::ObjectMoves: {
+      value = new Currantfall::Peering::Wire::ObjectMovesT(*reinterpret_cast<Currantfall::Peering::Wire::ObjectMovesT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -5434,6 +5745,11 @@
       delete ptr;
       break;
     }
+    case Body::ObjectMoves: {
+      auto ptr = reinterpret_cast<Currantfall::Peering::Wire::ObjectMovesT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/include/currantfall/Steering/ServerSelector.h
+++ b/include/currantfall/Steering/ServerSelector.h
@@ -78,6 +78,20 @@
 };
 using Selection = std::variant<SendTo, WaitUntil, Reject>;
 
+/// An object that goes to another server than the first of its order.
+struct ObjectMove
+{
+    Common::ServiceName service;
+    std::string object;
+    Common::BackendServerName server;
+    /// Where it went before.
+    Common::BackendServerName from;
+    /// The highest one wins where VMs moved an object to different servers.
+    std::uint64_t sequence = 0;
+
+    friend bool operator==(const ObjectMove &left, const ObjectMove &right) = default;
+};
+
 /// Chooses the backend server of each request. Every object has its own order of servers, the same
 /// on all VMs; a request goes to the first one of it that can answer in time.
 class ServerSelector
@@ -98,6 +112,13 @@
     void setVms(std::vector<Common::VmName> vms);
     std::size_t vmCount() const { return this->vms.size(); }
 
+    /// Moves that this VM has made since the last call; other VMs should follow them.
+    std::vector<ObjectMove> takeMoves();
+    /// Takes over a move of another VM; false if it is known or older than what is known.
+    bool applyMove(const ObjectMove &move, Common::Instant now);
+    /// All moves, for a VM that has missed them.
+    std::vector<ObjectMove> moves() const;
+
     bool mayUse(const ServerRecord &server, const Route &route, Common::Instant now) const;
 
     /// Mean time of the service's requests, on servers that have the object in their cache or not.
@@ -133,6 +154,12 @@
         Common::Instant earliestPermit = Common::Instant::infinite();
         absl::Duration shortestFinish = absl::InfiniteDuration();
     };
+    using ObjectKey = std::pair<Common::ServiceName, std::string>;
+    /// Puts the server to which the object was moved first.
+    void applyOwnOrder(const SelectionQuestion &question, std::vector<Candidate> &order) const;
+    /// Moves the object to another server of its order if the first one is busy for long.
+    void relieve(const SelectionQuestion &question, std::vector<Candidate> &order,
+                 Common::Instant now);
     void consider(const SelectionQuestion &question, const ServiceTerms *terms, Common::Instant now,
                   ServerRecord &server, std::size_t position, Offers &offers) const;
     const std::map<Common::ZoneName, double> &weightsOf(const Common::ServiceName &service);
@@ -145,6 +172,11 @@
     std::uint64_t evacuationCount = 0;
     std::vector<Common::VmName> vms;
     std::map<Common::ServiceName, Times> times;
+    std::map<ObjectKey, ObjectMove> movedObjects;
+    std::vector<ObjectMove> newMoves;
+    std::uint64_t lastSequence = 0;
+    /// When an object was last moved away from a server.
+    std::map<Common::BackendServerName, Common::Instant> relievedAt;
     std::map<Common::ServiceName, CachedWeights> weights;
 };
 
--- a/include/currantfall/Steering/ServerTable.h
+++ b/include/currantfall/Steering/ServerTable.h
@@ -55,6 +55,8 @@
     /// Requests on the server that this VM knows of: its own, and those of others by the last
     /// report, which loses its weight as it ages.
     double load(Common::Instant now) const;
+    /// Mean of the reported requests per slot over the last seconds; falls without reports.
+    double meanLoad(Common::Instant now) const;
     std::uint32_t ownRequests() const { return this->inFlight; }
 
     void onSent(Common::Instant now, const std::string &object);
@@ -83,6 +85,8 @@
     LoadReport report;
     Common::Instant reportedAt;
     std::uint32_t ownAtReport = 0;
+    double smoothedLoad = 0.0;
+    Common::Instant smoothedAt;
     bool reported = false;
     bool misdirected = false;
     double failures = 0.0;
