--- a/Source/Core/Steering/ServerSelector.cpp
+++ b/Source/Core/Steering/ServerSelector.cpp
@@ -26,7 +26,7 @@
 constexpr double likelyWorkPart = 0.85;
 // Part of the requests that follow locality; the others go to all zones alike, so that a zone whose
 // callers all come at once has the servers of the other zones.
-constexpr double localityPart = 0.0;
+constexpr double localityPart = 0.6;
 // Space between two requests of this VM to one cold server. It exceeds the second in which they
 // are counted by the largest delay that may differ between two requests.
 constexpr absl::Duration coldSpacing = absl::Milliseconds(1100);
@@ -87,32 +87,33 @@
                       != route.allowedRegions.end();
 }
 
-const std::map<Common::ZoneName, double> &
+const std::map<Common::RegionName, double> &
 ServerSelector::weightsOf(const Common::ServiceName &service)
 {
     CachedWeights &cached = this->weights[service];
     if (!cached.weights.empty() && cached.generation == this->servers.generation()) {
         return cached.weights;
     }
-    std::map<Common::ZoneName, double> slots;
+    std::map<Common::RegionName, double> slots;
     for (const ServerRecord *server : this->servers.ofService(service)) {
-        if (!server->server().draining && !this->evacuated.contains(server->server().zone)) {
-            slots[server->server().zone] += server->server().slots;
+        const auto region = this->settings.regions.find(server->server().zone);
+        if (region != this->settings.regions.end() && !server->server().draining
+            && !this->evacuated.contains(server->server().zone)) {
+            slots[region->second] += server->server().slots;
         }
     }
-    std::vector<ZoneCapacity> capacities;
-    std::vector<ZoneDemand> demands;
+    std::map<Common::RegionName, double> zones;
     for (const auto &[zone, region] : this->settings.regions) {
-        const auto found = slots.find(zone);
-        capacities.push_back({ zone, region, found == slots.end() ? 0.0 : found->second });
-        demands.push_back({ zone, region, 1.0 });
+        zones[region] += 1.0;
     }
-    cached.generation = this->servers.generation();
-    cached.weights = localityWeights(this->settings.zone, capacities, demands);
-    // Relative to the weight that all zones would have without locality.
-    for (auto &[zone, weight] : cached.weights) {
-        weight *= static_cast<double>(demands.size());
+    std::vector<RegionCapacity> capacities;
+    std::vector<RegionDemand> demands;
+    for (const auto &[region, count] : zones) {
+        capacities.push_back({ region, slots[region] });
+        demands.push_back({ region, count });
     }
+    cached.generation = this->servers.generation();
+    cached.weights = localityWeights(this->settings.region, capacities, demands);
     return cached.weights;
 }
 
@@ -127,7 +128,9 @@
         if (question.tried.contains(entry.name) || !this->mayUse(*server, *question.route, now)) {
             continue;
         }
-        const auto found = weights.find(entry.zone);
+        const auto region = this->settings.regions.find(entry.zone);
+        const auto found = region == this->settings.regions.end() ? weights.end()
+                                                                  : weights.find(region->second);
         const double local = found == weights.end() ? 0.0 : found->second;
         const double weight = (1.0 - localityPart + localityPart * local)
                               * std::max<std::uint32_t>(entry.slots, 1);
--- a/include/currantfall/Steering/ServerSelector.h
+++ b/include/currantfall/Steering/ServerSelector.h
@@ -141,7 +141,7 @@
     struct CachedWeights
     {
         std::uint64_t generation = 0;
-        std::map<Common::ZoneName, double> weights;
+        std::map<Common::RegionName, double> weights;
     };
 
     /// Usable servers in the object's order.
@@ -162,7 +162,7 @@
                  Common::Instant now);
     void consider(const SelectionQuestion &question, const ServiceTerms *terms, Common::Instant now,
                   ServerRecord &server, std::size_t position, Offers &offers) const;
-    const std::map<Common::ZoneName, double> &weightsOf(const Common::ServiceName &service);
+    const std::map<Common::RegionName, double> &weightsOf(const Common::ServiceName &service);
     /// When a cold server may get the next request from this VM.
     Common::Instant coldPermit(const ServerRecord &server, const ServiceTerms *terms) const;
 
