Test steering decisions and the adapter

Cause: the platform path had no tests of its own. Change: unit tests without network, each naming the load pattern or the fault that it guards against.

--- /dev/null
+++ b/Source/UnitTests/Adapter/HttpMessagesTest.cpp
@@ -0,0 +1,137 @@
+#include <catch2/catch.hpp>
+
+#include "platform/HttpMessages.h"
+
+using namespace Currantfall;
+namespace http = boost::beast::http;
+
+namespace {
+
+Adapter::HttpRequest request()
+{
+    Adapter::HttpRequest result(http::verb::post, "/a/b?c=d", 11);
+    result.set("Host", "h.example");
+    result.set("Request-Id", "9c41");
+    result.set("Cookie", "other=1; Affinity-Key=17; last=2");
+    result.set("Deadline-Ms", "3000");
+    result.set("Connection", "keep-alive, X-Hop");
+    result.set("X-Hop", "1");
+    result.set("X-Kept", "2");
+    result.set("Expect-Instance", "forged");
+    result.set("TE", "trailers");
+    result.body() = "body";
+    result.prepare_payload();
+    return result;
+}
+
+Adapter::HttpResponse response(unsigned status)
+{
+    Adapter::HttpResponse result;
+    result.version(11);
+    result.result(status);
+    result.set("Request-Id", "9c41");
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("A caller's headers are decoded")
+{
+    const Adapter::CallerRequest caller = Adapter::readCaller(request());
+    CHECK(caller.id == "9c41");
+    CHECK(caller.object == "17");
+    CHECK(caller.deadline == absl::Seconds(3));
+    Adapter::HttpRequest bare(http::verb::get, "/", 11);
+    bare.set("Deadline-Ms", "-5");
+    bare.set("Cookie", "Affinity-Keys=1");
+    CHECK_FALSE(Adapter::readCaller(bare).deadline);
+    CHECK(Adapter::readCaller(bare).object.empty());
+}
+
+// Guards against requests that run at another server or longer than their caller waits.
+TEST_CASE("A forwarded request names its server and the time that is left")
+{
+    const auto forwarded = Adapter::backendRequest(request(), absl::Milliseconds(1234),
+                                                   Common::BackendServerName("i-1"));
+    CHECK(forwarded.target() == "/a/b?c=d");
+    CHECK(forwarded.method() == http::verb::post);
+    CHECK(forwarded.body() == "body");
+    CHECK(forwarded["Content-Length"] == "4");
+    CHECK(forwarded["Deadline-Ms"] == "1234");
+    CHECK(forwarded["Expect-Instance"] == "i-1");
+    CHECK(forwarded.count("Expect-Instance") == 1);
+    CHECK(forwarded["Request-Id"] == "9c41");
+    CHECK(forwarded["Cookie"] == "other=1; Affinity-Key=17; last=2");
+    CHECK(forwarded["X-Kept"] == "2");
+    for (const char *hop : { "Connection", "X-Hop", "TE" }) {
+        CHECK(forwarded.count(hop) == 0);
+    }
+    const auto late = Adapter::backendRequest(request(), absl::Milliseconds(-3),
+                                              Common::BackendServerName("i-1"));
+    CHECK(late["Deadline-Ms"] == "1");
+}
+
+// Guards against "not run" that is not true, and against bodies that are not the server's.
+TEST_CASE("What a response says of its request is decoded")
+{
+    Adapter::HttpResponse shed = response(503);
+    shed.set("Not-Executed", "1");
+    shed.set("Server-Load", "3,9,3");
+    const auto refused = Adapter::readBackend(shed);
+    CHECK(refused.notExecuted);
+    CHECK(refused.load == Steering::LoadReport { 3, 9, 3 });
+    CHECK_FALSE(Adapter::readBackend(response(503)).notExecuted);
+    CHECK(Adapter::readBackend(response(503)).serverError);
+    CHECK(Adapter::readBackend(response(421)).misdirected);
+    CHECK(Adapter::readBackend(response(421)).notExecuted);
+
+    Adapter::HttpResponse good = response(200);
+    CHECK_FALSE(Adapter::readBackend(good).genuine);
+    good.set("Server-Seal", "3e1b");
+    CHECK(Adapter::readBackend(good).genuine);
+    good.set("Content-Encoding", "gzip");
+    CHECK_FALSE(Adapter::readBackend(good).genuine);
+    good.set("Server-Load", "3,x,3");
+    CHECK_FALSE(Adapter::readBackend(good).load);
+
+    Adapter::HttpResponse health = response(200);
+    health.set("Instance-Id", "i-1");
+    health.set("Cold-Ms", "700");
+    CHECK(Adapter::readBackend(health).server.value() == "i-1");
+    CHECK(Adapter::readBackend(health).coldFor == absl::Milliseconds(700));
+}
+
+TEST_CASE("A response is returned without hop-by-hop headers")
+{
+    Adapter::HttpResponse good = response(203);
+    good.set("Server-Seal", "3e1b");
+    good.set("Connection", "close");
+    good.set("Keep-Alive", "timeout=5");
+    good.body() = "bytes";
+    const auto returned = Adapter::callerResponse(good);
+    CHECK(returned.result_int() == 203);
+    CHECK(returned["Server-Seal"] == "3e1b");
+    CHECK(returned.count("Connection") == 0);
+    CHECK(returned.count("Keep-Alive") == 0);
+    CHECK(returned.body() == "bytes");
+}
+
+// Guards against statuses that promise more than is known.
+TEST_CASE("Only failures that are proven not to have run get a status that says so")
+{
+    using Adapter::Failure;
+    const auto statusOf = [](Failure failure) {
+        return Adapter::failureResponse(failure, "9c41", absl::Milliseconds(250), "reason");
+    };
+    CHECK(statusOf(Failure::NotRun).result_int() == 503);
+    CHECK(statusOf(Failure::NotRun)["Retry-After"] == "0.250");
+    CHECK(statusOf(Failure::NotRun)["Request-Id"] == "9c41");
+    CHECK(statusOf(Failure::OutcomeUnknown).result_int() == 502);
+    CHECK(statusOf(Failure::OutcomeUnknown).count("Retry-After") == 0);
+    CHECK(statusOf(Failure::TimedOut).result_int() == 504);
+    CHECK(statusOf(Failure::NoRoute).result_int() == 404);
+    CHECK(statusOf(Failure::BodyTooLarge).result_int() == 413);
+    CHECK(statusOf(Failure::HeaderTooLarge).result_int() == 431);
+    CHECK(statusOf(Failure::Malformed).result_int() == 400);
+    CHECK(statusOf(Failure::HeaderTimeout).result_int() == 408);
+}
--- /dev/null
+++ b/Source/UnitTests/Adapter/RowsTest.cpp
@@ -0,0 +1,177 @@
+#include <catch2/catch.hpp>
+
+#include "platform/Directory.h"
+#include "platform/OperatorRows.h"
+#include "platform/ServerRows.h"
+#include "platform/StoreCalls.h"
+
+using namespace Currantfall;
+
+namespace {
+
+const std::string goodServer
+        = R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"a","version":"v1",)"
+          R"("slots":3,"state":"ready","cold_remaining_ms":1500,"seq":4,"born":1700000000123})";
+
+std::string with(const std::string &text, const std::string &from, const std::string &to)
+{
+    std::string result = text;
+    const auto position = result.find(from);
+    REQUIRE(position != std::string::npos);
+    return result.replace(position, from.size(), to);
+}
+
+const std::string goodConfiguration
+        = R"({"version":"r12","services":[{"name":"s1","health_path":"/health","max_conns":360,)"
+          R"("cold_per_s":1.9}],"limits":{"max_header_bytes":16384,"max_body_bytes":1000,)"
+          R"("header_timeout_ms":3000,"idle_timeout_ms":15000},"virtual_hosts":[{"host":"h.example",)"
+          R"("paths":[{"name":"r1","prefix":"/a/","kind":"unsafe","timeout_ms":1200,)"
+          R"("target_latency_ms":800,"priority":1,"service":"s1","max_attempts":2,)"
+          R"("allowed_regions":["west"]},{"name":"r2","prefix":"/b/","kind":"safe",)"
+          R"("traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":0}]}]}]})";
+
+} // namespace
+
+TEST_CASE("A backend server's row is decoded")
+{
+    const auto server = Adapter::readServer("i-1", goodServer);
+    REQUIRE(server);
+    CHECK(server->name.value() == "i-1");
+    CHECK(server->service.value() == "huvo11a");
+    CHECK(server->address == "10.128.0.9");
+    CHECK(server->port == 8080);
+    CHECK(server->slots == 3);
+    CHECK_FALSE(server->draining);
+    CHECK(server->coldFor == absl::Milliseconds(1500));
+    CHECK(absl::ToUnixMillis(server->born) == 1700000000123);
+    CHECK(Adapter::readServer("i-1", with(goodServer, "\"ready\"", "\"draining\""))->draining);
+}
+
+// Guards against rows of another writer that end the process or name a server to use.
+TEST_CASE("A row that is not a backend server's is refused")
+{
+    const auto [from, to] = GENERATE(table<std::string, std::string>(
+            { { "\"service\":\"huvo11a\",", "" },
+              { "\"service\":\"huvo11a\"", "\"service\":7" },
+              { "\"ready\"", "\"resting\"" },
+              { "10.128.0.9:8080", "10.128.0.9" },
+              { "10.128.0.9:8080", "somewhere:80" },
+              { "10.128.0.9:8080", "10.128.0.9:99999" },
+              { "\"slots\":3", "\"slots\":0" },
+              { "\"slots\":3", "\"slots\":\"3\"" },
+              { "\"slots\":3", "\"slots\":-3" },
+              { "\"cold_remaining_ms\":1500", "\"cold_remaining_ms\":null" },
+              { "\"born\":1700000000123", "\"born\":\"x\"" },
+              { "{", "" },
+              { "{", "\xff\xfe{" } }));
+    const auto server = Adapter::readServer("i-1", with(goodServer, from, to));
+    REQUIRE_FALSE(server);
+    CHECK(server.error().code() == make_error_code(Common::ErrorCode::InvalidInput));
+    CHECK(server.error().peer() == "i-1");
+}
+
+TEST_CASE("A configuration is decoded")
+{
+    const auto configuration = Adapter::readConfiguration(goodConfiguration);
+    REQUIRE(configuration);
+    CHECK(configuration->version() == 12);
+    CHECK(configuration->limits().bodyBytes == 1000);
+    CHECK(configuration->limits().idleTimeout == absl::Seconds(15));
+    const Steering::Route *route = configuration->match("h.example", "/a/1");
+    REQUIRE(route != nullptr);
+    CHECK_FALSE(route->idempotent);
+    CHECK(route->timeout == absl::Milliseconds(1200));
+    CHECK(route->targetLatency == absl::Milliseconds(800));
+    CHECK(route->rank == 1);
+    CHECK(route->maxAttempts == 2);
+    CHECK(route->allowedRegions == std::vector { Common::RegionName("west") });
+    const Steering::Route *split = configuration->match("h.example", "/b/1");
+    REQUIRE(split != nullptr);
+    CHECK(split->idempotent);
+    // A part without weight gets no requests.
+    CHECK(split->services.size() == 1);
+    CHECK(split->timeout == absl::InfiniteDuration());
+    CHECK(configuration->service(Common::ServiceName("s1"))->coldRequestsPerSecond == 1.9);
+}
+
+// Guards against kinds that are not known and would be repeated.
+TEST_CASE("Only safe routes may be repeated")
+{
+    const std::string kind = GENERATE("unsafe", "upload", "keyed", "SAFE", "");
+    const auto configuration
+            = Adapter::readConfiguration(with(goodConfiguration, "\"safe\"", "\"" + kind + "\""));
+    REQUIRE(configuration);
+    CHECK_FALSE(configuration->match("h.example", "/b/1")->idempotent);
+}
+
+// Guards against a broken configuration that replaces a good one.
+TEST_CASE("A configuration with a malformed part is refused as a whole")
+{
+    const auto [from, to] = GENERATE(table<std::string, std::string>(
+            { { "\"r12\"", "12" },
+              { "\"r12\"", "\"r\"" },
+              { "\"r12\"", "\"r1x\"" },
+              { "\"prefix\":\"/a/\",", "" },
+              { "\"host\":\"h.example\",", "" },
+              { "\"service\":\"s1\",\"max", "\"max" },
+              { "\"weight\":90", "\"weight\":0" },
+              { "\"weight\":90", "\"weight\":\"90\"" },
+              { "\"allowed_regions\":[\"west\"]", "\"allowed_regions\":[1]" },
+              { "\"services\":[{", "\"services\":{\"x\":[{" } }));
+    CHECK_FALSE(Adapter::readConfiguration(with(goodConfiguration, from, to)));
+    CHECK_FALSE(Adapter::readConfiguration("[]"));
+    CHECK_FALSE(Adapter::readConfiguration("{\"version\":\"r1\"}"));
+}
+
+TEST_CASE("Evacuations are found by their keys")
+{
+    CHECK(Adapter::evacuatedZone("evacuate/a") == Common::ZoneName("a"));
+    CHECK_FALSE(Adapter::evacuatedZone("evacuate/"));
+    CHECK_FALSE(Adapter::evacuatedZone("config"));
+}
+
+TEST_CASE("Rows of the store are decoded, unreadable ones are left out")
+{
+    std::size_t unreadable = 0;
+    const auto page = Adapter::readRows(
+            R"({"rows":[{"table":"t","part":"","key":"a","value":"aGk=","ver":4},)"
+            R"({"key":"b","ver":5,"deleted":true},{"key":"c","value":"%%","ver":6},"x",)"
+            R"({"value":"aGk=","ver":7}],"ver":530,"has_more":true,"now_ms":1})",
+            Common::Instant(), &unreadable);
+    REQUIRE(page);
+    CHECK(page->version == 530);
+    CHECK(page->hasMore);
+    REQUIRE(page->rows.size() == 2);
+    CHECK(page->rows[0].value == "hi");
+    CHECK(page->rows[1].deleted);
+    CHECK(unreadable == 3);
+    for (const char *bad : { "", "[]", "{\"ver\":1}", "{\"rows\":[]}", "{\"rows\":1,\"ver\":1}" }) {
+        CHECK_FALSE(Adapter::readRows(bad, Common::Instant()));
+    }
+}
+
+TEST_CASE("Statuses of the store are told apart")
+{
+    using Adapter::StoreAnswer;
+    CHECK(Adapter::storeAnswer(200) == StoreAnswer::Done);
+    CHECK(Adapter::storeAnswer(410) == StoreAnswer::HistoryGone);
+    CHECK(Adapter::storeAnswer(412) == StoreAnswer::ConditionFailed);
+    CHECK(Adapter::storeAnswer(429) == StoreAnswer::Refused);
+    CHECK(Adapter::storeAnswer(503) == StoreAnswer::Refused);
+    CHECK(Adapter::changesTarget("a b", 7, absl::Seconds(1))
+          == "/rows-feed?table=a%20b&after=7&wait_ms=1000");
+}
+
+TEST_CASE("Questions to the directory are decoded")
+{
+    const auto question
+            = Adapter::readDirectoryQuestion("/resolve?name=h.example&region=west&zone=a%2Db");
+    REQUIRE(question);
+    CHECK(question->host == "h.example");
+    CHECK(question->region.value() == "west");
+    CHECK(question->zone.value() == "a-b");
+    CHECK(Adapter::readDirectoryQuestion("/resolve")->zone.empty());
+    CHECK_FALSE(Adapter::readDirectoryQuestion("/other?zone=a"));
+    CHECK(Adapter::directoryAnswer({ "1.2.3.4:5" }, absl::Seconds(1))
+          == R"({"addresses":["1.2.3.4:5"],"ttl_s":1.0})");
+}
--- /dev/null
+++ b/Source/UnitTests/Steering/RoutingTest.cpp
@@ -0,0 +1,101 @@
+#include <catch2/catch.hpp>
+
+#include "currantfall/Steering/EntryDirectory.h"
+#include "currantfall/Steering/RoutingConfiguration.h"
+#include "currantfall/Steering/SplitChooser.h"
+
+using namespace Currantfall::Steering;
+using namespace Currantfall::Common;
+
+namespace {
+
+Route route(const std::string &prefix, const std::string &service)
+{
+    Route result;
+    result.name = prefix;
+    result.host = "Bookings.Example";
+    result.prefix = prefix;
+    result.services = { { ServiceName(service), 1.0 } };
+    return result;
+}
+
+RoutingConfiguration configuration()
+{
+    return RoutingConfiguration(7, {},
+                                { route("/", "root"), route("/slots/", "slotview"),
+                                  route("/slots/old/", "oldnews") },
+                                {});
+}
+
+EntryVm vm(const std::string &name, const std::string &zone, const std::string &region,
+           double share = 1.0)
+{
+    return { VmName(name), ZoneName(zone), RegionName(region), name + ":80", share };
+}
+
+} // namespace
+
+// Guards against a request that runs at a service that its route does not name.
+TEST_CASE("The route with the longest prefix is used")
+{
+    const RoutingConfiguration routes = configuration();
+    const auto nameOf = [&routes](const std::string &host, const std::string &path) {
+        const Route *found = routes.match(host, path);
+        return found == nullptr ? std::string("none") : found->name;
+    };
+    CHECK(nameOf("bookings.example", "/slots/old/1?a=/slots/") == "/slots/old/");
+    CHECK(nameOf("BOOKINGS.example:8080", "/slots/1") == "/slots/");
+    CHECK(nameOf("bookings.example", "/slots") == "/");
+    CHECK(nameOf("bookings.example", "/slotsx/1") == "/");
+    CHECK(nameOf("bookings.example", "nothing") == "none");
+    CHECK(nameOf("other.example", "/slots/1") == "none");
+}
+
+// Guards against parts of a split that get another share than their weight.
+TEST_CASE("A split keeps its weights, also with few objects")
+{
+    SplitChooser chooser;
+    Route split = route("/", "a");
+    split.services = { { ServiceName("a"), 90.0 }, { ServiceName("b"), 10.0 } };
+    const int objects = GENERATE(0, 1, 7, 100);
+    std::map<ServiceName, int> counts;
+    constexpr int requests = 1000;
+    for (int index = 0; index < requests; ++index) {
+        const std::string object = objects == 0 ? "" : std::to_string(index % objects);
+        ++counts[chooser.choose(split, object)];
+    }
+    CHECK(counts[ServiceName("b")] >= requests * 0.07);
+    CHECK(counts[ServiceName("b")] <= requests * 0.13);
+}
+
+// Guards against callers whose only address fails and who then wait for their next lookup.
+TEST_CASE("Callers get several entry VMs, near ones first")
+{
+    const std::vector<EntryVm> vms { vm("a1", "a", "west"), vm("a2", "a", "west"),
+                                     vm("b1", "b", "west"), vm("c1", "c", "east") };
+    const auto names = [&vms](const std::string &zone, const std::string &region) {
+        std::string result;
+        for (const EntryVm &entry : entriesFor(ZoneName(zone), RegionName(region), vms, 64)) {
+            result += entry.vm.value() + " ";
+        }
+        return result;
+    };
+    CHECK(names("a", "west") == "a1 a2 ");
+    CHECK(names("b", "west") == "a1 a2 b1 ");
+    CHECK(names("c", "east") == "a1 a2 b1 c1 ");
+    CHECK(names("unknown", "unknown") == "a1 a2 b1 c1 ");
+}
+
+// Guards against small VMs that get as many callers as large ones.
+TEST_CASE("Callers get the large VMs of a zone")
+{
+    const std::vector<EntryVm> vms { vm("small", "a", "west", 0.1), vm("big1", "a", "west", 0.5),
+                                     vm("big2", "a", "west", 0.5), vm("tiny", "a", "west", 0.1) };
+    const auto entries = entriesFor(ZoneName("a"), RegionName("west"), vms, 64);
+    REQUIRE(entries.size() == 2);
+    CHECK(entries[0].vm.value() == "big1");
+    CHECK(entries[1].vm.value() == "big2");
+    // One large VM alone is not enough.
+    const auto two = entriesFor(ZoneName("a"), RegionName("west"), { vms[0], vms[1] }, 64);
+    CHECK(two.size() == 2);
+}
--- /dev/null
+++ b/Source/UnitTests/Steering/ServerSelectorTest.cpp
@@ -0,0 +1,368 @@
+#include <algorithm>
+#include <memory>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "currantfall/Steering/LocalityShares.h"
+#include "currantfall/Steering/RetryAllowance.h"
+#include "currantfall/Steering/ServerSelector.h"
+
+using namespace Currantfall::Steering;
+using namespace Currantfall::Common;
+
+namespace {
+
+constexpr std::uint32_t slots = 3;
+
+Instant at(int milliseconds)
+{
+    return Instant::fromOrigin(absl::Milliseconds(milliseconds));
+}
+
+BackendServer server(int number, const std::string &zone)
+{
+    BackendServer result;
+    result.name = BackendServerName("s" + std::to_string(number));
+    result.service = ServiceName("slotview");
+    result.address = "127.0.0.1";
+    result.port = static_cast<std::uint16_t>(9000 + number);
+    result.zone = ZoneName(zone);
+    result.slots = slots;
+    return result;
+}
+
+/// Six servers in three zones of two regions, seen from one VM.
+struct Deployment
+{
+    explicit Deployment(const std::string &vm = "vm1", const std::string &zone = "a")
+        : selector({ VmName(vm),
+                     ZoneName(zone),
+                     RegionName(zone == "c" ? "east" : "west"),
+                     { { ZoneName("a"), RegionName("west") },
+                       { ZoneName("b"), RegionName("west") },
+                       { ZoneName("c"), RegionName("east") } },
+                     { 1.5, 5.0 } },
+                   servers)
+    {
+        const std::vector<std::string> zones { "a", "b", "c" };
+        for (int number = 0; number < 6; ++number) {
+            this->servers.put(server(number, zones[number % zones.size()]), at(0));
+        }
+        this->route.services = { { ServiceName("slotview"), 1.0 } };
+        this->route.targetLatency = absl::Milliseconds(500);
+        this->terms.name = ServiceName("slotview");
+        this->terms.coldRequestsPerSecond = 1.9;
+    }
+
+    SelectionQuestion question(const std::string &object, int remaining = 4000) const
+    {
+        SelectionQuestion result;
+        result.route = &this->route;
+        result.service = ServiceName("slotview");
+        result.object = object;
+        result.requestId = "r";
+        result.remaining = absl::Milliseconds(remaining);
+        return result;
+    }
+
+    /// The selected server, counted as sent; nullptr if the request waits or is rejected.
+    ServerRecord *send(const std::string &object, int now)
+    {
+        const SelectionQuestion asked = this->question(object);
+        const Selection selection = this->selector.select(asked, &this->terms, at(now));
+        const auto *choice = std::get_if<SendTo>(&selection);
+        if (choice == nullptr) {
+            return nullptr;
+        }
+        this->selector.onSent(asked, *choice, at(now));
+        return choice->server;
+    }
+
+    ServerTable servers;
+    ServerSelector selector;
+    Route route;
+    ServiceTerms terms;
+};
+
+void report(ServerRecord &record, int now, std::uint32_t running, std::uint32_t waiting)
+{
+    const LoadReport load { running, waiting, slots };
+    record.onSent(at(now), "x");
+    record.onEnd(at(now), AttemptEnd::Answered, &load);
+}
+
+} // namespace
+
+// Load pattern: every object is asked for again and again; a server that has handled it answers in
+// a third of the time.
+TEST_CASE("An object stays on its server, whichever VM of the region asks")
+{
+    Deployment first("vm1", "a");
+    Deployment second("vm2", "b");
+    for (int object = 0; object < 50; ++object) {
+        const std::string name = std::to_string(object);
+        ServerRecord *chosen = first.send(name, object);
+        REQUIRE(chosen != nullptr);
+        CHECK(second.send(name, object)->server().name == chosen->server().name);
+        for (auto *each : { &first, &second }) {
+            for (ServerRecord *record : each->servers.all()) {
+                while (record->ownRequests() > 0) {
+                    record->onEnd(at(object), AttemptEnd::Answered, nullptr);
+                }
+            }
+        }
+    }
+}
+
+// Load pattern: one server leaves; objects of the others must not lose their cached state.
+TEST_CASE("Only the objects of a server that leaves move")
+{
+    Deployment before;
+    Deployment after;
+    BackendServer leaving = server(2, "c");
+    leaving.draining = true;
+    after.servers.put(leaving, at(0));
+    int moved = 0;
+    for (int object = 0; object < 60; ++object) {
+        const std::string name = std::to_string(object);
+        const Selection was
+                = before.selector.select(before.question(name), &before.terms, at(0));
+        const Selection is = after.selector.select(after.question(name), &after.terms, at(0));
+        const auto oldName = std::get<SendTo>(was).server->server().name;
+        const auto newName = std::get<SendTo>(is).server->server().name;
+        CHECK(newName != leaving.name);
+        if (oldName != newName && oldName != leaving.name) {
+            ++moved;
+        }
+    }
+    // The regions' shares follow the slots, so that some objects change their region.
+    CHECK(moved <= 60 / 4);
+}
+
+// Load pattern: requests without an object come all at once; they must use all free servers.
+TEST_CASE("Requests without an object are not refused while a server is free")
+{
+    Deployment deployment;
+    for (std::uint32_t request = 0; request < 6 * slots; ++request) {
+        SelectionQuestion question = deployment.question("", 500);
+        question.requestId = std::to_string(request);
+        const Selection selection
+                = deployment.selector.select(question, &deployment.terms, at(0));
+        const auto *choice = std::get_if<SendTo>(&selection);
+        REQUIRE(choice != nullptr);
+        deployment.selector.onSent(question, *choice, at(0));
+    }
+}
+
+// Load pattern: a burst of one object; what can't end in time is rejected at once.
+TEST_CASE("A burst beyond the time that is left is rejected with a time to come back")
+{
+    Deployment deployment;
+    int sent = 0;
+    Selection last;
+    for (int request = 0; request < 40; ++request) {
+        const SelectionQuestion question = deployment.question("hot", 1500);
+        last = deployment.selector.select(question, &deployment.terms, at(0));
+        if (const auto *choice = std::get_if<SendTo>(&last)) {
+            deployment.selector.onSent(question, *choice, at(0));
+            ++sent;
+        }
+    }
+    CHECK(sent >= static_cast<int>(slots));
+    const auto *reject = std::get_if<Reject>(&last);
+    REQUIRE(reject != nullptr);
+    CHECK(reject->reason == RejectReason::Overloaded);
+    CHECK(reject->retryAfter > absl::ZeroDuration());
+}
+
+// Load pattern: servers come back cold, all VMs send to them at once.
+TEST_CASE("A cold server gets at most its rate in any second, summed over all VMs")
+{
+    std::vector<VmName> vms;
+    for (int vm = 0; vm < 10; ++vm) {
+        vms.emplace_back("vm" + std::to_string(vm));
+    }
+    std::vector<std::unique_ptr<Deployment>> deployments;
+    for (const VmName &vm : vms) {
+        deployments.push_back(std::make_unique<Deployment>(vm.value()));
+        deployments.back()->selector.setVms(vms);
+        for (ServerRecord *record : deployments.back()->servers.all()) {
+            record->setCold(at(0), absl::Seconds(10));
+        }
+    }
+    std::map<BackendServerName, std::vector<int>> sends;
+    for (int now = 0; now < 3000; now += 10) {
+        for (const auto &deployment : deployments) {
+            const std::string object = std::to_string((now / 10) % 7);
+            if (ServerRecord *chosen = deployment->send(object, now)) {
+                sends[chosen->server().name].push_back(now);
+                chosen->onEnd(at(now), AttemptEnd::Answered, nullptr);
+            }
+        }
+    }
+    // 1.9 per second, by half more, and 5.
+    constexpr std::size_t mostPerSecond = 7;
+    REQUIRE_FALSE(sends.empty());
+    for (const auto &[name, times] : sends) {
+        for (std::size_t index = 0; index + mostPerSecond < times.size(); ++index) {
+            CHECK(times[index + mostPerSecond] - times[index] >= 1000);
+        }
+    }
+}
+
+// Load pattern: several busy objects share a server while others are idle.
+TEST_CASE("A server that is busy for long gives up one object at a time")
+{
+    Deployment deployment;
+    ServerRecord *busy = deployment.send("hot", 0);
+    REQUIRE(busy != nullptr);
+    busy->onEnd(at(0), AttemptEnd::Answered, nullptr);
+    for (int now = 0; now < 5000; now += 100) {
+        report(*busy, now, slots, slots);
+    }
+    ServerRecord *target = deployment.send("hot", 5000);
+    REQUIRE(target != nullptr);
+    CHECK(target->server().name != busy->server().name);
+    const std::vector<ObjectMove> moves = deployment.selector.takeMoves();
+    REQUIRE(moves.size() == 1);
+    CHECK(moves[0].from == busy->server().name);
+
+    Deployment peer("vm2", "b");
+    CHECK(peer.selector.applyMove(moves[0], at(5000)));
+    CHECK_FALSE(peer.selector.applyMove(moves[0], at(5000)));
+    CHECK(peer.send("hot", 5000)->server().name == target->server().name);
+}
+
+// Guards against requests to a zone that is being evacuated, or outside of a route's regions.
+TEST_CASE("Evacuated zones and regions that a route does not allow get nothing")
+{
+    Deployment deployment;
+    deployment.selector.setEvacuatedZones({ ZoneName("a") }, at(0));
+    deployment.route.allowedRegions = { RegionName("west") };
+    for (int object = 0; object < 30; ++object) {
+        ServerRecord *chosen = deployment.send(std::to_string(object), object);
+        if (chosen != nullptr) {
+            CHECK(chosen->server().zone == ZoneName("b"));
+            chosen->onEnd(at(object), AttemptEnd::Answered, nullptr);
+        }
+    }
+    deployment.selector.setEvacuatedZones({ ZoneName("a"), ZoneName("b") }, at(0));
+    const Selection none = deployment.selector.select(deployment.question("1"), &deployment.terms,
+                                                      at(100));
+    CHECK(std::get<Reject>(none).reason == RejectReason::NoServer);
+}
+
+// Guards against requests to a server that has ended, or to another one at its address.
+TEST_CASE("Servers that fail, drain or lost their address are left out")
+{
+    Deployment deployment;
+    ServerRecord *first = deployment.send("1", 0);
+    SECTION("another server has the address")
+    {
+        first->onEnd(at(0), AttemptEnd::Misdirected, nullptr);
+        CHECK_FALSE(first->usable(at(0)));
+        CHECK_FALSE(first->needsProbe(at(60000)));
+        BackendServer again = first->server();
+        again.born = absl::FromUnixMillis(5);
+        first->update(again, at(1000));
+        CHECK(first->usable(at(1000)));
+    }
+    SECTION("the server can't be reached")
+    {
+        for (int failure = 0; failure < 2; ++failure) {
+            first->onSent(at(0), "1");
+            first->onEnd(at(0), AttemptEnd::Unreachable, nullptr);
+        }
+        CHECK_FALSE(first->usable(at(1)));
+        CHECK_FALSE(first->needsProbe(at(1)));
+        CHECK(first->needsProbe(at(5000)));
+        first->onProbeStarted(at(5000));
+        CHECK_FALSE(first->needsProbe(at(5001)));
+        first->onHealth(at(5010), true);
+        CHECK(first->usable(at(5010)));
+    }
+    SECTION("the server drains")
+    {
+        BackendServer draining = first->server();
+        draining.draining = true;
+        first->update(draining, at(0));
+        CHECK_FALSE(first->usable(at(0)));
+    }
+}
+
+// Guards against servers that fail part of their requests and still get their full share.
+TEST_CASE("Failed requests raise the failure rate, answers lower it")
+{
+    ServerRecord record(server(0, "a"), at(0));
+    for (int request = 0; request < 6; ++request) {
+        record.onSent(at(request), "1");
+        record.onEnd(at(request), AttemptEnd::ServerError, nullptr);
+    }
+    CHECK(record.failureRate() > 0.7);
+    CHECK(record.usable(at(10)));
+    for (int request = 0; request < 12; ++request) {
+        record.onSent(at(request), "1");
+        record.onEnd(at(request), AttemptEnd::Answered, nullptr);
+    }
+    CHECK(record.failureRate() < 0.1);
+}
+
+// Guards against regions that get more than their slots allow, or bytes that cross without need.
+TEST_CASE("Regions use their own slots first, and all slots carry the same load")
+{
+    const std::vector<RegionCapacity> capacities { { RegionName("big"), 18.0 },
+                                                   { RegionName("small"), 6.0 },
+                                                   { RegionName("even"), 12.0 } };
+    const std::vector<RegionDemand> demands { { RegionName("big"), 1.0 },
+                                              { RegionName("small"), 1.0 },
+                                              { RegionName("even"), 1.0 } };
+    std::map<RegionName, double> load;
+    for (const RegionDemand &from : demands) {
+        const auto weights = localityWeights(from.region, capacities, demands);
+        for (const RegionCapacity &region : capacities) {
+            load[region.region] += weights.at(region.region) * region.slots / 3.0;
+        }
+    }
+    for (const RegionCapacity &region : capacities) {
+        CHECK(load[region.region] == Approx(region.slots));
+    }
+    const auto even = localityWeights(RegionName("even"), capacities, demands);
+    CHECK(even.at(RegionName("even")) == Approx(3.0));
+    CHECK(even.at(RegionName("big")) == Approx(0.0));
+}
+
+// Guards against retries that exceed the sum over all VMs in a window of any position.
+TEST_CASE("Retries of one VM stay within its part in every window")
+{
+    const bool holds = rc::check([] {
+        const RetryTerms terms { 0.2, 60.0, absl::Seconds(10) };
+        constexpr std::size_t vms = 10;
+        RetryAllowance allowance(terms);
+        std::vector<int> requests;
+        std::vector<int> retries;
+        int now = 0;
+        const auto steps = *rc::gen::container<std::vector<int>>(300, rc::gen::inRange(0, 200));
+        for (const int step : steps) {
+            now += step;
+            allowance.onRequest(at(now));
+            requests.push_back(now);
+            while (allowance.tryTake(at(now), vms)) {
+                retries.push_back(now);
+            }
+        }
+        for (const int start : retries) {
+            const auto inWindow = [start](int time) {
+                return time >= start && time < start + 10000;
+            };
+            const auto inThisOrLast = [start](int time) {
+                return time >= start - 10000 && time < start + 10000;
+            };
+            const auto used = std::count_if(retries.begin(), retries.end(), inWindow);
+            const auto asked = std::count_if(requests.begin(), requests.end(), inThisOrLast);
+            RC_ASSERT(static_cast<double>(used)
+                      <= terms.ratio * static_cast<double>(asked) + terms.extra / vms);
+        }
+    });
+    CHECK(holds);
+}
--- /dev/null
+++ b/Source/UnitTests/Steering/TableReplicaTest.cpp
@@ -0,0 +1,158 @@
+#include <catch2/catch.hpp>
+
+#include "currantfall/Steering/ReadSchedule.h"
+#include "currantfall/Steering/TableReplica.h"
+
+using namespace Currantfall::Steering;
+using namespace Currantfall::Common;
+using Verdict = TableReplica::Verdict;
+
+namespace {
+
+Instant at(int milliseconds)
+{
+    return Instant::fromOrigin(absl::Milliseconds(milliseconds));
+}
+
+RowChange row(const std::string &key, StoreVersion version, bool deleted = false)
+{
+    return { key, "v" + std::to_string(version), version, deleted, at(0) };
+}
+
+TableUpdate complete(StoreVersion version, std::vector<RowChange> rows, int confirmed = 0)
+{
+    return { 0, version, true, at(confirmed), std::move(rows) };
+}
+
+TableUpdate changes(StoreVersion from, StoreVersion to, std::vector<RowChange> rows,
+                    int confirmed = 0)
+{
+    return { from, to, false, at(confirmed), std::move(rows) };
+}
+
+} // namespace
+
+// Guards against replicas that miss a change because an update before it was lost.
+TEST_CASE("An update that leaves a gap is not applied")
+{
+    TableReplica replica;
+    CHECK(replica.apply(changes(5, 9, { row("a", 9) })).verdict == Verdict::Gap);
+    CHECK(replica.apply(complete(10, { row("a", 9) })).changes.size() == 1);
+    CHECK(replica.apply(changes(11, 12, { row("b", 12) })).verdict == Verdict::Gap);
+    CHECK(replica.version() == 10);
+    CHECK(replica.apply(changes(8, 12, { row("a", 9), row("b", 12) })).changes.size() == 1);
+    CHECK(replica.rows().size() == 2);
+}
+
+// Guards against a delayed update that brings back what has been deleted since.
+TEST_CASE("A replica never goes back")
+{
+    TableReplica replica;
+    replica.apply(complete(10, { row("a", 9) }));
+    CHECK(replica.apply(changes(10, 20, { row("a", 15, true) })).changes.size() == 1);
+    CHECK(replica.apply(changes(8, 14, { row("a", 14) })).verdict == Verdict::Stale);
+    CHECK(replica.apply(changes(8, 21, { row("a", 14) })).changes.empty());
+    CHECK(replica.rows().empty());
+    CHECK(replica.apply(changes(21, 30, { row("a", 25) })).changes.size() == 1);
+}
+
+// Guards against rows that VMs send each other for ever at one version, as after a restart of all.
+TEST_CASE("Rows at a known version only confirm it")
+{
+    TableReplica replica;
+    replica.apply(complete(10, { row("a", 9) }));
+    const auto outcome = replica.apply(changes(5, 10, { row("b", 8) }, 500));
+    CHECK(outcome.verdict == Verdict::Applied);
+    CHECK(outcome.changes.empty());
+    CHECK(replica.confirmedAt() == at(500));
+    CHECK(replica.rows().size() == 1);
+}
+
+TEST_CASE("A complete update removes rows that it does not name")
+{
+    TableReplica replica;
+    replica.apply(complete(10, { row("a", 9), row("b", 8) }));
+    const auto outcome = replica.apply(complete(20, { row("b", 8), row("c", 15) }));
+    REQUIRE(outcome.changes.size() == 2);
+    CHECK(outcome.changes[0].key == "c");
+    CHECK(outcome.changes[1].key == "a");
+    CHECK(outcome.changes[1].deleted);
+}
+
+TEST_CASE("A replica that is behind gets the changes, or all rows if deletions are forgotten")
+{
+    TableReplica source;
+    source.apply(complete(10, { row("a", 9), row("b", 8) }));
+    source.apply(changes(10, 20, { row("a", 15, true), row("c", 18) }));
+    const TableUpdate since = source.changesSince(12);
+    CHECK_FALSE(since.complete);
+    CHECK(since.rows.size() == 2);
+    const TableUpdate all = source.changesSince(3);
+    CHECK(all.complete);
+    CHECK(all.rows.size() == 2);
+
+    TableReplica behind;
+    behind.apply(complete(12, { row("a", 9), row("b", 8) }));
+    behind.apply(since);
+    CHECK(behind.rows() == source.rows());
+    TableReplica fresh;
+    fresh.apply(all);
+    CHECK(fresh.rows() == source.rows());
+}
+
+namespace {
+
+ReadTerms terms()
+{
+    ReadTerms result;
+    result.interval = absl::Milliseconds(500);
+    result.staleAfter = absl::Seconds(1);
+    result.stepPerRank = absl::Milliseconds(100);
+    result.longestStep = absl::Milliseconds(300);
+    result.firstPause = absl::Milliseconds(250);
+    result.longestPause = absl::Seconds(1);
+    return result;
+}
+
+} // namespace
+
+// Guards against store calls that grow with the number of VMs.
+TEST_CASE("Only the first VM reads while copies are fresh")
+{
+    ReadSchedule schedule(terms());
+    schedule.started();
+    CHECK_FALSE(schedule.due(at(0), 0, true, at(0)));
+    schedule.finished(at(0), true);
+    CHECK_FALSE(schedule.due(at(499), 0, true, at(0)));
+    CHECK(schedule.due(at(500), 0, true, at(400)));
+    CHECK_FALSE(schedule.due(at(900), 1, true, at(0)));
+}
+
+// Guards against old copies when the first reader has died or can't reach the store.
+TEST_CASE("Others read one after the other when their copies become old")
+{
+    ReadSchedule schedule(terms());
+    CHECK(schedule.due(at(1000), 1, true, at(0)));
+    CHECK_FALSE(schedule.due(at(1000), 2, true, at(0)));
+    CHECK(schedule.due(at(1100), 2, true, at(0)));
+    CHECK(schedule.due(at(1300), 50, true, at(0)));
+    CHECK(schedule.due(at(0), 50, false, at(0)));
+}
+
+// Guards against floods of calls at a store that is down, which are refused and priced.
+TEST_CASE("Failed reads are repeated at growing pauses")
+{
+    ReadSchedule schedule(terms());
+    int now = 0;
+    const std::vector<int> pauses { 250, 500, 1000, 1000 };
+    for (const int pause : pauses) {
+        schedule.started();
+        schedule.finished(at(now), false);
+        CHECK_FALSE(schedule.due(at(now + pause - 1), 0, false, at(0)));
+        CHECK(schedule.due(at(now + pause), 0, false, at(0)));
+        now += pause;
+    }
+    schedule.started();
+    schedule.finished(at(now), true);
+    CHECK(schedule.due(at(now), 0, false, at(0)));
+}
