--- /dev/null
+++ b/Source/UnitTests/Entry/RequestSteeringTest.cpp
@@ -0,0 +1,325 @@
+#include <atomic>
+
+#include <catch2/catch.hpp>
+
+#include "ScriptedBackend.h"
+#include "SteeringFixture.h"
+
+using namespace Currantfall;
+using namespace Currantfall::Entry::Tests;
+
+namespace {
+
+/// Answers every request of a connection.
+void answerAll(ScriptedConnection &connection)
+{
+    for (std::string request = connection.readRequest(); !request.empty();
+         request = connection.readRequest()) {
+        connection.write(answerTo(request, "body"));
+    }
+}
+
+} // namespace
+
+TEST_CASE("A request reaches its server and the response comes back unchanged")
+{
+    std::string seen;
+    ScriptedBackend backend([&seen](ScriptedConnection &connection) {
+        seen = connection.readRequest();
+        connection.write(answerTo(seen, "hello", "201 Created", "X-Own: 1\r\n"));
+    });
+    SteeringFixture fixture;
+    fixture.addServer("i-1", backend.port());
+    auto request = SteeringFixture::request("/write/x?y=z");
+    request.body() = "payload";
+    const auto response = fixture.run(request);
+    REQUIRE(response);
+    CHECK(response->result_int() == 201);
+    CHECK(response->body() == "hello");
+    CHECK((*response)["X-Own"] == "1");
+    CHECK((*response)["Server-Seal"] == "seal");
+    CHECK(seen.starts_with("POST /write/x?y=z HTTP/1.1\r\n"));
+    CHECK(seen.ends_with("\r\n\r\npayload"));
+    CHECK(headerOf(seen, "Expect-Instance") == "i-1");
+    CHECK(std::stoi(headerOf(seen, "Deadline-Ms")) <= 4000);
+}
+
+// Guards against a second run of a request whose first one may have happened.
+TEST_CASE("A request that must not be repeated is sent once, whatever the server does")
+{
+    enum class Fault { Silence, Reset, Truncated, Garbage, Unsigned, Promise };
+    const Fault fault = GENERATE(Fault::Silence, Fault::Reset, Fault::Truncated, Fault::Garbage,
+                                 Fault::Unsigned, Fault::Promise);
+    std::atomic<int> runs { 0 };
+    const auto script = [&runs, fault](ScriptedConnection &connection) {
+        const std::string request = connection.readRequest();
+        if (request.empty()) {
+            return;
+        }
+        ++runs;
+        const std::string whole = answerTo(request, "a longer body");
+        if (fault == Fault::Reset) {
+            connection.reset();
+        } else if (fault == Fault::Truncated) {
+            connection.write(whole.substr(0, whole.size() - 4));
+        } else if (fault == Fault::Garbage) {
+            connection.write("no response at all\r\n\r\n");
+        } else if (fault == Fault::Unsigned) {
+            connection.write("HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nContent-Length: 0\r\n\r\n");
+        } else if (fault == Fault::Promise) {
+            // Nothing says that the request was not executed.
+            connection.write(answerTo(request, "busy", "503 Service Unavailable"));
+        }
+    };
+    ScriptedBackend first(script);
+    ScriptedBackend second(script);
+    SteeringFixture fixture;
+    fixture.addServer("i-1", first.port());
+    fixture.addServer("i-2", second.port());
+    const auto response = fixture.run(SteeringFixture::request("/write/1"));
+    REQUIRE(response);
+    CHECK(response->result_int() == 502);
+    CHECK(response->count("Retry-After") == 0);
+    CHECK(runs == 1);
+}
+
+// Guards against failures that callers see although another server could have answered.
+TEST_CASE("An idempotent request is repeated at another server")
+{
+    std::atomic<int> broken { 0 };
+    ScriptedBackend bad([&broken](ScriptedConnection &connection) {
+        const std::string request = connection.readRequest();
+        if (!request.empty() && ++broken > 0) {
+            connection.write(answerTo(request, "a longer body").substr(0, 30));
+        }
+    });
+    ScriptedBackend good(answerAll);
+    // The order of the servers depends on their names; both orders are tried.
+    const bool swapped = GENERATE(false, true);
+    SteeringFixture fixture;
+    fixture.addServer("i-1", swapped ? good.port() : bad.port());
+    fixture.addServer("i-2", swapped ? bad.port() : good.port());
+    const auto response = fixture.run(SteeringFixture::request("/read/1"));
+    REQUIRE(response);
+    CHECK(response->result_int() == 200);
+    CHECK(response->body() == "body");
+    CHECK(broken <= 1);
+}
+
+// Guards against refusals that stop at the first full server, and against untrue ones.
+TEST_CASE("What a server did not execute goes to another one, or is refused as not run")
+{
+    const std::string refusal = GENERATE("503 Service Unavailable", "421 Misdirected Request");
+    std::atomic<int> asked { 0 };
+    const auto refuse = [&asked, refusal](ScriptedConnection &connection) {
+        const std::string request = connection.readRequest();
+        if (!request.empty()) {
+            ++asked;
+            connection.write(answerTo(request, "", refusal, "Not-Executed: 1\r\n"));
+        }
+    };
+    ScriptedBackend first(refuse);
+    ScriptedBackend second(refuse);
+    SteeringFixture fixture;
+    fixture.addServer("i-1", first.port());
+    fixture.addServer("i-2", second.port());
+    SECTION("all refuse")
+    {
+        const auto response = fixture.run(SteeringFixture::request("/write/1"));
+        REQUIRE(response);
+        CHECK(response->result_int() == 503);
+        CHECK(response->count("Retry-After") == 1);
+        CHECK(asked == 2);
+    }
+    SECTION("the operator allows one attempt")
+    {
+        fixture.configure(absl::Seconds(5), 1);
+        const auto response = fixture.run(SteeringFixture::request("/write/1"));
+        REQUIRE(response);
+        CHECK(response->result_int() == 503);
+        CHECK(asked == 1);
+    }
+}
+
+TEST_CASE("A server that can't be reached has not run the request")
+{
+    std::uint16_t closedPort = 0;
+    {
+        const ScriptedBackend ended(answerAll);
+        closedPort = ended.port();
+    }
+    SteeringFixture fixture;
+    fixture.addServer("i-1", closedPort);
+    const auto refused = fixture.run(SteeringFixture::request("/write/1"));
+    REQUIRE(refused);
+    CHECK(refused->result_int() == 503);
+    ScriptedBackend good(answerAll);
+    fixture.addServer("i-2", good.port());
+    const auto answered = fixture.run(SteeringFixture::request("/write/2"));
+    REQUIRE(answered);
+    CHECK(answered->result_int() == 200);
+}
+
+// Guards against a caller that gets the response to another request.
+TEST_CASE("A late response to an earlier request is dropped")
+{
+    ScriptedBackend backend([](ScriptedConnection &connection) {
+        const std::string request = connection.readRequest();
+        connection.write("HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Seal: s\r\n"
+                         "Content-Length: 5\r\n\r\nwrong");
+        connection.write(answerTo(request, "right"));
+        connection.closedWithin(2000);
+    });
+    SteeringFixture fixture;
+    fixture.addServer("i-1", backend.port());
+    const auto response = fixture.run(SteeringFixture::request("/write/1"));
+    REQUIRE(response);
+    CHECK(response->body() == "right");
+}
+
+// Guards against bytes after a response that are taken for the next one.
+TEST_CASE("A connection with unexpected bytes is not used again")
+{
+    const bool extra = GENERATE(false, true);
+    ScriptedBackend backend([extra](ScriptedConnection &connection) {
+        for (std::string request = connection.readRequest(); !request.empty();
+             request = connection.readRequest()) {
+            connection.write(answerTo(request, "body") + (extra ? "HTTP/1.1 200 OK\r\n" : ""));
+        }
+    });
+    SteeringFixture fixture;
+    fixture.addServer("i-1", backend.port());
+    for (int request = 0; request < 3; ++request) {
+        const auto response = fixture.run(SteeringFixture::request("/read/1"));
+        REQUIRE(response);
+        CHECK(response->result_int() == 200);
+        fixture.runFor(absl::Milliseconds(20));
+    }
+    CHECK(backend.connections() == (extra ? 3 : 1));
+}
+
+TEST_CASE("A response without length ends with its connection, unless it is reset")
+{
+    const bool reset = GENERATE(false, true);
+    ScriptedBackend backend([reset](ScriptedConnection &connection) {
+        connection.readRequest();
+        connection.write("HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nServer-Seal: s\r\n\r\nall of it");
+        if (reset) {
+            connection.reset();
+        }
+    });
+    SteeringFixture fixture;
+    fixture.addServer("i-1", backend.port());
+    const auto response = fixture.run(SteeringFixture::request("/write/1"));
+    REQUIRE(response);
+    CHECK(response->result_int() == (reset ? 502 : 200));
+    CHECK((response->body() == "all of it") != reset);
+}
+
+// Guards against a caller that waits although the server has already answered.
+TEST_CASE("A response to a body that the server has not read arrives at once")
+{
+    ScriptedBackend backend([](ScriptedConnection &connection) {
+        const std::string header = connection.readHeader();
+        connection.write(answerTo(header, "too long", "413 Payload Too Large"));
+        connection.closedWithin(3000);
+    });
+    SteeringFixture fixture;
+    fixture.addServer("i-1", backend.port());
+    auto request = SteeringFixture::request("/write/1");
+    request.body() = std::string(std::size_t { 8 } * 1024 * 1024, 'x');
+    const auto response = fixture.run(request);
+    REQUIRE(response);
+    CHECK(response->result_int() == 413);
+}
+
+// Guards against callers that are kept waiting beyond the route's timeout, and against work that is
+// cut although it must not be repeated.
+TEST_CASE("The caller gets its final response at the route's timeout")
+{
+    const bool idempotent = GENERATE(false, true);
+    std::atomic<bool> cut { false };
+    std::atomic<bool> ended { false };
+    ScriptedBackend backend([&](ScriptedConnection &connection) {
+        const std::string request = connection.readRequest();
+        cut = connection.closedWithin(1500);
+        connection.write(answerTo(request, "late"));
+        ended = true;
+    });
+    SteeringFixture fixture;
+    fixture.addServer("i-1", backend.port());
+    fixture.configure(absl::Milliseconds(1000));
+    const auto response = fixture.run(
+            SteeringFixture::request(idempotent ? "/read/1" : "/write/1"));
+    REQUIRE(response);
+    CHECK(response->result_int() == 504);
+    while (!ended) {
+        fixture.runFor(absl::Milliseconds(20));
+    }
+    CHECK(cut == idempotent);
+}
+
+// Guards against servers that work for callers that have left.
+TEST_CASE("Work for a caller that has left ends if it may be repeated")
+{
+    const bool idempotent = GENERATE(false, true);
+    std::atomic<bool> cut { false };
+    std::atomic<bool> ended { false };
+    ScriptedBackend backend([&](ScriptedConnection &connection) {
+        const std::string request = connection.readRequest();
+        cut = connection.closedWithin(1000);
+        connection.write(answerTo(request, "late"));
+        ended = true;
+    });
+    SteeringFixture fixture;
+    fixture.addServer("i-1", backend.port());
+    const auto response
+            = fixture.run(SteeringFixture::request(idempotent ? "/read/1" : "/write/1"),
+                          absl::Milliseconds(100));
+    CHECK_FALSE(response);
+    while (!ended) {
+        fixture.runFor(absl::Milliseconds(20));
+    }
+    CHECK(cut == idempotent);
+}
+
+TEST_CASE("Requests without a configuration, a route or a server are refused at once")
+{
+    SteeringFixture fixture;
+    CHECK(fixture.run(SteeringFixture::request("/read/1"))->result_int() == 503);
+    CHECK(fixture.run(SteeringFixture::request("/none/1"))->result_int() == 404);
+    // A VM that knows no configuration yet can't say that a route does not exist.
+    fixture.steering.setConfiguration(nullptr);
+    CHECK(fixture.run(SteeringFixture::request("/none/1"))->result_int() == 503);
+}
+
+// Guards against servers that stay unused for ever after a short failure.
+TEST_CASE("A server that failed is used again after a good health check")
+{
+    std::atomic<bool> failing { true };
+    ScriptedBackend backend([&failing](ScriptedConnection &connection) {
+        for (std::string request = connection.readRequest(); !request.empty();
+             request = connection.readRequest()) {
+            if (failing) {
+                return;
+            }
+            connection.write(request.starts_with("GET /health ")
+                                     ? answerTo(request, "", "200 OK", "Instance-Id: i-1\r\n")
+                                     : answerTo(request, "body"));
+        }
+    });
+    SteeringFixture fixture;
+    fixture.addServer("i-1", backend.port());
+    for (int request = 0; request < 2; ++request) {
+        CHECK(fixture.run(SteeringFixture::request("/read/1"))->result_int() == 502);
+    }
+    CHECK(fixture.run(SteeringFixture::request("/read/1"))->result_int() == 503);
+    failing = false;
+    Steering::ServerRecord *record
+            = fixture.steering.servers().find(Common::BackendServerName("i-1"));
+    while (!record->usable(Common::monotonicNow())) {
+        fixture.steering.advance(Common::monotonicNow());
+        fixture.runFor(absl::Milliseconds(20));
+    }
+    CHECK(fixture.run(SteeringFixture::request("/read/1"))->result_int() == 200);
+}
--- /dev/null
+++ b/Source/UnitTests/Entry/ScriptedBackend.cpp
@@ -0,0 +1,135 @@
+#include "ScriptedBackend.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Currantfall::Entry::Tests {
+
+std::string ScriptedConnection::readHeader()
+{
+    std::string chunk(4096, '\0');
+    while (this->buffer.find("\r\n\r\n") == std::string::npos) {
+        const auto received = ::recv(this->descriptor, chunk.data(), chunk.size(), 0);
+        if (received <= 0) {
+            return {};
+        }
+        this->buffer.append(chunk.data(), static_cast<std::size_t>(received));
+    }
+    const std::size_t end = this->buffer.find("\r\n\r\n") + 4;
+    std::string header = this->buffer.substr(0, end);
+    this->buffer.erase(0, end);
+    return header;
+}
+
+std::string ScriptedConnection::readRequest()
+{
+    std::string request = this->readHeader();
+    const std::string length = headerOf(request, "Content-Length");
+    const std::size_t expected = length.empty() ? 0 : std::stoul(length);
+    std::string chunk(4096, '\0');
+    while (!request.empty() && this->buffer.size() < expected) {
+        const auto received = ::recv(this->descriptor, chunk.data(), chunk.size(), 0);
+        if (received <= 0) {
+            return {};
+        }
+        this->buffer.append(chunk.data(), static_cast<std::size_t>(received));
+    }
+    request += this->buffer.substr(0, expected);
+    this->buffer.erase(0, expected);
+    return request;
+}
+
+void ScriptedConnection::write(const std::string &bytes)
+{
+    // A peer that has closed is part of many scripts.
+    (void)::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+}
+
+bool ScriptedConnection::closedWithin(int milliseconds)
+{
+    pollfd watched { this->descriptor, POLLIN, 0 };
+    char byte = 0;
+    return ::poll(&watched, 1, milliseconds) > 0 && ::recv(this->descriptor, &byte, 1, 0) <= 0;
+}
+
+void ScriptedConnection::reset()
+{
+    const linger now { 1, 0 };
+    ::setsockopt(this->descriptor, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+}
+
+ScriptedBackend::ScriptedBackend(Script script) : script(std::move(script))
+{
+    this->listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    auto *generic = reinterpret_cast<sockaddr *>(&address);
+    if (::bind(this->listener, generic, length) != 0 || ::listen(this->listener, 64) != 0
+        || ::getsockname(this->listener, generic, &length) != 0) {
+        throw std::runtime_error("scripted backend can't listen");
+    }
+    this->listenPort = ntohs(address.sin_port);
+    this->acceptor = std::thread([this] { this->accept(); });
+}
+
+ScriptedBackend::~ScriptedBackend()
+{
+    ::shutdown(this->listener, SHUT_RDWR);
+    this->acceptor.join();
+    ::close(this->listener);
+    {
+        const std::lock_guard lock(this->mutex);
+        for (const int descriptor : this->open) {
+            ::shutdown(descriptor, SHUT_RDWR);
+        }
+    }
+    for (std::thread &worker : this->workers) {
+        worker.join();
+    }
+}
+
+void ScriptedBackend::accept()
+{
+    while (true) {
+        const int descriptor = ::accept(this->listener, nullptr, nullptr);
+        if (descriptor < 0) {
+            return;
+        }
+        ++this->accepted;
+        const std::lock_guard lock(this->mutex);
+        this->open.push_back(descriptor);
+        this->workers.emplace_back([this, descriptor] {
+            ScriptedConnection connection(descriptor);
+            this->script(connection);
+            const std::lock_guard closing(this->mutex);
+            std::erase(this->open, descriptor);
+            ::close(descriptor);
+        });
+    }
+}
+
+std::string headerOf(const std::string &request, const std::string &name)
+{
+    const std::size_t start = request.find("\r\n" + name + ": ");
+    if (start == std::string::npos) {
+        return {};
+    }
+    const std::size_t value = start + name.size() + 4;
+    return request.substr(value, request.find("\r\n", value) - value);
+}
+
+std::string answerTo(const std::string &request, const std::string &body,
+                     const std::string &status, const std::string &headers)
+{
+    return "HTTP/1.1 " + status + "\r\nRequest-Id: " + headerOf(request, "Request-Id")
+           + "\r\nServer-Seal: seal\r\n" + headers
+           + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace Currantfall::Entry::Tests
--- /dev/null
+++ b/Source/UnitTests/Entry/ScriptedBackend.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace Currantfall::Entry::Tests {
+
+/// One connection of a scripted server.
+class ScriptedConnection
+{
+public:
+    explicit ScriptedConnection(int descriptor) : descriptor(descriptor) { }
+
+    /// The next request, header and body as they arrived; empty if the peer has closed.
+    std::string readRequest();
+    /// Reads the header only.
+    std::string readHeader();
+    void write(const std::string &bytes);
+    /// Waits until the peer closes; true if it did so before `milliseconds` have passed.
+    bool closedWithin(int milliseconds);
+    /// Closes with a reset.
+    void reset();
+
+private:
+    int descriptor;
+    std::string buffer;
+};
+
+/// A backend server on a loopback port that does what the test's script says, with a thread for each
+/// connection.
+class ScriptedBackend
+{
+public:
+    using Script = std::function<void(ScriptedConnection &connection)>;
+
+    explicit ScriptedBackend(Script script);
+    ~ScriptedBackend();
+    ScriptedBackend(const ScriptedBackend &) = delete;
+    ScriptedBackend &operator=(const ScriptedBackend &) = delete;
+
+    std::uint16_t port() const { return this->listenPort; }
+    int connections() const { return this->accepted; }
+
+private:
+    void accept();
+
+    Script script;
+    int listener = -1;
+    std::uint16_t listenPort = 0;
+    std::atomic<int> accepted { 0 };
+    std::mutex mutex;
+    std::vector<int> open;
+    std::vector<std::thread> workers;
+    std::thread acceptor;
+};
+
+/// The value of a header in a request's text; empty if there is none.
+std::string headerOf(const std::string &request, const std::string &name);
+
+/// A whole response with a signature for the request.
+std::string answerTo(const std::string &request, const std::string &body,
+                     const std::string &status = "200 OK", const std::string &headers = "");
+
+} // namespace Currantfall::Entry::Tests
--- /dev/null
+++ b/Source/UnitTests/Entry/SteeringFixture.cpp
@@ -0,0 +1,118 @@
+#include "SteeringFixture.h"
+
+namespace Currantfall::Entry::Tests {
+
+namespace {
+
+constexpr const char *serviceName = "bellbook";
+
+Steering::Route route(const std::string &prefix, bool idempotent)
+{
+    Steering::Route result;
+    result.name = prefix;
+    result.host = "h.example";
+    result.prefix = prefix;
+    result.idempotent = idempotent;
+    result.targetLatency = absl::Milliseconds(500);
+    result.services = { { Common::ServiceName(serviceName), 1.0 } };
+    return result;
+}
+
+} // namespace
+
+EntrySettings loopbackSettings()
+{
+    EntrySettings settings;
+    settings.vm = Common::VmName("vm-1");
+    settings.zone = Common::ZoneName("a");
+    settings.region = Common::RegionName("west");
+    settings.address = "127.0.0.1";
+    settings.zones = { { Common::ZoneName("a"), Common::RegionName("west") } };
+    settings.callers = { "127.0.0.1", 0 };
+    settings.memoryBytes = std::size_t { 64 } * 1024 * 1024;
+    settings.maxDescriptors = 1024;
+    settings.retries = { 0.2, 60.0, absl::Seconds(10) };
+    settings.cold = { 1.5, 5.0 };
+    return settings;
+}
+
+SteeringFixture::SteeringFixture()
+    : settings(loopbackSettings()), log("vm-1", { 0, 64 }),
+      steering(this->context, this->settings, this->log, this->metrics)
+{
+    this->configure();
+}
+
+void SteeringFixture::addServer(const std::string &name, std::uint16_t port)
+{
+    Steering::BackendServer server;
+    server.name = Common::BackendServerName(name);
+    server.service = Common::ServiceName(serviceName);
+    server.address = "127.0.0.1";
+    server.port = port;
+    server.zone = Common::ZoneName("a");
+    server.slots = 3;
+    this->steering.servers().put(server, Common::monotonicNow());
+}
+
+void SteeringFixture::configure(absl::Duration timeout, std::uint32_t maxAttempts)
+{
+    std::vector<Steering::Route> routes { route("/read/", true), route("/write/", false) };
+    for (Steering::Route &each : routes) {
+        each.timeout = timeout;
+        each.maxAttempts = maxAttempts;
+    }
+    const Steering::ServiceTerms terms { Common::ServiceName(serviceName), "/health", 100, 2.0 };
+    this->steering.setConfiguration(std::make_shared<const Steering::RoutingConfiguration>(
+            1, std::vector { terms }, routes, Steering::CallerLimits()));
+}
+
+Adapter::HttpRequest SteeringFixture::request(const std::string &path, const std::string &id)
+{
+    using boost::beast::http::verb;
+    Adapter::HttpRequest result(path.starts_with("/write/") ? verb::post : verb::get, path, 11);
+    result.set("Host", "h.example");
+    result.set("Request-Id", id);
+    result.set("Deadline-Ms", "4000");
+    result.set("Cookie", "Affinity-Key=1");
+    return result;
+}
+
+std::optional<Adapter::HttpResponse>
+SteeringFixture::run(const Adapter::HttpRequest &request, std::optional<absl::Duration> leaveAfter)
+{
+    std::optional<Adapter::HttpResponse> response;
+    bool done = false;
+    const auto caller = std::make_shared<CallerState>(this->context);
+    boost::asio::steady_timer timer(this->context);
+    if (leaveAfter) {
+        timer.expires_after(toChrono(*leaveAfter));
+        timer.async_wait([caller](const IoError &error) {
+            if (!error) {
+                caller->leave();
+            }
+        });
+    }
+    boost::asio::co_spawn(
+            this->context,
+            [](SteeringFixture &fixture, const Adapter::HttpRequest &request, SharedCaller caller,
+               std::optional<Adapter::HttpResponse> &response, bool &done) -> Task {
+                response = co_await fixture.steering.handle(request, caller);
+                done = true;
+            }(*this, request, caller, response, done),
+            boost::asio::detached);
+    this->context.restart();
+    while (!done) {
+        this->context.run_one();
+    }
+    timer.cancel();
+    return response;
+}
+
+void SteeringFixture::runFor(absl::Duration duration)
+{
+    this->context.restart();
+    this->context.run_for(toChrono(duration));
+}
+
+} // namespace Currantfall::Entry::Tests
