Lint coroutines with clang-tidy 16; check entry settings from the command line

Cause: clang-tidy 14 can't parse C++20 coroutines, and Main.cpp included them. Change: Source/Entry is linted with clang-tidy 16, all else as before; the entry program has a header without coroutines and a flag that checks settings.

--- a/Source/Core/Common/EventLog.cpp
+++ b/Source/Core/Common/EventLog.cpp
@@ -11,8 +11,7 @@
 namespace Currantfall::Common {
 
 EventLog::EventLog(std::string source, Settings settings)
-    : source(std::move(source)), settings(settings), ring(settings.ringLines),
-      writer([this] {
+    : source(std::move(source)), settings(settings), ring(settings.ringLines), writer([this] {
           while (true) {
               const auto line = this->ring.popWithin(absl::Seconds(60));
               if (line) {
--- a/Source/Core/Steering/ReadSchedule.cpp
+++ b/Source/Core/Steering/ReadSchedule.cpp
@@ -13,8 +13,8 @@
     }
     if (this->failures > 0) {
         const double doublings = std::min<double>(static_cast<double>(this->failures) - 1.0, 10.0);
-        const absl::Duration pause = std::min(this->terms.firstPause * std::exp2(doublings),
-                                              this->terms.longestPause);
+        const absl::Duration pause
+                = std::min(this->terms.firstPause * std::exp2(doublings), this->terms.longestPause);
         if (now - this->latestEnd < pause) {
             return false;
         }
--- a/Source/Core/Steering/RetryAllowance.cpp
+++ b/Source/Core/Steering/RetryAllowance.cpp
@@ -42,8 +42,7 @@
         retries += interval.retries;
     }
     const double vms = static_cast<double>(std::max<std::size_t>(vmCount, 1));
-    return { retries,
-             safetyFactor * (this->terms.ratio * requests + this->terms.extra / vms) };
+    return { retries, safetyFactor * (this->terms.ratio * requests + this->terms.extra / vms) };
 }
 
 bool RetryAllowance::tryTake(Common::Instant now, std::size_t vmCount)
--- a/Source/Core/Steering/ServerSelector.cpp
+++ b/Source/Core/Steering/ServerSelector.cpp
@@ -117,8 +117,8 @@
     return cached.weights;
 }
 
-std::vector<ServerSelector::Candidate>
-ServerSelector::candidates(const SelectionQuestion &question, Common::Instant now)
+std::vector<ServerSelector::Candidate> ServerSelector::candidates(const SelectionQuestion &question,
+                                                                  Common::Instant now)
 {
     const auto &weights = this->weightsOf(question.service);
     const std::string &key = question.object.empty() ? question.requestId : question.object;
@@ -135,8 +135,7 @@
         const double weight = (1.0 - localityPart + localityPart * local)
                               * std::max<std::uint32_t>(entry.slots, 1);
         // Weighted rendezvous hashing: the smallest value is the first of the order.
-        result.push_back(
-                { server, -std::log(unitHash(key, entry.name.value())) / weight });
+        result.push_back({ server, -std::log(unitHash(key, entry.name.value())) / weight });
     }
     std::sort(result.begin(), result.end(), [](const Candidate &left, const Candidate &right) {
         return left.score < right.score;
@@ -148,14 +147,13 @@
                                            const ServiceTerms *terms) const
 {
     const double rate = terms == nullptr ? 0.0 : terms->coldRequestsPerSecond;
-    const auto permits = static_cast<std::size_t>(
-            std::max(1.0, rate * this->settings.coldTerms.overage + this->settings.coldTerms.extra));
+    const auto permits = static_cast<std::size_t>(std::max(
+            1.0, rate * this->settings.coldTerms.overage + this->settings.coldTerms.extra));
     if (this->vms.size() > permits) {
-        const auto nameOf = [](const Common::VmName &vm) -> const std::string & {
-            return vm.value();
-        };
-        const auto chosen = Common::topCandidates(server.server().name.value(), this->vms, permits,
-                                                  nameOf);
+        const auto nameOf
+                = [](const Common::VmName &vm) -> const std::string & { return vm.value(); };
+        const auto chosen
+                = Common::topCandidates(server.server().name.value(), this->vms, permits, nameOf);
         if (std::find(chosen.begin(), chosen.end(), this->settings.vm) == chosen.end()) {
             return Common::Instant::infinite();
         }
@@ -167,7 +165,8 @@
                                         bool warm) const
 {
     const auto found = this->times.find(service);
-    if (found != this->times.end() && (warm ? found->second.warmKnown : found->second.missedKnown)) {
+    if (found != this->times.end()
+        && (warm ? found->second.warmKnown : found->second.missedKnown)) {
         return warm ? found->second.warm : found->second.missed;
     }
     return route.targetLatency * (warm ? warmPerTarget : missedPerTarget);
@@ -239,8 +238,7 @@
     std::size_t calmest = 0;
     for (std::size_t position = 1; position < targets; ++position) {
         const ServerRecord &server = *order[position].server;
-        if (!server.cold(now)
-            && server.meanLoad(now) < order[calmest].server->meanLoad(now)) {
+        if (!server.cold(now) && server.meanLoad(now) < order[calmest].server->meanLoad(now)) {
             calmest = position;
         }
     }
@@ -268,8 +266,7 @@
         && !this->movedObjects.contains({ move.service, move.object })) {
         return false;
     }
-    const auto [known, added]
-            = this->movedObjects.try_emplace({ move.service, move.object }, move);
+    const auto [known, added] = this->movedObjects.try_emplace({ move.service, move.object }, move);
     if (!added) {
         const bool newer = move.sequence > known->second.sequence
                            || (move.sequence == known->second.sequence
@@ -322,8 +319,8 @@
     }
     const absl::Duration warmTime = this->workTime(question.service, *question.route, true);
     const absl::Duration retryAfter = offers.shortestFinish == absl::InfiniteDuration()
-            ? warmTime
-            : offers.shortestFinish - warmTime;
+                                              ? warmTime
+                                              : offers.shortestFinish - warmTime;
     return Reject { RejectReason::Overloaded, std::max(retryAfter, shortestRetryAfter) };
 }
 
--- a/Source/Core/Steering/ServerTable.cpp
+++ b/Source/Core/Steering/ServerTable.cpp
@@ -42,8 +42,7 @@
 void ServerRecord::update(const BackendServer &server, Common::Instant readAt)
 {
     const bool restarted = server.born != this->current.born;
-    const bool moved
-            = server.address != this->current.address || server.port != this->current.port;
+    const bool moved = server.address != this->current.address || server.port != this->current.port;
     this->current = server;
     this->coldEnd = readAt + server.coldFor;
     if (restarted || moved) {
@@ -67,8 +66,7 @@
         const std::uint32_t total = this->report.running + this->report.waiting;
         const double atReport
                 = total > this->ownAtReport ? static_cast<double>(total - this->ownAtReport) : 0.0;
-        const double halfLives
-                = absl::FDivDuration(now - this->reportedAt, reportHalfLife);
+        const double halfLives = absl::FDivDuration(now - this->reportedAt, reportHalfLife);
         others = atReport * std::exp2(-halfLives);
     }
     return others + this->inFlight;
@@ -108,10 +106,10 @@
         const double perSlot = static_cast<double>(latest->running + latest->waiting)
                                / std::max<std::uint32_t>(latest->slots, 1);
         const double before = this->meanLoad(now);
-        const double weight = 1.0
-                              - std::exp(-absl::FDivDuration(
-                                      std::min(now - this->smoothedAt, reportWeightTime),
-                                      loadMeanTime));
+        const double weight
+                = 1.0
+                  - std::exp(-absl::FDivDuration(std::min(now - this->smoothedAt, reportWeightTime),
+                                                 loadMeanTime));
         this->smoothedLoad = before + (perSlot - before) * weight;
         this->smoothedAt = now;
         this->report = *latest;
--- a/Source/Core/Steering/SplitChooser.cpp
+++ b/Source/Core/Steering/SplitChooser.cpp
@@ -35,17 +35,17 @@
     double mostBehind = 0.0;
     for (const WeightedService &part : route.services) {
         const double scale = std::ldexp(1.0, -64);
-        const double unit = (static_cast<double>(Common::rendezvousWeight(
-                                     object, part.service.value()))
-                             + 1.0)
-                            * scale;
+        const double unit
+                = (static_cast<double>(Common::rendezvousWeight(object, part.service.value()))
+                   + 1.0)
+                  * scale;
         const double score = -std::log(unit) / part.weight;
         if (preferred == nullptr || score < bestScore) {
             preferred = &part;
             bestScore = score;
         }
-        const double missing = (counts.total + 1.0) * part.weight / weights
-                               - counts.requests[part.service];
+        const double missing
+                = (counts.total + 1.0) * part.weight / weights - counts.requests[part.service];
         if (behind == nullptr || missing > mostBehind) {
             behind = &part;
             mostBehind = missing;
@@ -53,8 +53,7 @@
     }
     const double ahead = counts.requests[preferred->service] + 1.0
                          - (counts.total + 1.0) * preferred->weight / weights;
-    const WeightedService *chosen
-            = object.empty() || ahead > requestsAhead ? behind : preferred;
+    const WeightedService *chosen = object.empty() || ahead > requestsAhead ? behind : preferred;
     counts.requests[chosen->service] += 1.0;
     counts.total += 1.0;
     if (counts.total >= countedRequests) {
--- a/Source/Daemon/Main.cpp
+++ b/Source/Daemon/Main.cpp
@@ -1,12 +1,11 @@
 #include <csignal>
 #include <cstdio>
-#include <cstdlib>
 #include <string>
 
 #include <absl/synchronization/mutex.h>
 
 #include "Daemon.h"
-#include "EntryDaemon.h"
+#include "EntryProgram.h"
 
 namespace {
 
@@ -14,35 +13,19 @@
 
 constexpr int exitFailed = 1;
 constexpr int exitInvalidInput = 2;
-// Runs an entry VM of the platform, whose settings file the named environment variable gives.
+// Both replace all other flags: the platform's entry VMs have a settings file.
 constexpr const char *entrySettingsFlag = "--entry-settings-from";
-
-int runEntry(const char *variable)
-{
-    const char *path = std::getenv(variable);
-    if (path == nullptr) {
-        std::fprintf(stderr, "currantfalld: the variable %s is not set\n", variable);
-        return exitInvalidInput;
-    }
-    std::signal(SIGPIPE, SIG_IGN);
-    absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
-    const auto daemon = Entry::EntryDaemon::create(path);
-    if (!daemon) {
-        std::fprintf(stderr, "currantfalld: %s\n", daemon.error().toString().c_str());
-        const bool invalid
-                = daemon.error().code() == make_error_code(Common::ErrorCode::InvalidInput);
-        return invalid ? exitInvalidInput : exitFailed;
-    }
-    (*daemon)->run();
-    return 0;
-}
+constexpr const char *checkEntrySettingsFlag = "--check-entry-settings";
 
 } // namespace
 
 int main(int argumentCount, char **arguments)
 {
     if (argumentCount == 3 && std::string(arguments[1]) == entrySettingsFlag) {
-        return runEntry(arguments[2]);
+        return Entry::runEntryProgram(arguments[2]);
+    }
+    if (argumentCount == 3 && std::string(arguments[1]) == checkEntrySettingsFlag) {
+        return Entry::checkEntrySettings(arguments[2]);
     }
     const auto invocation = Daemon::readInvocation(argumentCount, arguments);
     if (!invocation) {
--- a/Source/Entry/Asio.h
+++ b/Source/Entry/Asio.h
@@ -2,6 +2,7 @@
 
 #include <utility> // Boost 1.74's awaitable.hpp uses std::exchange without including it.
 
+#include <absl/time/time.h>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -14,8 +15,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
-#include <absl/time/time.h>
-
 #include "currantfall/Common/Error.h"
 #include "currantfall/Platform/HostPort.h"
 
--- a/Source/Entry/BackendPool.cpp
+++ b/Source/Entry/BackendPool.cpp
@@ -28,7 +28,7 @@
 constexpr std::uint64_t largestResponse = 64ULL * 1024 * 1024;
 constexpr std::uint32_t largestResponseHeader = 64 * 1024;
 // Bodies up to this size are written before the response is read: they fit into socket buffers.
-constexpr std::size_t smallBody = 8 * 1024;
+constexpr std::size_t smallBody = std::size_t { 8 } * 1024;
 
 absl::Duration keepAliveOf(const Adapter::HttpResponse &response)
 {
@@ -143,16 +143,17 @@
     connection->idle = true;
     connection->stream.expires_never();
     connections.push_back(connection);
-    connection->stream.socket().async_wait(
-            Tcp::socket::wait_read, [this, server, connection](const IoError &error) {
-                if (error || !connection->idle) {
-                    return;
-                }
-                // The server closed it, or sent bytes that nobody asked for.
-                connection->idle = false;
-                closeQuietly(*connection);
-                std::erase(this->idle[server], connection);
-            });
+    connection->stream.socket().async_wait(Tcp::socket::wait_read,
+                                           [this, server, connection](const IoError &error) {
+                                               if (error || !connection->idle) {
+                                                   return;
+                                               }
+                                               // The server closed it, or sent bytes that nobody
+                                               // asked for.
+                                               connection->idle = false;
+                                               closeQuietly(*connection);
+                                               std::erase(this->idle[server], connection);
+                                           });
 }
 
 boost::asio::awaitable<ExchangeResult> BackendPool::read(Exchange &exchange,
@@ -168,8 +169,7 @@
             parser.skip(true);
         }
         IoError error;
-        co_await http::async_read(connection->stream, connection->buffer, parser,
-                                  awaitInto(error));
+        co_await http::async_read(connection->stream, connection->buffer, parser, awaitInto(error));
         if (error) {
             closeQuietly(*connection);
             co_return failed(AttemptEnd::Broken, "read response", error);
@@ -208,8 +208,8 @@
             result.end = AttemptEnd::Broken;
             result.detail = "response without signature or with an encoded body";
         } else {
-            result.end = result.meaning.serverError ? AttemptEnd::ServerError
-                                                    : AttemptEnd::Answered;
+            result.end
+                    = result.meaning.serverError ? AttemptEnd::ServerError : AttemptEnd::Answered;
         }
         result.response = std::move(response);
         co_return result;
--- a/Source/Entry/CallerListener.cpp
+++ b/Source/Entry/CallerListener.cpp
@@ -109,8 +109,7 @@
             }
             continue;
         }
-        boost::asio::co_spawn(this->context, this->serve(std::move(socket)),
-                              boost::asio::detached);
+        boost::asio::co_spawn(this->context, this->serve(std::move(socket)), boost::asio::detached);
     }
 }
 
@@ -120,7 +119,8 @@
     detectSilence(socket, callerSilence);
     boost::beast::tcp_stream stream(std::move(socket));
     boost::beast::flat_buffer buffer;
-    while (co_await this->serveOne(stream, buffer)) { }
+    while (co_await this->serveOne(stream, buffer)) {
+    }
     IoError ignored;
     stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
     --this->connections;
@@ -198,8 +198,8 @@
 }
 
 boost::asio::awaitable<bool> CallerListener::respond(boost::beast::tcp_stream &stream,
-                                                     Adapter::HttpResponse response,
-                                                     bool keepAlive, bool withoutBody)
+                                                     Adapter::HttpResponse response, bool keepAlive,
+                                                     bool withoutBody)
 {
     IoError error;
     stream.expires_after(toChrono(writeTimeout));
@@ -219,22 +219,21 @@
 
 void CallerListener::watch(boost::beast::tcp_stream &stream, const SharedCaller &caller)
 {
-    stream.socket().async_wait(
-            Tcp::socket::wait_read,
-            [&stream, weak = std::weak_ptr<CallerState>(caller)](const IoError &error) {
-                const auto waiting = weak.lock();
-                if (error || !waiting || waiting->answered) {
-                    return;
-                }
-                char byte = 0;
-                const auto peeked = ::recv(stream.socket().native_handle(), &byte, 1,
-                                           MSG_PEEK | MSG_DONTWAIT);
-                const bool open = peeked > 0
-                                  || (peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
-                if (!open) {
-                    waiting->leave();
-                }
-            });
+    stream.socket().async_wait(Tcp::socket::wait_read, [&stream,
+                                                        weak = std::weak_ptr<CallerState>(caller)](
+                                                               const IoError &error) {
+        const auto waiting = weak.lock();
+        if (error || !waiting || waiting->answered) {
+            return;
+        }
+        char byte = 0;
+        const auto peeked
+                = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        const bool open = peeked > 0 || (peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+        if (!open) {
+            waiting->leave();
+        }
+    });
 }
 
 } // namespace Currantfall::Entry
--- a/Source/Entry/CallerListener.h
+++ b/Source/Entry/CallerListener.h
@@ -18,9 +18,10 @@
 class CallerListener
 {
 public:
-    static Common::Result<std::unique_ptr<CallerListener>>
-    start(boost::asio::io_context &context, const EntrySettings &settings,
-          RequestSteering &steering, Common::EventLog &log);
+    static Common::Result<std::unique_ptr<CallerListener>> start(boost::asio::io_context &context,
+                                                                 const EntrySettings &settings,
+                                                                 RequestSteering &steering,
+                                                                 Common::EventLog &log);
 
     /// From now on each response closes its connection, so that callers go to other VMs.
     void leave() { this->leaving = true; }
@@ -33,8 +34,7 @@
 
 private:
     CallerListener(boost::asio::io_context &context, Tcp::acceptor acceptor,
-                   const EntrySettings &settings, RequestSteering &steering,
-                   Common::EventLog &log);
+                   const EntrySettings &settings, RequestSteering &steering, Common::EventLog &log);
 
     Task accept();
     Task serve(Tcp::socket socket);
--- a/Source/Entry/Cluster.cpp
+++ b/Source/Entry/Cluster.cpp
@@ -64,29 +64,29 @@
             }
         });
     };
-    handlers.onMessage = [target, onEntryThread](const Common::VmName &from,
-                                                 Common::Incarnation incarnation,
-                                                 std::unique_ptr<Wire::MessageT> message) {
-        onEntryThread([target, from, incarnation,
-                       message = std::shared_ptr<Wire::MessageT>(std::move(message))] {
-            target->onMessage(from, incarnation, *message);
-        });
-    };
+    handlers.onMessage
+            = [target, onEntryThread](const Common::VmName &from, Common::Incarnation incarnation,
+                                      std::unique_ptr<Wire::MessageT> message) {
+                  onEntryThread([target, from, incarnation,
+                                 message = std::shared_ptr<Wire::MessageT>(std::move(message))] {
+                      target->onMessage(from, incarnation, *message);
+                  });
+              };
     handlers.onLinkUp = [target, onEntryThread](const Peering::PeerIdentity &peer,
                                                 Peering::LinkClass linkClass) {
         if (linkClass == Peering::LinkClass::Control) {
             onEntryThread([target, peer] { target->onLinkUp(peer); });
         }
     };
-    handlers.onLinkDown = [target, onEntryThread](
-                                  const Common::VmName &peer, Common::Incarnation incarnation,
-                                  Peering::LinkClass linkClass, const Common::Error &reason) {
-        if (linkClass == Peering::LinkClass::Control) {
-            onEntryThread([target, peer, incarnation, reason] {
-                target->onLinkDown(peer, incarnation, reason);
-            });
-        }
-    };
+    handlers.onLinkDown
+            = [target, onEntryThread](const Common::VmName &peer, Common::Incarnation incarnation,
+                                      Peering::LinkClass linkClass, const Common::Error &reason) {
+                  if (linkClass == Peering::LinkClass::Control) {
+                      onEntryThread([target, peer, incarnation, reason] {
+                          target->onLinkDown(peer, incarnation, reason);
+                      });
+                  }
+              };
     auto started = Peering::PeerTransport::start(std::move(transport), std::move(handlers));
     if (!started) {
         return tl::unexpected(started.error());
@@ -120,15 +120,15 @@
         this->table.setOwnState(now, this->hooks.ownState());
     }
     const Membership::Outgoing outgoing = this->table.advance(now);
-    const auto sendToAll = [this](const std::vector<Common::VmName> &receivers,
-                                  const auto &message) {
-        for (const Common::VmName &peer : receivers) {
-            Wire::BodyUnion body;
-            auto copy = message;
-            body.Set(std::move(copy));
-            this->send(peer, std::move(body));
-        }
-    };
+    const auto sendToAll
+            = [this](const std::vector<Common::VmName> &receivers, const auto &message) {
+                  for (const Common::VmName &peer : receivers) {
+                      Wire::BodyUnion body;
+                      auto copy = message;
+                      body.Set(std::move(copy));
+                      this->send(peer, std::move(body));
+                  }
+              };
     if (outgoing.heartbeat) {
         sendToAll(outgoing.heartbeat->to, Daemon::toWire(outgoing.heartbeat->heartbeat));
     }
@@ -175,9 +175,9 @@
 
 void Cluster::onLinkUp(const Peering::PeerIdentity &peer)
 {
-    this->table.applyLinkUp(Common::monotonicNow(),
-                            { peer.vm, peer.zone, peer.region, peer.incarnation, peer.address,
-                              peer.portBase });
+    this->table.applyLinkUp(
+            Common::monotonicNow(),
+            { peer.vm, peer.zone, peer.region, peer.incarnation, peer.address, peer.portBase });
     this->linked.insert(peer.vm);
     this->log.important("peer_link_up", { { "peer", peer.vm.value() } });
     this->applyView();
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -6,12 +6,11 @@
 
 #include "currantfall/Steering/EntryDirectory.h"
 
+#include "VmRow.h"
 #include "platform/Directory.h"
 #include "platform/OperatorRows.h"
 #include "platform/ServerRows.h"
 
-#include "VmRow.h"
-
 namespace Currantfall::Entry {
 
 namespace {
@@ -150,15 +149,14 @@
 
 Common::Result<void> EntryDaemon::startEndpoints()
 {
-    auto listener
-            = CallerListener::start(this->context, this->settings, this->steering, this->log);
+    auto listener = CallerListener::start(this->context, this->settings, this->steering, this->log);
     if (!listener) {
         return tl::unexpected(listener.error());
     }
     this->callers = std::move(*listener);
-    const auto start = [this](std::unique_ptr<HttpEndpoint> &endpoint,
-                              const Platform::HostPort &address,
-                              HttpEndpoint::Handler handler) -> Common::Result<void> {
+    const auto start
+            = [this](std::unique_ptr<HttpEndpoint> &endpoint, const Platform::HostPort &address,
+                     HttpEndpoint::Handler handler) -> Common::Result<void> {
         auto started = HttpEndpoint::start(this->context, address, std::move(handler));
         if (!started) {
             return tl::unexpected(started.error());
@@ -176,8 +174,8 @@
     if (auto done = start(this->readiness, this->settings.readiness, answerReadiness); !done) {
         return done;
     }
-    if (auto done = start(
-                this->directory, this->settings.directory,
+    if (auto done
+        = start(this->directory, this->settings.directory,
                 [this](const std::string &target) { return this->answerDirectory(target); });
         !done) {
         return done;
@@ -264,8 +262,7 @@
     this->leavingSince = Common::monotonicNow();
     this->callers->leave();
     this->store->stop();
-    this->log.important("shutdown",
-                        { { "in_progress", this->callers->requestsInProgress() } });
+    this->log.important("shutdown", { { "in_progress", this->callers->requestsInProgress() } });
 }
 
 void EntryDaemon::advanceShutdown(Common::Instant now)
@@ -383,9 +380,9 @@
     Steering::ServerTable &servers = this->steering.servers();
     for (const Steering::RowChange &row : changes) {
         const Common::BackendServerName name(row.key);
-        auto server = row.deleted ? tl::unexpected(Common::Error(
-                              make_error_code(Common::ErrorCode::NotFound), "read backend server",
-                              row.key, "deleted"))
+        auto server = row.deleted ? tl::unexpected(
+                              Common::Error(make_error_code(Common::ErrorCode::NotFound),
+                                            "read backend server", row.key, "deleted"))
                                   : Adapter::readServer(row.key, row.value);
         Steering::ServerRecord *known = servers.find(name);
         if (!server) {
@@ -402,8 +399,7 @@
         if (known != nullptr) {
             Steering::BackendServer before = known->server();
             before.coldFor = server->coldFor;
-            const absl::Duration coldChange
-                    = row.readAt + server->coldFor - known->coldUntil();
+            const absl::Duration coldChange = row.readAt + server->coldFor - known->coldUntil();
             const bool coldChanged = server->coldFor > absl::ZeroDuration()
                                      && absl::AbsDuration(coldChange) > coldTolerance;
             if (before == *server && !coldChanged) {
@@ -456,11 +452,11 @@
     if (current != nullptr && read->version() <= current->version()) {
         return;
     }
-    this->log.important("configuration",
-                        { { "version", read->version() },
-                          { "routes", read->routeCount() },
-                          { "age_ms", absl::ToInt64Milliseconds(Common::monotonicNow()
-                                                                - row.readAt) } });
+    this->log.important(
+            "configuration",
+            { { "version", read->version() },
+              { "routes", read->routeCount() },
+              { "age_ms", absl::ToInt64Milliseconds(Common::monotonicNow() - row.readAt) } });
     this->steering.setConfiguration(
             std::make_shared<const Steering::RoutingConfiguration>(std::move(*read)));
 }
@@ -517,15 +513,14 @@
     std::vector<Steering::EntryVm> vms;
     for (const auto &member : this->cluster->members().members()) {
         const bool own = member->vm == this->settings.vm;
-        const bool serves = own ? this->ready()
-                                : member->state == MemberState::Live && member->revision > 0;
+        const bool serves
+                = own ? this->ready() : member->state == MemberState::Live && member->revision > 0;
         if (serves) {
             vms.push_back({ member->vm, member->zone, member->region, member->address + port,
                             this->processorShareOf(member->vm) });
         }
     }
-    const auto entries
-            = Steering::entriesFor(question->zone, question->region, vms, lookupEntries);
+    const auto entries = Steering::entriesFor(question->zone, question->region, vms, lookupEntries);
     if (entries.empty()) {
         return { 503, "text/plain", "" };
     }
@@ -534,7 +529,8 @@
         addresses.push_back(vm.address);
     }
     return { 200, "application/json",
-             Adapter::directoryAnswer(addresses, std::min(lookupTtl, this->settings.lookupTtlMax)) };
+             Adapter::directoryAnswer(addresses,
+                                      std::min(lookupTtl, this->settings.lookupTtlMax)) };
 }
 
 std::string EntryDaemon::renderMetrics()
--- a/Source/Entry/EntrySettings.cpp
+++ b/Source/Entry/EntrySettings.cpp
@@ -15,7 +15,7 @@
 using nlohmann::json;
 
 constexpr int defaultMetricsPort = 9464;
-constexpr std::size_t bytesPerMegabyte = 1024 * 1024;
+constexpr std::size_t bytesPerMegabyte = std::size_t { 1024 } * 1024;
 
 /// Reads fields of a JSON document and remembers the first error.
 class FieldReader
@@ -101,8 +101,7 @@
     settings.store = reader.endpoint("/store/address");
     settings.memoryBytes
             = static_cast<std::size_t>(reader.number("/memory_mb", 16, 1e6) * bytesPerMegabyte);
-    settings.maxDescriptors
-            = static_cast<std::size_t>(reader.number("/max_descriptors", 256, 1e7));
+    settings.maxDescriptors = static_cast<std::size_t>(reader.number("/max_descriptors", 256, 1e7));
     settings.processorShare = reader.number("/processor_share", 0.001, 1024);
     settings.shutdownGrace = absl::Seconds(reader.number("/shutdown_grace_s", 0.5, 600));
     settings.lookupTtlMax = absl::Seconds(reader.number("/lookup_ttl_max_s", 0.1, 600));
--- a/Source/Entry/HttpEndpoint.cpp
+++ b/Source/Entry/HttpEndpoint.cpp
@@ -15,9 +15,9 @@
 
 } // namespace
 
-Common::Result<std::unique_ptr<HttpEndpoint>>
-HttpEndpoint::start(boost::asio::io_context &context, const Platform::HostPort &address,
-                    Handler handler)
+Common::Result<std::unique_ptr<HttpEndpoint>> HttpEndpoint::start(boost::asio::io_context &context,
+                                                                  const Platform::HostPort &address,
+                                                                  Handler handler)
 {
     auto acceptor = listenOn(context, address);
     if (!acceptor) {
@@ -55,8 +55,7 @@
             co_await sleepFor(timer, absl::Milliseconds(50));
             continue;
         }
-        boost::asio::co_spawn(this->context, this->serve(std::move(socket)),
-                              boost::asio::detached);
+        boost::asio::co_spawn(this->context, this->serve(std::move(socket)), boost::asio::detached);
     }
 }
 
--- a/Source/Entry/RequestSteering.cpp
+++ b/Source/Entry/RequestSteering.cpp
@@ -100,8 +100,7 @@
 RequestSteering::RequestSteering(boost::asio::io_context &context, const EntrySettings &settings,
                                  Common::EventLog &log, Telemetry::MetricsRegistry &metrics)
     : context(context), settings(settings), log(log), metrics(metrics),
-      serverSelector({ settings.vm, settings.zone, settings.region, settings.zones,
-                       settings.cold },
+      serverSelector({ settings.vm, settings.zone, settings.region, settings.zones, settings.cold },
                      this->table),
       backendPool(context, metrics), random(std::random_device()())
 { }
@@ -158,24 +157,19 @@
                     ? this->fail(work, Failure::TimedOut, "timeout-before-retry")
                     : this->refuse(work, "timeout-before-start", absl::ZeroDuration());
         }
-        const Steering::SelectionQuestion question { &route,
-                                                     work.service,
-                                                     work.caller.object,
-                                                     work.caller.id,
-                                                     work.limit - now,
-                                                     now - work.start,
-                                                     work.tried };
-        const Steering::Selection selection
-                = this->serverSelector.select(question, terms, now);
+        const Steering::SelectionQuestion question {
+            &route,           work.service,     work.caller.object, work.caller.id,
+            work.limit - now, now - work.start, work.tried
+        };
+        const Steering::Selection selection = this->serverSelector.select(question, terms, now);
         if (const auto *reject = std::get_if<Steering::Reject>(&selection)) {
             if (work.mayHaveRun) {
                 co_return this->fail(work, Failure::OutcomeUnknown, "no-server-for-retry");
             }
-            co_return this->refuse(work,
-                                   reject->reason == Steering::RejectReason::NoServer
-                                           ? "no-server"
-                                           : "overloaded",
-                                   reject->retryAfter);
+            co_return this->refuse(
+                    work,
+                    reject->reason == Steering::RejectReason::NoServer ? "no-server" : "overloaded",
+                    reject->retryAfter);
         }
         if (const auto *wait = std::get_if<Steering::WaitUntil>(&selection)) {
             co_await sleepFor(work.state->wake,
@@ -236,8 +230,8 @@
     const Common::Instant now = Common::monotonicNow();
     auto exchange = std::make_shared<Exchange>();
     exchange->server = choice.server->server();
-    exchange->request = Adapter::backendRequest(work.request, work.deadline - now,
-                                                exchange->server.name);
+    exchange->request
+            = Adapter::backendRequest(work.request, work.deadline - now, exchange->server.name);
     exchange->requestId = work.caller.id;
     exchange->idempotent = work.route->idempotent;
     exchange->deadline = work.deadline;
@@ -362,14 +356,15 @@
     Telemetry::RequestLabels labels;
     labels.service = work.service;
     labels.tenant = Common::TenantName("all");
-    labels.rank = Common::RankName(
-            work.route == nullptr ? "none" : std::to_string(work.route->rank));
+    labels.rank
+            = Common::RankName(work.route == nullptr ? "none" : std::to_string(work.route->rank));
     labels.outcome = status == 503   ? Common::Outcome::NotRun
                      : status >= 500 ? Common::Outcome::OutcomeUnknown
                                      : Common::Outcome::Answered;
     this->metrics.recordLatency(labels, now - work.start);
-    this->metrics.addToCounter("currantfall_requests_total",
-                               { { "outcome", work.outcome }, { "status", std::to_string(status) } });
+    this->metrics.addToCounter(
+            "currantfall_requests_total",
+            { { "outcome", work.outcome }, { "status", std::to_string(status) } });
     if (!this->log.admits()) {
         return;
     }
@@ -411,9 +406,9 @@
     const Steering::ServiceTerms *terms = this->current->service(record->server().service);
     auto exchange = std::make_shared<Exchange>();
     exchange->server = record->server();
-    exchange->request = Adapter::healthRequest(
-            terms == nullptr ? "/" : terms->healthPath,
-            record->server().address + ":" + std::to_string(record->server().port));
+    exchange->request = Adapter::healthRequest(terms == nullptr ? "/" : terms->healthPath,
+                                               record->server().address + ":"
+                                                       + std::to_string(record->server().port));
     exchange->idempotent = true;
     exchange->deadline = Common::monotonicNow() + healthTimeout;
     this->metrics.addToCounter("currantfall_health_checks_total");
--- a/Source/Entry/StoreSync.cpp
+++ b/Source/Entry/StoreSync.cpp
@@ -77,7 +77,9 @@
 {
     for (const Table &table : tables) {
         this->states.emplace(table.name,
-                             State { table, {}, Steering::ReadSchedule(table.terms),
+                             State { table,
+                                     {},
+                                     Steering::ReadSchedule(table.terms),
                                      std::make_unique<StoreWorker>(store, queuedReads) });
     }
 }
--- a/Source/Entry/StoreWorker.cpp
+++ b/Source/Entry/StoreWorker.cpp
@@ -69,8 +69,8 @@
             update.confirmedAt = Common::monotonicNow() - absl::Milliseconds(100);
         }
         // An answer with more rows to come ends at its last row.
-        update.to = page->hasMore && !page->rows.empty() ? page->rows.back().version
-                                                         : page->version;
+        update.to
+                = page->hasMore && !page->rows.empty() ? page->rows.back().version : page->version;
         update.rows = page->rows;
         return update;
     }
@@ -100,8 +100,7 @@
     StoreResult write(const std::string &body)
     {
         this->client.set_read_timeout(absl::ToChronoMicroseconds(answerTimeout));
-        const auto answer
-                = this->client.Post(Adapter::writeTarget, body, Adapter::jsonContentType);
+        const auto answer = this->client.Post(Adapter::writeTarget, body, Adapter::jsonContentType);
         if (const auto checked = this->check(answer, "write store"); !checked) {
             return tl::unexpected(checked.error());
         }
--- a/Source/UnitTests/Adapter/HttpMessagesTest.cpp
+++ b/Source/UnitTests/Adapter/HttpMessagesTest.cpp
@@ -1,7 +1,7 @@
-#include <catch2/catch.hpp>
-
 #include "platform/HttpMessages.h"
 
+#include <catch2/catch.hpp>
+
 using namespace Currantfall;
 namespace http = boost::beast::http;
 
--- a/Source/UnitTests/Entry/EntrySettingsTest.cpp
+++ b/Source/UnitTests/Entry/EntrySettingsTest.cpp
@@ -1,7 +1,8 @@
+#include "EntrySettings.h"
+
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
-#include "EntrySettings.h"
 #include "VmRow.h"
 
 using namespace Currantfall;
--- a/Source/UnitTests/Entry/RequestSteeringTest.cpp
+++ b/Source/UnitTests/Entry/RequestSteeringTest.cpp
@@ -47,7 +47,14 @@
 // Guards against a second run of a request whose first one may have happened.
 TEST_CASE("A request that must not be repeated is sent once, whatever the server does")
 {
-    enum class Fault { Silence, Reset, Truncated, Garbage, Unsigned, Promise };
+    enum class Fault {
+        Silence,
+        Reset,
+        Truncated,
+        Garbage,
+        Unsigned,
+        Promise
+    };
     const Fault fault = GENERATE(Fault::Silence, Fault::Reset, Fault::Truncated, Fault::Garbage,
                                  Fault::Unsigned, Fault::Promise);
     std::atomic<int> runs { 0 };
@@ -249,8 +256,8 @@
     SteeringFixture fixture;
     fixture.addServer("i-1", backend.port());
     fixture.configure(absl::Milliseconds(1000));
-    const auto response = fixture.run(
-            SteeringFixture::request(idempotent ? "/read/1" : "/write/1"));
+    const auto response
+            = fixture.run(SteeringFixture::request(idempotent ? "/read/1" : "/write/1"));
     REQUIRE(response);
     CHECK(response->result_int() == 504);
     while (!ended) {
@@ -273,9 +280,8 @@
     });
     SteeringFixture fixture;
     fixture.addServer("i-1", backend.port());
-    const auto response
-            = fixture.run(SteeringFixture::request(idempotent ? "/read/1" : "/write/1"),
-                          absl::Milliseconds(100));
+    const auto response = fixture.run(SteeringFixture::request(idempotent ? "/read/1" : "/write/1"),
+                                      absl::Milliseconds(100));
     CHECK_FALSE(response);
     while (!ended) {
         fixture.runFor(absl::Milliseconds(20));
--- a/Source/UnitTests/Entry/ScriptedBackend.cpp
+++ b/Source/UnitTests/Entry/ScriptedBackend.cpp
@@ -124,8 +124,8 @@
     return request.substr(value, request.find("\r\n", value) - value);
 }
 
-std::string answerTo(const std::string &request, const std::string &body,
-                     const std::string &status, const std::string &headers)
+std::string answerTo(const std::string &request, const std::string &body, const std::string &status,
+                     const std::string &headers)
 {
     return "HTTP/1.1 " + status + "\r\nRequest-Id: " + headerOf(request, "Request-Id")
            + "\r\nServer-Seal: seal\r\n" + headers
--- a/Source/UnitTests/Entry/ScriptedBackend.h
+++ b/Source/UnitTests/Entry/ScriptedBackend.h
@@ -31,8 +31,8 @@
     std::string buffer;
 };
 
-/// A backend server on a loopback port that does what the test's script says, with a thread for each
-/// connection.
+/// A backend server on a loopback port that does what the test's script says, with a thread for
+/// each connection.
 class ScriptedBackend
 {
 public:
--- a/Source/UnitTests/Entry/SteeringFixture.cpp
+++ b/Source/UnitTests/Entry/SteeringFixture.cpp
@@ -78,11 +78,10 @@
     return result;
 }
 
-std::optional<Adapter::HttpResponse>
-SteeringFixture::run(const Adapter::HttpRequest &request, std::optional<absl::Duration> leaveAfter)
+std::optional<Adapter::HttpResponse> SteeringFixture::run(const Adapter::HttpRequest &request,
+                                                          std::optional<absl::Duration> leaveAfter)
 {
     std::optional<Adapter::HttpResponse> response;
-    bool done = false;
     const auto caller = std::make_shared<CallerState>(this->context);
     boost::asio::steady_timer timer(this->context);
     if (leaveAfter) {
@@ -96,15 +95,14 @@
     boost::asio::co_spawn(
             this->context,
             [](SteeringFixture &fixture, const Adapter::HttpRequest &request, SharedCaller caller,
-               std::optional<Adapter::HttpResponse> &response, bool &done) -> Task {
+               std::optional<Adapter::HttpResponse> &response) -> Task {
                 response = co_await fixture.steering.handle(request, caller);
-                done = true;
-            }(*this, request, caller, response, done),
+                // Attempts that outlive the request go on with runFor().
+                fixture.context.stop();
+            }(*this, request, caller, response),
             boost::asio::detached);
     this->context.restart();
-    while (!done) {
-        this->context.run_one();
-    }
+    this->context.run();
     timer.cancel();
     return response;
 }
--- a/Source/UnitTests/Entry/SteeringFixture.h
+++ b/Source/UnitTests/Entry/SteeringFixture.h
@@ -19,8 +19,8 @@
 
     /// Adds a server of the service that listens on `port`.
     void addServer(const std::string &name, std::uint16_t port);
-    /// Replaces the configuration by one with a route that may be repeated (/read/) and one that must
-    /// not (/write/).
+    /// Replaces the configuration by one with a route that may be repeated (/read/) and one that
+    /// must not (/write/).
     void configure(absl::Duration timeout = absl::Seconds(5), std::uint32_t maxAttempts = 3);
 
     static Adapter::HttpRequest request(const std::string &path, const std::string &id = "id-1");
--- a/Source/UnitTests/Steering/RoutingTest.cpp
+++ b/Source/UnitTests/Steering/RoutingTest.cpp
@@ -21,10 +21,10 @@
 
 RoutingConfiguration configuration()
 {
-    return RoutingConfiguration(7, {},
-                                { route("/", "root"), route("/slots/", "slotview"),
-                                  route("/slots/old/", "oldnews") },
-                                {});
+    return RoutingConfiguration(
+            7, {},
+            { route("/", "root"), route("/slots/", "slotview"), route("/slots/old/", "oldnews") },
+            {});
 }
 
 EntryVm vm(const std::string &name, const std::string &zone, const std::string &region,
--- a/Source/UnitTests/Steering/ServerSelectorTest.cpp
+++ b/Source/UnitTests/Steering/ServerSelectorTest.cpp
@@ -1,3 +1,5 @@
+#include "currantfall/Steering/ServerSelector.h"
+
 #include <algorithm>
 #include <memory>
 
@@ -6,7 +8,6 @@
 
 #include "currantfall/Steering/LocalityShares.h"
 #include "currantfall/Steering/RetryAllowance.h"
-#include "currantfall/Steering/ServerSelector.h"
 
 using namespace Currantfall::Steering;
 using namespace Currantfall::Common;
@@ -126,8 +127,7 @@
     int moved = 0;
     for (int object = 0; object < 60; ++object) {
         const std::string name = std::to_string(object);
-        const Selection was
-                = before.selector.select(before.question(name), &before.terms, at(0));
+        const Selection was = before.selector.select(before.question(name), &before.terms, at(0));
         const Selection is = after.selector.select(after.question(name), &after.terms, at(0));
         const auto oldName = std::get<SendTo>(was).server->server().name;
         const auto newName = std::get<SendTo>(is).server->server().name;
@@ -147,8 +147,7 @@
     for (std::uint32_t request = 0; request < 6 * slots; ++request) {
         SelectionQuestion question = deployment.question("", 500);
         question.requestId = std::to_string(request);
-        const Selection selection
-                = deployment.selector.select(question, &deployment.terms, at(0));
+        const Selection selection = deployment.selector.select(question, &deployment.terms, at(0));
         const auto *choice = std::get_if<SendTo>(&selection);
         REQUIRE(choice != nullptr);
         deployment.selector.onSent(question, *choice, at(0));
@@ -180,6 +179,7 @@
 TEST_CASE("A cold server gets at most its rate in any second, summed over all VMs")
 {
     std::vector<VmName> vms;
+    vms.reserve(10);
     for (int vm = 0; vm < 10; ++vm) {
         vms.emplace_back("vm" + std::to_string(vm));
     }
@@ -248,8 +248,8 @@
         }
     }
     deployment.selector.setEvacuatedZones({ ZoneName("a"), ZoneName("b") }, at(0));
-    const Selection none = deployment.selector.select(deployment.question("1"), &deployment.terms,
-                                                      at(100));
+    const Selection none
+            = deployment.selector.select(deployment.question("1"), &deployment.terms, at(100));
     CHECK(std::get<Reject>(none).reason == RejectReason::NoServer);
 }
 
@@ -352,12 +352,10 @@
             }
         }
         for (const int start : retries) {
-            const auto inWindow = [start](int time) {
-                return time >= start && time < start + 10000;
-            };
-            const auto inThisOrLast = [start](int time) {
-                return time >= start - 10000 && time < start + 10000;
-            };
+            const auto inWindow
+                    = [start](int time) { return time >= start && time < start + 10000; };
+            const auto inThisOrLast
+                    = [start](int time) { return time >= start - 10000 && time < start + 10000; };
             const auto used = std::count_if(retries.begin(), retries.end(), inWindow);
             const auto asked = std::count_if(requests.begin(), requests.end(), inThisOrLast);
             RC_ASSERT(static_cast<double>(used)
--- a/Source/UnitTests/Steering/TableReplicaTest.cpp
+++ b/Source/UnitTests/Steering/TableReplicaTest.cpp
@@ -1,7 +1,8 @@
+#include "currantfall/Steering/TableReplica.h"
+
 #include <catch2/catch.hpp>
 
 #include "currantfall/Steering/ReadSchedule.h"
-#include "currantfall/Steering/TableReplica.h"
 
 using namespace Currantfall::Steering;
 using namespace Currantfall::Common;
--- a/include/currantfall/Steering/RoutingConfiguration.h
+++ b/include/currantfall/Steering/RoutingConfiguration.h
@@ -58,8 +58,8 @@
 /// What callers may send, and how long they may take.
 struct CallerLimits
 {
-    std::size_t headerBytes = 16 * 1024;
-    std::size_t bodyBytes = 64 * 1024 * 1024;
+    std::size_t headerBytes = std::size_t { 16 } * 1024;
+    std::size_t bodyBytes = std::size_t { 64 } * 1024 * 1024;
     absl::Duration headerTimeout = absl::Seconds(3);
     absl::Duration idleTimeout = absl::Seconds(15);
 
--- a/include/currantfall/Steering/ServerSelector.h
+++ b/include/currantfall/Steering/ServerSelector.h
@@ -10,7 +10,6 @@
 #include <absl/time/time.h>
 
 #include "currantfall/Common/Time.h"
-
 #include "currantfall/Steering/LocalityShares.h"
 #include "currantfall/Steering/RoutingConfiguration.h"
 #include "currantfall/Steering/ServerTable.h"
--- a/include/currantfall/Steering/ServerTable.h
+++ b/include/currantfall/Steering/ServerTable.h
@@ -11,7 +11,6 @@
 
 #include "currantfall/Admission/CircuitBreaker.h"
 #include "currantfall/Common/Time.h"
-
 #include "currantfall/Steering/BackendServer.h"
 
 namespace Currantfall::Steering {
--- a/include/currantfall/Steering/TableReplica.h
+++ b/include/currantfall/Steering/TableReplica.h
@@ -49,7 +49,7 @@
     enum class Verdict {
         Applied,
         Stale, ///< The replica is newer; nothing was changed.
-        Gap,   ///< Changes are missing between the replica and the update; a complete one is needed.
+        Gap, ///< Changes are missing between the replica and the update; a complete one is needed.
     };
     struct Outcome
     {
