Release idempotent requests from servers that can't be reached

Change: when a server's breaker opens because connections fail, idempotent requests that run there end as broken and go to another server.

--- a/Source/Entry/BackendPool.cpp
+++ b/Source/Entry/BackendPool.cpp
@@ -75,6 +75,13 @@
     }
 }
 
+void Exchange::interrupt()
+{
+    if (this->connection) {
+        closeQuietly(*this->connection);
+    }
+}
+
 BackendPool::BackendPool(boost::asio::io_context &context, Telemetry::MetricsRegistry &metrics)
     : context(context), metrics(metrics)
 { }
--- a/Source/Entry/BackendPool.h
+++ b/Source/Entry/BackendPool.h
@@ -46,6 +46,8 @@
 
     /// Closes the connection, so that the server stops its work.
     void cancel();
+    /// Ends the exchange as broken: its server can't be reached any more.
+    void interrupt();
 };
 
 struct ExchangeResult
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -78,11 +78,11 @@
     this->log.important("start", { { "zone", this->settings.zone.value() },
                                    { "region", this->settings.region.value() },
                                    { "store", this->settings.store.toString() } });
-    if (const auto started = this->startCluster(); !started) {
+    if (auto started = this->startCluster(); !started) {
         return started;
     }
     this->startStore();
-    if (const auto started = this->startEndpoints(); !started) {
+    if (auto started = this->startEndpoints(); !started) {
         return started;
     }
     this->subscribeTimers();
@@ -525,6 +525,7 @@
         return { 503, "text/plain", "" };
     }
     std::vector<std::string> addresses;
+    addresses.reserve(entries.size());
     for (const Steering::EntryVm &vm : entries) {
         addresses.push_back(vm.address);
     }
--- a/Source/Entry/RequestSteering.cpp
+++ b/Source/Entry/RequestSteering.cpp
@@ -252,12 +252,17 @@
 Task RequestSteering::runAttempt(std::shared_ptr<Attempt> attempt)
 {
     ++this->inProgress;
+    this->running.insert(attempt);
     ExchangeResult result = co_await this->backendPool.run(attempt->exchange);
+    this->running.erase(attempt);
     --this->inProgress;
     const Common::Instant now = Common::monotonicNow();
     if (Steering::ServerRecord *server = this->table.find(attempt->exchange->server.name)) {
         const Steering::LoadReport *load = result.meaning.load ? &*result.meaning.load : nullptr;
         server->onEnd(now, result.end, load);
+        if (result.end == AttemptEnd::Unreachable && !server->usable(now)) {
+            this->releaseStranded(attempt->exchange->server.name);
+        }
     }
     if (result.end == AttemptEnd::Answered && result.meaning.success) {
         this->serverSelector.onAnswered(attempt->service, attempt->warm, now - attempt->start);
@@ -266,6 +271,15 @@
     attempt->caller->wake.cancel();
 }
 
+void RequestSteering::releaseStranded(const Common::BackendServerName &server)
+{
+    for (const std::shared_ptr<Attempt> &attempt : this->running) {
+        if (attempt->exchange->server.name == server && attempt->exchange->idempotent) {
+            attempt->exchange->interrupt();
+        }
+    }
+}
+
 void RequestSteering::cancelLater(std::shared_ptr<Attempt> attempt)
 {
     boost::asio::co_spawn(
--- a/Source/Entry/RequestSteering.h
+++ b/Source/Entry/RequestSteering.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 #include "currantfall/Common/EventLog.h"
@@ -79,6 +80,8 @@
     std::shared_ptr<Attempt> startAttempt(Work &work, const Steering::SendTo &choice);
     Task runAttempt(std::shared_ptr<Attempt> attempt);
     Task checkHealth(Common::BackendServerName name);
+    /// Lets idempotent requests on a server that can't be reached any more go to another one.
+    void releaseStranded(const Common::BackendServerName &server);
     /// Ends an idempotent request on its server a little after its caller got a timeout.
     void cancelLater(std::shared_ptr<Attempt> attempt);
 
@@ -101,6 +104,8 @@
     Steering::SplitChooser splits;
     BackendPool backendPool;
     std::map<Common::ServiceName, Steering::RetryAllowance> allowances;
+    /// Attempts that are running.
+    std::set<std::shared_ptr<Attempt>> running;
     Common::Instant serversConfirmed;
     std::size_t inProgress = 0;
     std::minstd_rand random;
--- a/Source/UnitTests/Entry/RequestSteeringTest.cpp
+++ b/Source/UnitTests/Entry/RequestSteeringTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "currantfall/Common/RendezvousHash.h"
+
 #include "ScriptedBackend.h"
 #include "SteeringFixture.h"
 
@@ -329,3 +331,41 @@
     }
     CHECK(fixture.run(SteeringFixture::request("/read/1"))->result_int() == 200);
 }
+
+// Guards against callers that wait until their deadline for a server that has lost power.
+TEST_CASE("Idempotent requests leave a server that can't be reached any more")
+{
+    const bool idempotent = GENERATE(false, true);
+    std::atomic<int> silent { 0 };
+    ScriptedBackend dark([&](ScriptedConnection &connection) {
+        if (!connection.readRequest().empty()) {
+            ++silent;
+            connection.closedWithin(4000);
+        }
+    });
+    ScriptedBackend good(answerAll);
+    // A name that comes after the silent server's in the object's order.
+    std::string second = "j";
+    while (Common::rendezvousWeight("1", second) > Common::rendezvousWeight("1", "i-1")) {
+        second += "j";
+    }
+    SteeringFixture fixture;
+    fixture.addServer("i-1", dark.port());
+    fixture.addServer(second, good.port());
+    const auto stranded
+            = fixture.launch(SteeringFixture::request(idempotent ? "/read/1" : "/write/1"));
+    while (silent == 0) {
+        fixture.runFor(absl::Milliseconds(10));
+    }
+    dark.stopListening();
+    for (int request = 0; request < 2; ++request) {
+        const auto response = fixture.run(SteeringFixture::request("/read/2", "id-2"));
+        REQUIRE(response);
+        CHECK(response->result_int() == 200);
+    }
+    fixture.runFor(absl::Milliseconds(300));
+    REQUIRE(stranded->has_value() == idempotent);
+    if (idempotent) {
+        CHECK((*stranded)->result_int() == 200);
+    }
+}
--- a/Source/UnitTests/Entry/ScriptedBackend.cpp
+++ b/Source/UnitTests/Entry/ScriptedBackend.cpp
@@ -78,11 +78,18 @@
     this->acceptor = std::thread([this] { this->accept(); });
 }
 
+void ScriptedBackend::stopListening()
+{
+    if (this->acceptor.joinable()) {
+        ::shutdown(this->listener, SHUT_RDWR);
+        this->acceptor.join();
+        ::close(this->listener);
+    }
+}
+
 ScriptedBackend::~ScriptedBackend()
 {
-    ::shutdown(this->listener, SHUT_RDWR);
-    this->acceptor.join();
-    ::close(this->listener);
+    this->stopListening();
     {
         const std::lock_guard lock(this->mutex);
         for (const int descriptor : this->open) {
--- a/Source/UnitTests/Entry/ScriptedBackend.h
+++ b/Source/UnitTests/Entry/ScriptedBackend.h
@@ -44,6 +44,8 @@
     ScriptedBackend &operator=(const ScriptedBackend &) = delete;
 
     std::uint16_t port() const { return this->listenPort; }
+    /// From now on connections are refused; open ones stay.
+    void stopListening();
     int connections() const { return this->accepted; }
 
 private:
--- a/Source/UnitTests/Entry/SteeringFixture.cpp
+++ b/Source/UnitTests/Entry/SteeringFixture.cpp
@@ -107,6 +107,21 @@
     return response;
 }
 
+std::shared_ptr<std::optional<Adapter::HttpResponse>>
+SteeringFixture::launch(const Adapter::HttpRequest &request)
+{
+    auto response = std::make_shared<std::optional<Adapter::HttpResponse>>();
+    boost::asio::co_spawn(
+            this->context,
+            [](SteeringFixture &fixture, Adapter::HttpRequest request,
+               std::shared_ptr<std::optional<Adapter::HttpResponse>> response) -> Task {
+                const auto caller = std::make_shared<CallerState>(fixture.context);
+                *response = co_await fixture.steering.handle(request, caller);
+            }(*this, request, response),
+            boost::asio::detached);
+    return response;
+}
+
 void SteeringFixture::runFor(absl::Duration duration)
 {
     this->context.restart();
--- a/Source/UnitTests/Entry/SteeringFixture.h
+++ b/Source/UnitTests/Entry/SteeringFixture.h
@@ -28,6 +28,9 @@
     /// The response; nothing if the caller has left. With `leaveAfter` the caller leaves then.
     std::optional<Adapter::HttpResponse> run(const Adapter::HttpRequest &request,
                                              std::optional<absl::Duration> leaveAfter = {});
+    /// Starts a request that goes on during run() and runFor().
+    std::shared_ptr<std::optional<Adapter::HttpResponse>>
+    launch(const Adapter::HttpRequest &request);
     /// Lets attempts and timers go on that outlive their request.
     void runFor(absl::Duration duration);
 
