--- a/Source/Core/Steering/RetryAllowance.cpp
+++ b/Source/Core/Steering/RetryAllowance.cpp
@@ -55,10 +55,4 @@
     return true;
 }
 
-double RetryAllowance::used(Common::Instant now, std::size_t vmCount)
-{
-    const auto [retries, allowed] = this->usedAndAllowed(now, vmCount);
-    return allowed <= 0.0 ? 1.0 : std::min(1.0, retries / allowed);
-}
-
 } // namespace Currantfall::Steering
--- a/Source/Core/Steering/ServerSelector.cpp
+++ b/Source/Core/Steering/ServerSelector.cpp
@@ -57,11 +57,10 @@
     : settings(std::move(settings)), servers(servers), vms({ this->settings.vm })
 { }
 
-void ServerSelector::setEvacuatedZones(std::set<Common::ZoneName> zones, Common::Instant)
+void ServerSelector::setEvacuatedZones(std::set<Common::ZoneName> zones)
 {
     if (zones != this->evacuated) {
         this->evacuated = std::move(zones);
-        ++this->evacuationCount;
         this->weights.clear();
     }
 }
--- a/Source/Entry/Asio.cpp
+++ b/Source/Entry/Asio.cpp
@@ -11,6 +11,7 @@
 
 // Connections that wait to be accepted; a full queue delays callers by seconds.
 constexpr int acceptQueue = 1024;
+constexpr absl::Duration acceptPause = absl::Milliseconds(50);
 
 void setOption(Tcp::socket &socket, int level, int name, int value)
 {
@@ -46,6 +47,27 @@
     return acceptor;
 }
 
+Task acceptAll(Tcp::acceptor &acceptor, std::function<void(Tcp::socket)> serve,
+               std::function<void(const IoError &)> onError)
+{
+    while (acceptor.is_open()) {
+        IoError error;
+        Tcp::socket socket(acceptor.get_executor());
+        co_await acceptor.async_accept(socket, awaitInto(error));
+        if (error == boost::asio::error::operation_aborted) {
+            co_return;
+        }
+        if (error) {
+            // Out of descriptors: connections that end free some.
+            onError(error);
+            boost::asio::steady_timer timer(acceptor.get_executor());
+            co_await sleepFor(timer, acceptPause);
+            continue;
+        }
+        serve(std::move(socket));
+    }
+}
+
 void detectSilence(Tcp::socket &socket, absl::Duration silence)
 {
     constexpr int probes = 2;
--- a/Source/Entry/Asio.h
+++ b/Source/Entry/Asio.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <utility> // Boost 1.74's awaitable.hpp uses std::exchange without including it.
 
 #include <absl/time/time.h>
@@ -46,6 +47,11 @@
 Common::Result<Tcp::acceptor> listenOn(boost::asio::io_context &context,
                                        const Platform::HostPort &endpoint);
 
+/// Hands every connection to `serve` until the acceptor is closed. `onError` gets failures to
+/// accept, after which it goes on.
+Task acceptAll(Tcp::acceptor &acceptor, std::function<void(Tcp::socket)> serve,
+               std::function<void(const IoError &)> onError);
+
 /// Makes a connection fail when its peer has been silent: without an acknowledgement of sent data
 /// or of keep-alive probes for `silence`.
 void detectSilence(Tcp::socket &socket, absl::Duration silence);
--- a/Source/Entry/CallerListener.cpp
+++ b/Source/Entry/CallerListener.cpp
@@ -68,7 +68,13 @@
     }
     std::unique_ptr<CallerListener> listener(
             new CallerListener(context, std::move(*acceptor), settings, steering, log));
-    boost::asio::co_spawn(context, listener->accept(), boost::asio::detached);
+    CallerListener *target = listener.get();
+    const auto take = [target](Tcp::socket socket) { target->take(std::move(socket)); };
+    const auto logError = [target](const IoError &error) {
+        target->log.important("accept_failed", { { "error", error.message() } });
+    };
+    boost::asio::co_spawn(context, acceptAll(target->acceptor, take, logError),
+                          boost::asio::detached);
     return listener;
 }
 
@@ -88,29 +94,15 @@
     this->acceptor.close(ignored);
 }
 
-Task CallerListener::accept()
+void CallerListener::take(Tcp::socket socket)
 {
-    while (this->acceptor.is_open()) {
-        IoError error;
-        Tcp::socket socket(this->context);
-        co_await this->acceptor.async_accept(socket, awaitInto(error));
-        if (error == boost::asio::error::operation_aborted) {
-            co_return;
+    if (this->connections >= this->mostConnections) {
+        if (this->log.admits()) {
+            this->log.write("connection_refused", { { "connections", this->connections } });
         }
-        if (error) {
-            this->log.important("accept_failed", { { "error", error.message() } });
-            boost::asio::steady_timer timer(this->context);
-            co_await sleepFor(timer, absl::Milliseconds(50));
-            continue;
-        }
-        if (this->connections >= this->mostConnections) {
-            if (this->log.admits()) {
-                this->log.write("connection_refused", { { "connections", this->connections } });
-            }
-            continue;
-        }
-        boost::asio::co_spawn(this->context, this->serve(std::move(socket)), boost::asio::detached);
+        return;
     }
+    boost::asio::co_spawn(this->context, this->serve(std::move(socket)), boost::asio::detached);
 }
 
 Task CallerListener::serve(Tcp::socket socket)
--- a/Source/Entry/CallerListener.h
+++ b/Source/Entry/CallerListener.h
@@ -36,7 +36,8 @@
     CallerListener(boost::asio::io_context &context, Tcp::acceptor acceptor,
                    const EntrySettings &settings, RequestSteering &steering, Common::EventLog &log);
 
-    Task accept();
+    /// Serves a new connection unless there are too many.
+    void take(Tcp::socket socket);
     Task serve(Tcp::socket socket);
     /// Answers one request; false if the connection ends.
     boost::asio::awaitable<bool> serveOne(boost::beast::tcp_stream &stream,
--- /dev/null
+++ b/Source/Entry/EntryDaemonRows.cpp
@@ -0,0 +1,136 @@
+#include <utility>
+
+#include "EntryDaemon.h"
+#include "VmRow.h"
+#include "platform/OperatorRows.h"
+#include "platform/ServerRows.h"
+
+// What changed rows of the platform's store mean for this VM.
+
+namespace Currantfall::Entry {
+
+namespace {
+
+// A cold time that differs by less from what is known is not passed on to peers.
+constexpr absl::Duration coldTolerance = absl::Milliseconds(500);
+
+} // namespace
+
+std::vector<Steering::RowChange>
+EntryDaemon::onRows(const std::string &table, const std::vector<Steering::RowChange> &changes)
+{
+    if (table == Adapter::serverTable) {
+        return this->onServerRows(changes);
+    }
+    if (table == Adapter::operatorTable) {
+        this->onOperatorRows(changes);
+    } else if (!changes.empty()) {
+        this->onVmRows();
+    }
+    return changes;
+}
+
+std::vector<Steering::RowChange>
+EntryDaemon::onServerRows(const std::vector<Steering::RowChange> &changes)
+{
+    std::vector<Steering::RowChange> news;
+    Steering::ServerTable &servers = this->steering.servers();
+    for (const Steering::RowChange &row : changes) {
+        const Common::BackendServerName name(row.key);
+        auto server = row.deleted ? tl::unexpected(
+                              Common::Error(make_error_code(Common::ErrorCode::NotFound),
+                                            "read backend server", row.key, "deleted"))
+                                  : Adapter::readServer(row.key, row.value);
+        Steering::ServerRecord *known = servers.find(name);
+        if (!server) {
+            if (known != nullptr) {
+                servers.remove(name);
+                this->steering.pool().drop(name);
+                this->log.important("server_removed", Common::errorFields(server.error()));
+                news.push_back(row);
+            } else if (!row.deleted && this->log.admits()) {
+                this->log.write("server_ignored", Common::errorFields(server.error()));
+            }
+            continue;
+        }
+        if (known != nullptr) {
+            Steering::BackendServer before = known->server();
+            before.coldFor = server->coldFor;
+            const absl::Duration coldChange = row.readAt + server->coldFor - known->coldUntil();
+            const bool coldChanged = server->coldFor > absl::ZeroDuration()
+                                     && absl::AbsDuration(coldChange) > coldTolerance;
+            if (before == *server && !coldChanged) {
+                continue;
+            }
+        }
+        servers.put(*server, row.readAt);
+        news.push_back(row);
+        this->log.important("server", { { "server", row.key },
+                                        { "service", server->service.value() },
+                                        { "zone", server->zone.value() },
+                                        { "draining", server->draining },
+                                        { "cold_ms", absl::ToInt64Milliseconds(server->coldFor) },
+                                        { "version", row.version } });
+    }
+    return news;
+}
+
+void EntryDaemon::onOperatorRows(const std::vector<Steering::RowChange> &changes)
+{
+    for (const Steering::RowChange &row : changes) {
+        if (row.key == Adapter::configurationKey && !row.deleted) {
+            this->adopt(row);
+        }
+    }
+    std::set<Common::ZoneName> evacuated;
+    for (const auto &[key, row] : this->store->replica(Adapter::operatorTable).rows()) {
+        if (const auto zone = Adapter::evacuatedZone(key)) {
+            evacuated.insert(*zone);
+        }
+    }
+    for (const Steering::RowChange &row : changes) {
+        if (const auto zone = Adapter::evacuatedZone(row.key)) {
+            this->log.important("evacuation", { { "zone", zone->value() },
+                                                { "in_force", !row.deleted },
+                                                { "version", row.version } });
+        }
+    }
+    this->steering.selector().setEvacuatedZones(std::move(evacuated));
+}
+
+void EntryDaemon::adopt(const Steering::RowChange &row)
+{
+    auto read = Adapter::readConfiguration(row.value);
+    if (!read) {
+        this->log.important("configuration_refused", Common::errorFields(read.error()));
+        return;
+    }
+    const auto &current = this->steering.configuration();
+    if (current != nullptr && read->version() <= current->version()) {
+        return;
+    }
+    this->log.important(
+            "configuration",
+            { { "version", read->version() },
+              { "routes", read->routeCount() },
+              { "age_ms", absl::ToInt64Milliseconds(Common::monotonicNow() - row.readAt) } });
+    this->steering.setConfiguration(
+            std::make_shared<const Steering::RoutingConfiguration>(std::move(*read)));
+}
+
+void EntryDaemon::onVmRows()
+{
+    std::vector<Membership::ListedVm> vms;
+    for (const auto &[name, row] : this->store->replica(vmTable).rows()) {
+        auto vm = readVmRow(name, row.value);
+        if (vm) {
+            this->processorShares[vm->vm.vm] = vm->processorShare;
+            vms.push_back(std::move(vm->vm));
+        } else {
+            this->log.important("vm_row_ignored", Common::errorFields(vm.error()));
+        }
+    }
+    this->cluster->setListed(std::move(vms), Common::monotonicNow());
+}
+
+} // namespace Currantfall::Entry
--- a/Source/Entry/EntrySettings.cpp
+++ b/Source/Entry/EntrySettings.cpp
@@ -110,7 +110,6 @@
     settings.retries.window = absl::Seconds(reader.number("/retries/window_s", 0.1, 3600));
     settings.cold.overage = reader.number("/cold/overage", 0, 100);
     settings.cold.extra = reader.number("/cold/extra", 0, 1e6);
-    settings.evacuateWithin = absl::Milliseconds(reader.number("/evacuate_within_ms", 1, 1e6));
     const json *zones = reader.find("/zones");
     if (zones == nullptr || !zones->is_object()) {
         reader.fail("/zones", "an object of zone names and their regions");
--- a/Source/Entry/EntrySettings.h
+++ b/Source/Entry/EntrySettings.h
@@ -40,8 +40,6 @@
     absl::Duration lookupTtlMax;
     Steering::RetryTerms retries;
     Steering::ColdTerms cold;
-    /// Time after which an evacuated zone gets no more requests.
-    absl::Duration evacuateWithin;
 
     /// InvalidInput names the field and what was expected. Unknown fields are ignored.
     static Common::Result<EntrySettings> parse(const std::string &text);
--- a/Source/Entry/HttpEndpoint.cpp
+++ b/Source/Entry/HttpEndpoint.cpp
@@ -25,7 +25,14 @@
     }
     std::unique_ptr<HttpEndpoint> endpoint(
             new HttpEndpoint(context, std::move(*acceptor), std::move(handler)));
-    boost::asio::co_spawn(context, endpoint->accept(), boost::asio::detached);
+    HttpEndpoint *target = endpoint.get();
+    const auto serve = [target](Tcp::socket socket) {
+        boost::asio::co_spawn(target->context, target->serve(std::move(socket)),
+                              boost::asio::detached);
+    };
+    const auto ignore = [](const IoError &) {};
+    boost::asio::co_spawn(context, acceptAll(target->acceptor, serve, ignore),
+                          boost::asio::detached);
     return endpoint;
 }
 
@@ -40,25 +47,6 @@
     this->acceptor.close(ignored);
 }
 
-Task HttpEndpoint::accept()
-{
-    while (this->acceptor.is_open()) {
-        IoError error;
-        Tcp::socket socket(this->context);
-        co_await this->acceptor.async_accept(socket, awaitInto(error));
-        if (error == boost::asio::error::operation_aborted) {
-            co_return;
-        }
-        if (error) {
-            // Out of descriptors: connections that end free some.
-            boost::asio::steady_timer timer(this->context);
-            co_await sleepFor(timer, absl::Milliseconds(50));
-            continue;
-        }
-        boost::asio::co_spawn(this->context, this->serve(std::move(socket)), boost::asio::detached);
-    }
-}
-
 Task HttpEndpoint::serve(Tcp::socket socket)
 {
     boost::beast::tcp_stream stream(std::move(socket));
--- a/Source/Entry/HttpEndpoint.h
+++ b/Source/Entry/HttpEndpoint.h
@@ -33,7 +33,6 @@
 private:
     HttpEndpoint(boost::asio::io_context &context, Tcp::acceptor acceptor, Handler handler);
 
-    Task accept();
     Task serve(Tcp::socket socket);
 
     boost::asio::io_context &context;
--- a/Source/Entry/StoreSync.cpp
+++ b/Source/Entry/StoreSync.cpp
@@ -94,12 +94,6 @@
     return this->states.at(table).replica;
 }
 
-bool StoreSync::storeReachable() const
-{
-    return std::all_of(this->states.begin(), this->states.end(),
-                       [](const auto &entry) { return entry.second.reachable; });
-}
-
 void StoreSync::advance(Common::Instant now)
 {
     if (this->stopped) {
--- a/Source/Entry/StoreSync.h
+++ b/Source/Entry/StoreSync.h
@@ -57,8 +57,6 @@
                    Common::Instant now);
 
     const Steering::TableReplica &replica(const std::string &table) const;
-    /// False after stop() and while the store does not answer this VM.
-    bool storeReachable() const;
     void stop() { this->stopped = true; }
 
 private:
--- a/Source/UnitTests/Entry/EntrySettingsTest.cpp
+++ b/Source/UnitTests/Entry/EntrySettingsTest.cpp
@@ -21,7 +21,7 @@
         "memory_mb": 260, "max_descriptors": 4100, "processor_share": 0.2,
         "shutdown_grace_s": 6, "lookup_ttl_max_s": 5,
         "retries": {"ratio": 0.2, "extra": 60, "window_s": 10},
-        "cold": {"overage": 1.5, "extra": 5}, "evacuate_within_ms": 5000, "unknown": [1]})");
+        "cold": {"overage": 1.5, "extra": 5}, "unknown": [1]})");
 }
 
 } // namespace
--- a/Source/UnitTests/Steering/ServerSelectorTest.cpp
+++ b/Source/UnitTests/Steering/ServerSelectorTest.cpp
@@ -238,7 +238,7 @@
 TEST_CASE("Evacuated zones and regions that a route does not allow get nothing")
 {
     Deployment deployment;
-    deployment.selector.setEvacuatedZones({ ZoneName("a") }, at(0));
+    deployment.selector.setEvacuatedZones({ ZoneName("a") });
     deployment.route.allowedRegions = { RegionName("west") };
     for (int object = 0; object < 30; ++object) {
         ServerRecord *chosen = deployment.send(std::to_string(object), object);
@@ -247,7 +247,7 @@
             chosen->onEnd(at(object), AttemptEnd::Answered, nullptr);
         }
     }
-    deployment.selector.setEvacuatedZones({ ZoneName("a"), ZoneName("b") }, at(0));
+    deployment.selector.setEvacuatedZones({ ZoneName("a"), ZoneName("b") });
     const Selection none
             = deployment.selector.select(deployment.question("1"), &deployment.terms, at(100));
     CHECK(std::get<Reject>(none).reason == RejectReason::NoServer);
--- a/include/currantfall/Steering/RetryAllowance.h
+++ b/include/currantfall/Steering/RetryAllowance.h
@@ -31,8 +31,6 @@
     void onRequest(Common::Instant now);
     /// Takes one retry; false if there is none left in the window.
     [[nodiscard]] bool tryTake(Common::Instant now, std::size_t vmCount);
-    /// The window's share of retries that is in use, 0 to 1.
-    double used(Common::Instant now, std::size_t vmCount);
 
 private:
     struct Interval
--- a/include/currantfall/Steering/ServerSelector.h
+++ b/include/currantfall/Steering/ServerSelector.h
@@ -106,7 +106,7 @@
     /// Learns how long the service's requests take. `warm` is what the selection expected.
     void onAnswered(const Common::ServiceName &service, bool warm, absl::Duration time);
 
-    void setEvacuatedZones(std::set<Common::ZoneName> zones, Common::Instant now);
+    void setEvacuatedZones(std::set<Common::ZoneName> zones);
     /// All VMs that may send requests, this one included.
     void setVms(std::vector<Common::VmName> vms);
     std::size_t vmCount() const { return this->vms.size(); }
@@ -168,7 +168,6 @@
     SelectorSettings settings;
     ServerTable &servers;
     std::set<Common::ZoneName> evacuated;
-    std::uint64_t evacuationCount = 0;
     std::vector<Common::VmName> vms;
     std::map<Common::ServiceName, Times> times;
     std::map<ObjectKey, ObjectMove> movedObjects;
