Log why a request on credit is refused

Neither the test nor the daemons said which VM had sent the request and whether its credit had lapsed or was used up. The granter now tells unknown, lapsed and used-up credits apart and logs each refusal with holder and request; the test shows these lines when it fails.

--- a/Source/Core/Credits/CreditGranter.cpp
+++ b/Source/Core/Credits/CreditGranter.cpp
@@ -41,6 +41,21 @@
 
 } // namespace
 
+std::string toString(CreditUse use)
+{
+    switch (use) {
+    case CreditUse::Begun:
+        return "begun";
+    case CreditUse::Unknown:
+        return "unknown";
+    case CreditUse::Lapsed:
+        return "lapsed";
+    case CreditUse::UsedUp:
+        return "used up";
+    }
+    return "invalid";
+}
+
 CreditGranter::CreditGranter(CreditGranterSettings settings) : settings(settings) { }
 
 void CreditGranter::setSlots(Common::Instant now, std::size_t total, std::size_t free)
@@ -87,19 +102,23 @@
                          creditValidity };
 }
 
-bool CreditGranter::begin(Common::Instant now, const Common::VmName &holder, CreditId credit,
-                          std::size_t bytes)
+CreditUse CreditGranter::begin(Common::Instant now, const Common::VmName &holder, CreditId credit,
+                               std::size_t bytes)
 {
     this->received += bytes;
     const auto entry = this->holders.find(holder);
     if (entry == this->holders.end()) {
-        return false;
+        return CreditUse::Unknown;
     }
     const auto grant = entry->second.grants.find(credit);
-    const bool usable = grant != entry->second.grants.end() && now < grant->second.expires
-                        && entry->second.inProgress < grant->second.concurrent;
-    if (!usable) {
-        return false;
+    if (grant == entry->second.grants.end()) {
+        return CreditUse::Unknown;
+    }
+    if (now >= grant->second.expires) {
+        return CreditUse::Lapsed;
+    }
+    if (entry->second.inProgress >= grant->second.concurrent) {
+        return CreditUse::UsedUp;
     }
     ++entry->second.inProgress;
     ++this->running;
@@ -107,7 +126,7 @@
             now < grant->second.expires && entry->second.inProgress <= grant->second.concurrent,
             partName, "a request begins on a credit that is in force and not used up",
             [&] { return this->describe(now); });
-    return true;
+    return CreditUse::Begun;
 }
 
 void CreditGranter::end(const Common::VmName &holder, CreditId)
--- a/Source/Daemon/CreditFlow.cpp
+++ b/Source/Daemon/CreditFlow.cpp
@@ -138,10 +138,17 @@
         return true;
     }
     const auto found = this->granters.find(request.service);
-    const bool begun
-            = found != this->granters.end()
-              && found->second.begin(this->context.now, holder, credit, request.body.size());
-    this->refused += begun ? 0 : 1;
+    const Credits::CreditUse use
+            = found == this->granters.end()
+                      ? Credits::CreditUse::Unknown
+                      : found->second.begin(this->context.now, holder, credit, request.body.size());
+    const bool begun = use == Credits::CreditUse::Begun;
+    if (!begun) {
+        ++this->refused;
+        this->context.log.info("refused a request on credit " + std::to_string(credit) + ": "
+                                       + Credits::toString(use),
+                               holder.value(), request.id);
+    }
     this->context.metrics.addToCounter(begun ? "currantfall_shifted_requests_total"
                                              : "currantfall_credit_refusals_total",
                                        { { "service", request.service.value() } });
--- a/Source/UnitTests/Credits/CreditsTest.cpp
+++ b/Source/UnitTests/Credits/CreditsTest.cpp
@@ -93,13 +93,13 @@
     CreditGranter granter(warmSettings());
     granter.setSlots(at(0), 10, 10);
     const CreditGrant grant = *granter.request(at(0), first, { 1, 2 });
-    REQUIRE(!granter.begin(at(1), second, grant.credit, 0));
-    REQUIRE(!granter.begin(at(1), first, grant.credit + 1, 0));
-    REQUIRE(granter.begin(at(1), first, grant.credit, 0));
-    REQUIRE(granter.begin(at(1), first, grant.credit, 0));
-    REQUIRE(!granter.begin(at(1), first, grant.credit, 0));
+    REQUIRE(granter.begin(at(1), second, grant.credit, 0) == CreditUse::Unknown);
+    REQUIRE(granter.begin(at(1), first, grant.credit + 1, 0) == CreditUse::Unknown);
+    REQUIRE(granter.begin(at(1), first, grant.credit, 0) == CreditUse::Begun);
+    REQUIRE(granter.begin(at(1), first, grant.credit, 0) == CreditUse::Begun);
+    REQUIRE(granter.begin(at(1), first, grant.credit, 0) == CreditUse::UsedUp);
     granter.end(first, grant.credit);
-    REQUIRE(!granter.begin(at(1250), first, grant.credit, 0));
+    REQUIRE(granter.begin(at(1250), first, grant.credit, 0) == CreditUse::Lapsed);
     REQUIRE(granter.inProgress() == 1);
     REQUIRE(granter.outstanding(at(1250)) == 1);
 }
@@ -283,7 +283,7 @@
 
     void begin(std::size_t holder, CreditId credit)
     {
-        if (!this->granter.begin(at(this->now), nameOf(holder), credit, 0)) {
+        if (this->granter.begin(at(this->now), nameOf(holder), credit, 0) != CreditUse::Begun) {
             return;
         }
         ++this->running[holder];
--- a/Tests/Deployment/PartitionTest.cpp
+++ b/Tests/Deployment/PartitionTest.cpp
@@ -175,6 +175,21 @@
     return sum;
 }
 
+/// What the VMs logged of refused credits, and of their own pauses.
+std::string creditLog(DeploymentFixture &deployment, const std::vector<std::string> &vms)
+{
+    std::string found;
+    for (const std::string &vm : vms) {
+        std::istringstream lines(deployment.vm(vm).process->errors());
+        for (std::string line; std::getline(lines, line);) {
+            const bool wanted = line.find("on credit") != std::string::npos
+                                || line.find("was paused") != std::string::npos;
+            found += wanted ? vm + ": " + line + "\n" : "";
+        }
+    }
+    return found;
+}
+
 } // namespace
 
 // Guards against traffic that is sent to a lost region, and against callers elsewhere that notice.
@@ -229,6 +244,8 @@
     waitForState(deployment, neighbour, holder, "live");
     const int taken = held(deployment, { holder }, granters, "taken");
     waitUntil([&] { return held(deployment, { holder }, granters, "taken") > taken; });
+    INFO(creditLog(deployment, granters)
+         << creditLog(deployment, lowerMainland) << "paused: " << holder);
     CHECK(refusals(deployment, granters) == before);
     requireTrueOutcomes(deployment, flood.finish());
 }
--- a/include/currantfall/Credits/CreditGranter.h
+++ b/include/currantfall/Credits/CreditGranter.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 
 #include <absl/time/time.h>
 #include <nlohmann/json.hpp>
@@ -31,6 +32,16 @@
     std::size_t granters = 1;
 };
 
+/// What became of a credit that came with a request.
+enum class CreditUse {
+    Begun,
+    Unknown, ///< Never granted to this holder, or lapsed and forgotten.
+    Lapsed,
+    UsedUp, ///< The holder has as many requests in progress as the credit allows.
+};
+
+std::string toString(CreditUse use);
+
 /// Grants requests of other regions on the slots that this VM owns for one service.
 ///
 /// A grant names a number of concurrent requests and a rate. It replaces the holder's previous
@@ -51,11 +62,10 @@
     std::optional<CreditGrant> request(Common::Instant now, const Common::VmName &holder,
                                        const CreditRequest &request);
 
-    /// Checks and accounts for a request that arrives on a credit. False if the credit is unknown,
-    /// expired or used up; the request is `not-run` then. `bytes` have already used the link; the
-    /// holder keeps them within its rate.
-    [[nodiscard]] bool begin(Common::Instant now, const Common::VmName &holder, CreditId credit,
-                             std::size_t bytes);
+    /// Checks and accounts for a request that arrives on a credit. Unless it has begun, the request
+    /// is `not-run`. `bytes` have already used the link; the holder keeps them within its rate.
+    [[nodiscard]] CreditUse begin(Common::Instant now, const Common::VmName &holder,
+                                  CreditId credit, std::size_t bytes);
     /// A request that began on a credit has ended.
     void end(const Common::VmName &holder, CreditId credit);
 
