Add a randomized fault soak of entry VMs

Six currantfalld processes on loopback addresses, a store and nine backend servers that speak the platform's protocol, and callers that keep connections open. Faults come from outside: signals (KILL, TERM, STOP, HUP), the relay (delay, reset, one way, silence, cut) on connections of callers, peers, the store and servers, a store that refuses, is silent, slow, loses answers or forgets its history, servers that shed, fail, lose, truncate, spoil or double answers, end with their connection or hang, drains, addresses used again by other servers, configurations in quick succession, evacuated zones. Checked from what callers and servers saw: no second run, no false not-run, no wrong or partial answer, no changed request, no longer deadline, no other service, no refused route, versions that only rise, processes that end only when told to and in time, and full service afterwards.

The relay learns to reset connections and to hold one direction. AddressBlock and the scripted server move to Tests/Support, where both kinds of tests use them.

--- a/Source/Standins/Link/Channel.cpp
+++ b/Source/Standins/Link/Channel.cpp
@@ -42,7 +42,7 @@
 
 Instant Channel::nextDue(const LinkSettings &settings, const Pacer &pacer) const
 {
-    if (settings.freeze || this->blocked || this->shutDown) {
+    if (settings.freeze.at(this->direction) || this->blocked || this->shutDown) {
         return Instant::infinite();
     }
     if (!this->chunks.empty()) {
--- a/Source/Standins/Link/Channel.h
+++ b/Source/Standins/Link/Channel.h
@@ -20,6 +20,9 @@
 class Channel
 {
 public:
+    /// `direction` is 0 towards the target and 1 towards the caller.
+    explicit Channel(std::size_t direction) : direction(direction) { }
+
     bool wantsRead() const;
     /// Reads once. The end of the source, also by an error, is delayed like data.
     void read(int source, Common::Instant now, const LinkSettings &settings);
@@ -32,7 +35,7 @@
     /// True if the socket's buffer was full at the last write.
     bool wantsWrite(const LinkSettings &settings) const
     {
-        return this->blocked && !settings.freeze;
+        return this->blocked && !settings.freeze.at(this->direction);
     }
     void unblock() { this->blocked = false; }
 
@@ -46,6 +49,7 @@
         std::string bytes;
     };
 
+    std::size_t direction;
     std::deque<Chunk> chunks;
     std::size_t queuedBytes = 0;
     std::size_t frontSent = 0;
--- a/Source/Standins/Link/Control.cpp
+++ b/Source/Standins/Link/Control.cpp
@@ -21,7 +21,9 @@
     std::optional<std::string> listen;
     std::optional<absl::Duration> delay;
     std::optional<bool> cut;
-    std::optional<bool> freeze;
+    std::optional<bool> freezeToTarget;
+    std::optional<bool> freezeToCaller;
+    bool reset = false;
     std::optional<double> bytesPerSecond;
 };
 
@@ -40,7 +42,14 @@
     } else if (name == "cut" && value.is_boolean()) {
         change.cut = value.get<bool>();
     } else if (name == "freeze" && value.is_boolean()) {
-        change.freeze = value.get<bool>();
+        change.freezeToTarget = value.get<bool>();
+        change.freezeToCaller = value.get<bool>();
+    } else if (name == "freeze_to_target" && value.is_boolean()) {
+        change.freezeToTarget = value.get<bool>();
+    } else if (name == "freeze_to_caller" && value.is_boolean()) {
+        change.freezeToCaller = value.get<bool>();
+    } else if (name == "reset" && value.is_boolean()) {
+        change.reset = value.get<bool>();
     } else if (name == "bytes_per_second" && amount) {
         const double limit = value.get<double>();
         change.bytesPerSecond = limit > 0 ? limit : std::numeric_limits<double>::infinity();
@@ -70,7 +79,9 @@
 {
     settings.delay = change.delay.value_or(settings.delay);
     settings.cut = change.cut.value_or(settings.cut);
-    settings.freeze = change.freeze.value_or(settings.freeze);
+    settings.freeze[0] = change.freezeToTarget.value_or(settings.freeze[0]);
+    settings.freeze[1] = change.freezeToCaller.value_or(settings.freeze[1]);
+    settings.resets += change.reset ? 1 : 0;
     settings.bytesPerSecond = change.bytesPerSecond.value_or(settings.bytesPerSecond);
 }
 
@@ -85,7 +96,8 @@
         links.push_back({ { "listen", names[index] },
                           { "delay_ms", absl::ToDoubleMilliseconds(link.delay) },
                           { "cut", link.cut },
-                          { "freeze", link.freeze },
+                          { "freeze_to_target", link.freeze[0] },
+                          { "freeze_to_caller", link.freeze[1] },
                           { "bytes_per_second", limited ? link.bytesPerSecond : 0.0 } });
     }
     return json { { "links", links } }.dump();
--- a/Source/Standins/Link/Control.h
+++ b/Source/Standins/Link/Control.h
@@ -13,7 +13,9 @@
 
 namespace Currantfall::Standins {
 
-/// `POST /_control` with any of {"listen", "delay_ms", "cut", "freeze", "bytes_per_second"}.
+/// `POST /_control` with any of {"listen", "delay_ms", "cut", "freeze", "freeze_to_target",
+/// "freeze_to_caller", "reset", "bytes_per_second"}. "freeze" sets both directions; "reset": true
+/// resets the open connections once.
 /// Without "listen" it applies to all links; "bytes_per_second": 0 means unlimited. The response to
 /// it, and to `GET /_control`, is the list of the present settings.
 class Control
--- a/Source/Standins/Link/LinkSettings.h
+++ b/Source/Standins/Link/LinkSettings.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <cstdint>
 #include <limits>
 
 #include <absl/time/time.h>
@@ -13,8 +15,11 @@
     absl::Duration delay = absl::ZeroDuration();
     /// Connections are closed and new ones are refused.
     bool cut = false;
-    /// Bytes are accepted but held until the link is no longer frozen.
-    bool freeze = false;
+    /// Bytes are accepted but held until the link is no longer frozen: towards the target, and
+    /// towards the caller.
+    std::array<bool, 2> freeze {};
+    /// Resets so far; one more resets all open connections.
+    std::uint64_t resets = 0;
     /// Shared by all connections of the link, for each direction.
     double bytesPerSecond = std::numeric_limits<double>::infinity();
 
--- a/Source/Standins/Link/Relay.cpp
+++ b/Source/Standins/Link/Relay.cpp
@@ -127,8 +127,23 @@
     return !this->stopping;
 }
 
+void Relay::resetConnections(Link &link)
+{
+    for (const Connection &connection : link.connections) {
+        for (const FileDescriptor &socket : connection.sockets) {
+            const linger discard { 1, 0 };
+            ::setsockopt(socket.value(), SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+        }
+    }
+    link.connections.clear();
+}
+
 void Relay::applySettings(Link &link)
 {
+    if (link.appliedResets != link.settings.resets) {
+        link.appliedResets = link.settings.resets;
+        resetConnections(link);
+    }
     link.pacers.fill(Pacer()); // Bytes sent at the earlier bandwidth must not hold up later ones.
     if (link.settings.cut) {
         link.connections.clear();
--- a/Source/Standins/Link/Relay.h
+++ b/Source/Standins/Link/Relay.h
@@ -64,7 +64,9 @@
     struct Connection
     {
         std::array<Peering::FileDescriptor, 2> sockets; // The caller's and the target's.
-        std::array<Channel, 2> channels; // From the socket of the same index to the other one.
+        std::array<Channel, 2> channels {
+            Channel(0), Channel(1)
+        }; // From the socket of the same index to the other one.
         bool connecting = true;
         bool failed = false;
     };
@@ -75,6 +77,7 @@
         Endpoint target;
         Peering::FileDescriptor listener;
         LinkSettings settings;
+        std::uint64_t appliedResets = 0;
         std::array<Pacer, 2> pacers;
         std::list<Connection> connections;
     };
@@ -83,6 +86,7 @@
 
     bool takeUpdates();
     void applySettings(Link &link);
+    static void resetConnections(Link &link);
     void acceptConnection(Link &link);
     void wait(Common::Instant now);
     void watch(const Peering::FileDescriptor &descriptor, short events);
--- a/Source/UnitTests/Entry/RequestSteeringTest.cpp
+++ b/Source/UnitTests/Entry/RequestSteeringTest.cpp
@@ -4,11 +4,12 @@
 
 #include "currantfall/Common/RendezvousHash.h"
 
-#include "ScriptedBackend.h"
 #include "SteeringFixture.h"
+#include "Support/ScriptedBackend.h"
 
 using namespace Currantfall;
 using namespace Currantfall::Entry::Tests;
+using namespace Currantfall::Tests;
 
 namespace {
 
--- a/Tests/Deployment/DeploymentFixture.h
+++ b/Tests/Deployment/DeploymentFixture.h
@@ -10,7 +10,7 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
-#include "AddressBlock.h"
+#include "Support/AddressBlock.h"
 #include "Support/ProcessFixture.h"
 #include "ZoneLinks.h"
 
--- /dev/null
+++ b/Tests/Entry/EntryDeployment.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "ExecutionLedger.h"
+#include "SoakServer.h"
+#include "StoreStandin.h"
+#include "Support/AddressBlock.h"
+#include "Support/ProcessFixture.h"
+
+namespace Currantfall::Tests {
+
+/// Connections that the relay carries.
+enum class LinkKind {
+    Callers, ///< Of callers to one entry VM.
+    Peers,   ///< Of other entry VMs to one entry VM.
+    Store,   ///< Of one entry VM to the store.
+    Server,  ///< Of all entry VMs to one backend server.
+};
+
+struct EntryVm
+{
+    std::string name;
+    std::string zone;
+    std::string region;
+    std::string host;      ///< Where it listens.
+    std::string relayHost; ///< Where callers and other VMs reach it.
+    std::string settingsPath;
+    std::optional<ProcessFixture> process;
+};
+
+/// Entry VMs as processes, with stand-ins for the platform's store and the backend servers. Every
+/// connection but those to directories and readiness goes through one relay process.
+class EntryDeployment
+{
+public:
+    EntryDeployment();
+    ~EntryDeployment();
+    EntryDeployment(const EntryDeployment &) = delete;
+    EntryDeployment &operator=(const EntryDeployment &) = delete;
+
+    std::vector<EntryVm> &vms() { return this->entryVms; }
+    const std::vector<EntryVm> &vms() const { return this->entryVms; }
+    void start(EntryVm &vm);
+    /// Changes a setting that has no effect on callers.
+    void rewriteSettings(EntryVm &vm, unsigned variant);
+    /// Seconds from SIGTERM until the process must have ended.
+    static double shutdownGrace();
+
+    bool ready(const EntryVm &vm) const;
+    void awaitReady();
+
+    StoreStandin &store() { return *this->storeStandin; }
+    ExecutionLedger &ledger() { return this->executions; }
+    std::vector<std::unique_ptr<SoakServer>> &servers() { return this->backendServers; }
+    /// Writes the server's entry, or removes it.
+    void registerServer(std::size_t index, const std::string &state = "ready");
+    void unregisterServer(std::size_t index);
+    /// Another server, maybe of another service, gets the address.
+    void replaceServer(std::size_t index, const std::string &service);
+
+    /// Writes the next configuration. `variant` selects where photos go, and the timeouts.
+    void configure(unsigned variant);
+    void evacuate(const std::string &zone, bool wanted);
+    const std::vector<std::string> &zones() const;
+    /// Services to which requests of the route may ever go.
+    static std::vector<std::string> servicesOf(const std::string &route);
+
+    /// `settings` as in POST /_control of standin-link.
+    void setLink(LinkKind kind, std::size_t index, const nlohmann::json &settings) const;
+    std::size_t linkCount(LinkKind kind) const;
+
+    static constexpr int callersPort = 8641;
+    static constexpr int directoryPort = 8644;
+
+private:
+    std::string host(int network, std::size_t index) const;
+    std::string linkAddress(LinkKind kind, std::size_t index) const;
+    nlohmann::json settingsOf(const EntryVm &vm) const;
+    void writeSettings(const EntryVm &vm, const nlohmann::json &settings) const;
+    void startLinks();
+
+    AddressBlock addresses;
+    std::string directory;
+    ExecutionLedger executions;
+    std::unique_ptr<StoreStandin> storeStandin;
+    std::vector<std::unique_ptr<SoakServer>> backendServers;
+    std::vector<EntryVm> entryVms;
+    std::optional<ProcessFixture> links;
+    unsigned version = 0;
+    unsigned incarnations = 0;
+};
+
+} // namespace Currantfall::Tests
--- /dev/null
+++ b/Tests/Entry/SoakCallers.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <httplib.h>
+
+#include "EntryDeployment.h"
+
+namespace Currantfall::Tests {
+
+/// One attempt of a caller and what it saw.
+struct SoakRecord
+{
+    std::string id;
+    std::string route;
+    std::string entry; ///< Address of the entry VM.
+    int status = 0;    ///< 0: no response.
+    std::string reason;
+    bool connected = false;
+    bool wholeAnswer = false; ///< The body and the signature are those of this request.
+    std::chrono::milliseconds took { 0 };
+    /// When the caller gives up.
+    std::chrono::milliseconds deadline { 0 };
+};
+
+/// Callers in closed loops that look entry VMs up and keep their connections open. Half of them
+/// stay with a VM until it closes the connection, whatever lookups say.
+class SoakCallers
+{
+public:
+    SoakCallers(const EntryDeployment &deployment, std::size_t threads);
+    ~SoakCallers();
+    SoakCallers(const SoakCallers &) = delete;
+    SoakCallers &operator=(const SoakCallers &) = delete;
+
+    std::size_t completed() const { return this->completedCalls; }
+    /// Ends the loops and returns all records.
+    std::vector<SoakRecord> finish();
+
+private:
+    class Caller;
+
+    const EntryDeployment &deployment;
+    std::atomic<bool> stopping { false };
+    std::atomic<std::size_t> completedCalls { 0 };
+    std::mutex mutex;
+    std::vector<SoakRecord> records;
+    std::vector<std::thread> threads;
+};
+
+/// What the records and the executions at backend servers show together.
+struct SoakVerdict
+{
+    std::map<std::string, std::size_t> outcomes; ///< By route and status.
+    std::vector<std::string> violations;
+};
+SoakVerdict judge(const std::vector<SoakRecord> &records, const ExecutionLedger &ledger);
+
+} // namespace Currantfall::Tests
--- /dev/null
+++ b/Tests/Entry/SoakFaults.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "EntryDeployment.h"
+
+namespace Currantfall::Tests {
+
+enum class SoakFaultKind {
+    KillVm,
+    StopVm,
+    PauseVm,
+    ReloadVm,
+    LinkDelayed,
+    LinkReset,
+    LinkOneWay,
+    LinkSilent,
+    LinkCut,
+    StoreMisbehaves,
+    StoreForgets,
+    ServerMisbehaves,
+    ServerSlow,
+    ServerDrains,
+    ServerReplaced,
+    Configure,
+    ConfigureOften,
+    Evacuate,
+};
+inline constexpr int soakFaultKindCount = static_cast<int>(SoakFaultKind::Evacuate) + 1;
+
+std::string toString(SoakFaultKind kind);
+
+/// One fault of a run. Faults may overlap.
+struct SoakFault
+{
+    SoakFaultKind kind = SoakFaultKind::KillVm;
+    std::chrono::milliseconds start { 0 };
+    std::chrono::milliseconds duration { 0 };
+    unsigned target = 0;  ///< Selects the VM, link, server or zone.
+    unsigned variant = 0; ///< Selects a variant of the fault.
+
+    std::string describe() const;
+};
+
+/// The faults of `length`, in the order of their start; they depend on the arguments only. Now and
+/// then a fault comes several times in a row.
+std::vector<SoakFault> soakFaults(std::uint64_t seed, std::chrono::milliseconds length,
+                                  std::chrono::milliseconds meanGap);
+
+/// Brings faults about from outside the entry VMs and checks that none of them ends by itself, and
+/// that each ends in time when it is told to. Belongs to one thread, which must outlive the VMs
+/// that it starts.
+class SoakFaultDriver
+{
+public:
+    explicit SoakFaultDriver(EntryDeployment &deployment);
+
+    /// Returns when all faults have ended, and all VMs run and are ready.
+    void run(const std::vector<SoakFault> &faults);
+    /// Ends the VM with SIGTERM, waits and starts it again. Returns the exit code.
+    int restart(EntryVm &vm);
+
+    const std::vector<std::string> &violations() const { return this->found; }
+    /// What processes that have ended wrote.
+    const std::map<std::string, std::string> &logs() const { return this->endedLogs; }
+
+private:
+    using Clock = std::chrono::steady_clock;
+
+    struct VmState
+    {
+        bool endExpected = false;
+        unsigned pauses = 0;
+        bool pausedWhileStopping = false;
+        std::optional<Clock::time_point> stopSince;
+        std::optional<Clock::time_point> startAt;
+    };
+    struct Due
+    {
+        Clock::time_point time;
+        std::function<void()> action;
+    };
+    using LinkKey = std::pair<LinkKind, std::size_t>;
+
+    void begin(const SoakFault &fault);
+    void beginAtVm(const SoakFault &fault);
+    void beginAtLink(const SoakFault &fault);
+    void beginAtStore(const SoakFault &fault);
+    void beginAtServer(const SoakFault &fault);
+    void applyLink(const LinkKey &link);
+    void poll();
+    void checkVm(std::size_t index);
+    void after(std::chrono::milliseconds delay, std::function<void()> action);
+
+    EntryDeployment &deployment;
+    std::vector<VmState> vms;
+    /// Faults in force on each link.
+    std::map<LinkKey, std::vector<SoakFaultKind>> links;
+    std::vector<int> drains; ///< Drains of each server that have not ended.
+    std::list<Due> due;
+    std::vector<std::string> found;
+    std::map<std::string, std::string> endedLogs;
+};
+
+} // namespace Currantfall::Tests
--- /dev/null
+++ b/Tests/Entry/SoakServer.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <atomic>
+#include <mutex>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "ExecutionLedger.h"
+#include "Support/ScriptedBackend.h"
+
+namespace Currantfall::Tests {
+
+/// What a backend server does with a part of its requests.
+enum class ServerFault {
+    None,
+    Sheds,          ///< Refuses and says that it did not run the request.
+    Fails,          ///< Runs the request and answers 500.
+    LosesAnswer,    ///< Runs the request and resets the connection.
+    Truncates,      ///< Breaks off its response.
+    SpoilsAnswer,   ///< Sends bytes that are no response.
+    AnswersTwice,   ///< Sends a second response after the whole one.
+    AnswersEarly,   ///< Answers before it has read a body.
+    OmitsLength,    ///< Ends its response by closing the connection.
+    OmitsAndResets, ///< The same, but resets the connection in the middle.
+    Hangs,
+};
+inline constexpr int serverFaultCount = static_cast<int>(ServerFault::Hangs) + 1;
+
+/// A backend server that speaks the platform's protocol. It may end and its address be used by
+/// another one. Thread-safe.
+class SoakServer
+{
+public:
+    /// Who answers at the address.
+    struct Identity
+    {
+        std::string id;
+        std::string service;
+        std::string zone;
+    };
+
+    SoakServer(ExecutionLedger &ledger, Identity identity, const std::string &address,
+               std::uint16_t port);
+
+    Identity identity() const;
+    /// Another server uses the address from now on.
+    void replace(Identity identity);
+    void setFault(ServerFault wanted) { this->fault = wanted; }
+    void setWorkMs(int milliseconds) { this->workMs = milliseconds; }
+
+    /// The server's entry in the store. `address` is where entry VMs reach it.
+    nlohmann::json row(const std::string &address, const std::string &state) const;
+
+private:
+    void serve(ScriptedConnection &connection);
+    bool answer(ScriptedConnection &connection, const std::string &header, const Identity &self);
+    void run(ScriptedConnection &connection, const std::string &request, const Identity &self,
+             ServerFault applied);
+    void checkUnchanged(const std::string &request);
+
+    ExecutionLedger &ledger;
+    mutable std::mutex mutex;
+    Identity current;
+    std::atomic<ServerFault> fault { ServerFault::None };
+    std::atomic<int> workMs { 15 };
+    std::atomic<unsigned> requests { 0 };
+    ScriptedBackend backend;
+};
+
+} // namespace Currantfall::Tests
--- /dev/null
+++ b/Tests/Entry/SoakTest.cpp
@@ -0,0 +1,174 @@
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+
+#include <catch2/catch.hpp>
+
+#include "EntryDeployment.h"
+#include "SoakCallers.h"
+#include "SoakFaults.h"
+
+using namespace Currantfall::Tests;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t calmCalls = 300;
+
+struct SoakSettings
+{
+    std::uint64_t seed = 0;
+    milliseconds length { 0 };
+    milliseconds meanGap { 0 };
+    std::size_t callers = 0;
+};
+
+void requireNone(const std::vector<std::string> &violations)
+{
+    constexpr std::size_t mostShown = 20;
+    for (std::size_t index = 0; index < std::min(mostShown, violations.size()); ++index) {
+        UNSCOPED_INFO(violations[index]);
+    }
+    CHECK(violations.empty());
+}
+
+/// Versions of the configuration that a VM's processes have put into force never fall within one
+/// process.
+void requireRisingVersions(const std::string &log)
+{
+    std::istringstream lines(log);
+    std::uint64_t last = 0;
+    for (std::string line; std::getline(lines, line);) {
+        const json entry = json::parse(line, nullptr, false);
+        if (!entry.is_object()) {
+            continue; // The last line of a process that was killed.
+        }
+        if (entry["event"] == "start") {
+            last = 0;
+        } else if (entry["event"] == "configuration") {
+            CHECK(entry["version"].get<std::uint64_t>() > last);
+            last = entry["version"].get<std::uint64_t>();
+        }
+    }
+}
+
+/// Fresh callers while nothing fails are all answered.
+void requireWell(EntryDeployment &deployment, std::size_t threads)
+{
+    SoakCallers callers(deployment, threads);
+    waitUntil([&] { return callers.completed() >= calmCalls; });
+    const auto records = callers.finish();
+    const SoakVerdict verdict = judge(records, deployment.ledger());
+    INFO(json(verdict.outcomes).dump());
+    requireNone(verdict.violations);
+    for (const SoakRecord &record : records) {
+        // Impatient callers may leave before their answer is there.
+        if (record.status != 200 && record.took < record.deadline) {
+            UNSCOPED_INFO(record.id + " " + record.route + " " + std::to_string(record.status) + " "
+                          + record.reason);
+            CHECK(record.status == 200);
+        }
+    }
+    std::size_t answered = 0;
+    for (const auto &[outcome, count] : verdict.outcomes) {
+        answered += outcome.ends_with(" 200") ? count : 0;
+    }
+    CHECK(answered * 10 >= records.size() * 9);
+}
+
+/// Keeps what the VMs wrote, if a directory is named for it.
+void keepLogs(EntryDeployment &deployment, const SoakFaultDriver &driver, std::uint64_t seed)
+{
+    const char *const directory = std::getenv("CURRANTFALL_SOAK_LOGS");
+    for (const EntryVm &vm : deployment.vms()) {
+        const auto ended = driver.logs().find(vm.name);
+        const std::string log
+                = (ended == driver.logs().end() ? "" : ended->second) + vm.process->output();
+        requireRisingVersions(log);
+        if (directory != nullptr) {
+            std::ofstream(std::string(directory) + "/" + std::to_string(seed) + "-" + vm.name
+                          + ".log")
+                    << log;
+        }
+    }
+}
+
+void soak(const SoakSettings &settings)
+{
+    const std::vector<SoakFault> faults
+            = soakFaults(settings.seed, settings.length, settings.meanGap);
+    std::cout << "seed " << settings.seed << ", " << faults.size() << " faults" << std::endl;
+    for (const SoakFault &fault : faults) {
+        std::cout << fault.describe() << "\n";
+    }
+    std::cout << std::flush;
+    EntryDeployment deployment;
+    SoakFaultDriver driver(deployment);
+    SoakCallers callers(deployment, settings.callers);
+    driver.run(faults);
+    const auto records = callers.finish();
+    deployment.awaitReady();
+    requireWell(deployment, settings.callers);
+    const SoakVerdict verdict = judge(records, deployment.ledger());
+    std::cout << json {
+        { "seed", settings.seed },
+        { "requests", records.size() },
+        { "outcomes", verdict.outcomes },
+        { "violations", verdict.violations.size() + driver.violations().size() }
+    }.dump() << std::endl;
+    requireNone(verdict.violations);
+    requireNone(driver.violations());
+    keepLogs(deployment, driver, settings.seed);
+}
+
+std::uint64_t variable(const char *name, std::uint64_t otherwise)
+{
+    const char *const text = std::getenv(name);
+    return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
+}
+
+} // namespace
+
+// Guards against untrue refusals, second runs, and wrong or partial answers of entry VMs that only
+// a combination of failures shows.
+TEST_CASE("Random faults around entry VMs break no promise to callers")
+{
+    soak({ 20261204, milliseconds(7000), milliseconds(200), 8 });
+}
+
+// The long run: seed, length in seconds, mean gap between faults and callers come from environment
+// variables.
+TEST_CASE("Long soak of entry VMs", "[.long]")
+{
+    constexpr std::uint64_t millisecondsPerSecond = 1000;
+    soak({ variable("CURRANTFALL_SOAK_SEED", 1),
+           milliseconds(variable("CURRANTFALL_SOAK_SECONDS", 15) * millisecondsPerSecond),
+           milliseconds(variable("CURRANTFALL_SOAK_GAP_MS", 250)),
+           variable("CURRANTFALL_SOAK_CALLERS", 12) });
+}
+
+// Guards against requests that end with their VM's process, and against connections that a VM
+// closes although a request has been read.
+TEST_CASE("Planned restarts and reloads of all entry VMs lose no request")
+{
+    EntryDeployment deployment;
+    SoakFaultDriver driver(deployment);
+    SoakCallers callers(deployment, 8);
+    for (EntryVm &vm : deployment.vms()) {
+        deployment.rewriteSettings(vm, 1);
+        vm.process->hangUp();
+        CHECK(driver.restart(vm) == 0);
+        waitUntil([&] { return deployment.ready(vm); });
+    }
+    const auto records = callers.finish();
+    const SoakVerdict verdict = judge(records, deployment.ledger());
+    requireNone(verdict.violations);
+    const auto executions = deployment.ledger().executions();
+    for (const SoakRecord &record : records) {
+        const bool lost = executions.contains(record.id) && record.status != 200
+                          && record.took < record.deadline;
+        INFO(record.id << " " << record.route << " " << record.status << " " << record.reason);
+        CHECK_FALSE(lost);
+    }
+}
--- /dev/null
+++ b/Tests/Entry/StoreStandin.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "ConnectionServer.h"
+
+namespace Currantfall::Tests {
+
+/// How the store treats its calls.
+enum class StoreFault {
+    None,
+    Refuses,     ///< 503; nothing is done.
+    Silent,      ///< No answer until the fault ends.
+    Slow,        ///< Answers come late.
+    LosesAnswers ///< Calls are done, and the connection closes without an answer.
+};
+
+/// The platform's row store as entry VMs call it, kept in memory. Thread-safe.
+class StoreStandin
+{
+public:
+    StoreStandin(const std::string &address, int port);
+    ~StoreStandin();
+    StoreStandin(const StoreStandin &) = delete;
+    StoreStandin &operator=(const StoreStandin &) = delete;
+
+    /// Writes of the operator and of backend servers, which reach the store at all times.
+    void put(const std::string &table, const std::string &key, const std::string &value);
+    void remove(const std::string &table, const std::string &key);
+
+    void setFault(StoreFault fault);
+    /// Changes up to now can't be read any more.
+    void forgetHistory();
+
+private:
+    struct Row
+    {
+        std::string value;
+        std::uint64_t version = 0;
+        bool deleted = false;
+    };
+    using Key = std::pair<std::string, std::string>; ///< Table and key.
+
+    void addCall(const std::string &path,
+                 const std::function<void(const httplib::Request &, httplib::Response &)> &answer);
+    /// Lets a call wait or fail as the present fault wants it; true if it is to be answered.
+    bool admit(httplib::Response &response);
+    void write(const std::string &table, const std::string &key,
+               const std::optional<std::string> &value);
+    void answerRows(const httplib::Request &request, httplib::Response &response);
+    void answerChanges(const httplib::Request &request, httplib::Response &response);
+    void answerTransaction(const httplib::Request &request, httplib::Response &response);
+    nlohmann::json describe(const Key &key, const Row &row) const;
+
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::map<Key, Row> rows;
+    std::uint64_t version = 0;
+    std::uint64_t historyStart = 0;
+    StoreFault fault = StoreFault::None;
+    bool stopping = false;
+    BackendStandin::ConnectionServer server;
+};
+
+} // namespace Currantfall::Tests
--- a/Tests/Support/AddressBlock.cpp
+++ b/Tests/Support/AddressBlock.cpp
@@ -1,4 +1,4 @@
-#include "AddressBlock.h"
+#include "Support/AddressBlock.h"
 
 #include <arpa/inet.h>
 #include <stdexcept>
--- a/Tests/Support/ProcessFixture.h
+++ b/Tests/Support/ProcessFixture.h
@@ -31,6 +31,7 @@
 
     void terminate() { this->signal(SIGTERM); }
     void kill() { this->signal(SIGKILL); }
+    void hangUp() { this->signal(SIGHUP); }
     /// Stops the program as a paused VM would be stopped.
     void pause() { this->signal(SIGSTOP); }
     void resume() { this->signal(SIGCONT); }
--- a/Tests/Support/ScriptedBackend.cpp
+++ b/Tests/Support/ScriptedBackend.cpp
@@ -1,4 +1,4 @@
-#include "ScriptedBackend.h"
+#include "Support/ScriptedBackend.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -7,7 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-namespace Currantfall::Entry::Tests {
+namespace Currantfall::Tests {
 
 std::string ScriptedConnection::readHeader()
 {
@@ -25,22 +25,30 @@
     return header;
 }
 
-std::string ScriptedConnection::readRequest()
+std::string ScriptedConnection::readBody(const std::string &header)
 {
-    std::string request = this->readHeader();
-    const std::string length = headerOf(request, "Content-Length");
+    const std::string length = headerOf(header, "Content-Length");
     const std::size_t expected = length.empty() ? 0 : std::stoul(length);
     std::string chunk(4096, '\0');
-    while (!request.empty() && this->buffer.size() < expected) {
+    while (this->buffer.size() < expected) {
         const auto received = ::recv(this->descriptor, chunk.data(), chunk.size(), 0);
         if (received <= 0) {
-            return {};
+            break;
         }
         this->buffer.append(chunk.data(), static_cast<std::size_t>(received));
     }
-    request += this->buffer.substr(0, expected);
+    std::string body = this->buffer.substr(0, expected);
     this->buffer.erase(0, expected);
-    return request;
+    return body;
+}
+
+std::string ScriptedConnection::readRequest()
+{
+    const std::string header = this->readHeader();
+    const std::string body = this->readBody(header);
+    const std::string length = headerOf(header, "Content-Length");
+    const bool whole = length.empty() || body.size() == std::stoul(length);
+    return whole ? header + body : std::string();
 }
 
 void ScriptedConnection::write(const std::string &bytes)
@@ -62,19 +70,23 @@
     ::setsockopt(this->descriptor, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
 }
 
-ScriptedBackend::ScriptedBackend(Script script) : script(std::move(script))
+ScriptedBackend::ScriptedBackend(Script script, const std::string &address, std::uint16_t port)
+    : script(std::move(script))
 {
-    this->listener = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t length = sizeof(address);
-    auto *generic = reinterpret_cast<sockaddr *>(&address);
-    if (::bind(this->listener, generic, length) != 0 || ::listen(this->listener, 64) != 0
+    this->listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int enabled = 1;
+    ::setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
+    sockaddr_in endpoint {};
+    endpoint.sin_family = AF_INET;
+    endpoint.sin_port = htons(port);
+    ::inet_pton(AF_INET, address.c_str(), &endpoint.sin_addr);
+    socklen_t length = sizeof(endpoint);
+    auto *generic = reinterpret_cast<sockaddr *>(&endpoint);
+    if (::bind(this->listener, generic, length) != 0 || ::listen(this->listener, SOMAXCONN) != 0
         || ::getsockname(this->listener, generic, &length) != 0) {
         throw std::runtime_error("scripted backend can't listen");
     }
-    this->listenPort = ntohs(address.sin_port);
+    this->listenPort = ntohs(endpoint.sin_port);
     this->acceptor = std::thread([this] { this->accept(); });
 }
 
@@ -139,4 +151,4 @@
            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-} // namespace Currantfall::Entry::Tests
+} // namespace Currantfall::Tests
--- a/Tests/Support/ScriptedBackend.h
+++ b/Tests/Support/ScriptedBackend.h
@@ -1,14 +1,14 @@
 #pragma once
 
 #include <atomic>
-#include <condition_variable>
+#include <cstdint>
 #include <functional>
 #include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
 
-namespace Currantfall::Entry::Tests {
+namespace Currantfall::Tests {
 
 /// One connection of a scripted server.
 class ScriptedConnection
@@ -20,6 +20,8 @@
     std::string readRequest();
     /// Reads the header only.
     std::string readHeader();
+    /// Reads the body that follows a header; what came of it if the peer closes before its end.
+    std::string readBody(const std::string &header);
     void write(const std::string &bytes);
     /// Waits until the peer closes; true if it did so before `milliseconds` have passed.
     bool closedWithin(int milliseconds);
@@ -38,7 +40,9 @@
 public:
     using Script = std::function<void(ScriptedConnection &connection)>;
 
-    explicit ScriptedBackend(Script script);
+    /// Listens on `address`; port 0 selects a free port. Throws if it can't.
+    explicit ScriptedBackend(Script script, const std::string &address = "127.0.0.1",
+                             std::uint16_t port = 0);
     ~ScriptedBackend();
     ScriptedBackend(const ScriptedBackend &) = delete;
     ScriptedBackend &operator=(const ScriptedBackend &) = delete;
@@ -68,4 +72,4 @@
 std::string answerTo(const std::string &request, const std::string &body,
                      const std::string &status = "200 OK", const std::string &headers = "");
 
-} // namespace Currantfall::Entry::Tests
+} // namespace Currantfall::Tests
