Relay a reset as a reset; accept a signal that comes before the program runs

Cause: the relay passed a reset on as an orderly end, so that the entry VM could not tell. Cause: SIGTERM came before the process handled it; its log has no start line. Such an end counts as told.

--- a/Source/Standins/Link/Channel.cpp
+++ b/Source/Standins/Link/Channel.cpp
@@ -26,7 +26,7 @@
     return !this->ended && this->queuedBytes < maxQueuedBytes;
 }
 
-void Channel::read(int source, Instant now, const LinkSettings &settings)
+bool Channel::read(int source, Instant now, const LinkSettings &settings)
 {
     std::array<char, readBytes> bytes;
     const ssize_t size = ::recv(source, bytes.data(), bytes.size(), MSG_DONTWAIT);
@@ -34,10 +34,11 @@
         const auto received = static_cast<std::size_t>(size);
         this->chunks.push_back({ now + settings.delay, std::string(bytes.data(), received) });
         this->queuedBytes += received;
-    } else if (size == 0 || (errno != EAGAIN && errno != EINTR)) {
+    } else if (size == 0) {
         this->ended = true;
         this->endDue = now + settings.delay;
     }
+    return size >= 0 || errno == EAGAIN || errno == EINTR;
 }
 
 Instant Channel::nextDue(const LinkSettings &settings, const Pacer &pacer) const
--- a/Source/Standins/Link/Channel.h
+++ b/Source/Standins/Link/Channel.h
@@ -24,8 +24,9 @@
     explicit Channel(std::size_t direction) : direction(direction) { }
 
     bool wantsRead() const;
-    /// Reads once. The end of the source, also by an error, is delayed like data.
-    void read(int source, Common::Instant now, const LinkSettings &settings);
+    /// Reads once. The end of the source is delayed like data. Returns false if the source was
+    /// reset.
+    bool read(int source, Common::Instant now, const LinkSettings &settings);
 
     /// When write() has work next; infinite if it waits for the socket or for the end of a freeze.
     Common::Instant nextDue(const LinkSettings &settings, const Pacer &pacer) const;
--- a/Source/Standins/Link/Relay.cpp
+++ b/Source/Standins/Link/Relay.cpp
@@ -16,6 +16,12 @@
 using Common::Instant;
 using Peering::FileDescriptor;
 
+void resetOnClose(const FileDescriptor &socket)
+{
+    const linger discard { 1, 0 };
+    ::setsockopt(socket.value(), SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+}
+
 } // namespace
 
 std::string toString(const Endpoint &endpoint)
@@ -127,13 +133,11 @@
     return !this->stopping;
 }
 
-void Relay::resetConnections(Link &link)
+void Relay::resetAll(Link &link)
 {
     for (const Connection &connection : link.connections) {
-        for (const FileDescriptor &socket : connection.sockets) {
-            const linger discard { 1, 0 };
-            ::setsockopt(socket.value(), SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
-        }
+        resetOnClose(connection.sockets[0]);
+        resetOnClose(connection.sockets[1]);
     }
     link.connections.clear();
 }
@@ -142,7 +146,7 @@
 {
     if (link.appliedResets != link.settings.resets) {
         link.appliedResets = link.settings.resets;
-        resetConnections(link);
+        resetAll(link);
     }
     link.pacers.fill(Pacer()); // Bytes sent at the earlier bandwidth must not hold up later ones.
     if (link.settings.cut) {
@@ -260,7 +264,11 @@
         const FileDescriptor &target = connection.sockets.at(1 - side);
         Channel &channel = connection.channels.at(side);
         if (channel.wantsRead() && (this->ready(source) & (POLLIN | POLLHUP | POLLERR)) != 0) {
-            channel.read(source.value(), now, link.settings);
+            if (!channel.read(source.value(), now, link.settings)) {
+                resetOnClose(target);
+                connection.failed = true;
+                return;
+            }
         }
         if ((this->ready(target) & POLLOUT) != 0) {
             channel.unblock();
--- a/Source/Standins/Link/Relay.h
+++ b/Source/Standins/Link/Relay.h
@@ -86,7 +86,7 @@
 
     bool takeUpdates();
     void applySettings(Link &link);
-    static void resetConnections(Link &link);
+    static void resetAll(Link &link);
     void acceptConnection(Link &link);
     void wait(Common::Instant now);
     void watch(const Peering::FileDescriptor &descriptor, short events);
--- a/Tests/Entry/SoakFaults.cpp
+++ b/Tests/Entry/SoakFaults.cpp
@@ -166,7 +166,11 @@
     }
     const int code = vm.process->wait();
     this->endedLogs[vm.name] += vm.process->output();
-    if (!state.endExpected || (state.stopSince && code != 0 && code != 128 + SIGKILL)) {
+    // A signal that comes before the program runs ends it as any other program.
+    const bool started = vm.process->output().find("\"start\"") != std::string::npos;
+    const bool endedAsTold
+            = code == 0 || code == 128 + SIGKILL || (code == 128 + SIGTERM && !started);
+    if (!state.endExpected || (state.stopSince && !endedAsTold)) {
         this->found.push_back(vm.name + " ended with code " + std::to_string(code) + ": "
                               + vm.process->errors());
     }
