Hold signals back until an entry VM handles them

Signals are now blocked first thing and released when the handlers are in place, in the main thread only.

--- a/Source/Entry/EntryProgram.cpp
+++ b/Source/Entry/EntryProgram.cpp
@@ -15,6 +15,25 @@
 constexpr int exitFailed = 1;
 constexpr int exitInvalidInput = 2;
 
+/// Holds back the signals that end or reload the daemon, for this thread and those that it starts.
+class SignalBlock
+{
+public:
+    SignalBlock()
+    {
+        sigemptyset(&this->held);
+        sigaddset(&this->held, SIGTERM);
+        sigaddset(&this->held, SIGINT);
+        sigaddset(&this->held, SIGHUP);
+        pthread_sigmask(SIG_BLOCK, &this->held, nullptr);
+    }
+    /// Lets this thread have them.
+    void release() const { pthread_sigmask(SIG_UNBLOCK, &this->held, nullptr); }
+
+private:
+    sigset_t held {};
+};
+
 int report(const Common::Error &error)
 {
     std::fprintf(stderr, "currantfalld: %s\n", error.toString().c_str());
@@ -32,12 +51,15 @@
         return exitInvalidInput;
     }
     std::signal(SIGPIPE, SIG_IGN);
+    // Signals that come before they are handled wait; other threads never get them.
+    const SignalBlock block;
     // Debian builds Abseil with deadlock detection, which takes a global lock in every Lock().
     absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
     const auto daemon = EntryDaemon::create(path);
     if (!daemon) {
         return report(daemon.error());
     }
+    block.release();
     (*daemon)->run();
     return 0;
 }
