Keep the credit of a cancelled attempt until the granter has ended it

A hedged request that is answered cancels its other attempt; the holder gave the credit back at once, while the granter counts it until the attempt has ended, and the next request on it was refused. The credit is now in use until the granter's reply, the end of the link, or the deadline.

--- a/Source/Daemon/Dispatcher.cpp
+++ b/Source/Daemon/Dispatcher.cpp
@@ -109,6 +109,7 @@
 void Dispatcher::onForwardReply(const Common::VmName &from, const std::string &attempt,
                                 Common::Answer answer)
 {
+    this->releaseCancelled([&attempt](const auto &entry) { return entry.first == attempt; });
     const auto decision = this->attempts.onAnswer(attempt, from.value(), answer.outcome);
     if (const auto *settled = std::get_if<Execution::Settled>(&decision)) {
         this->onResult(settled->request, attempt, {}, std::move(answer));
@@ -121,6 +122,9 @@
 
 void Dispatcher::onLinkDown(const Common::VmName &peer, Peering::LinkClass linkClass)
 {
+    this->releaseCancelled([&](const auto &entry) {
+        return entry.second.vm == peer && entry.second.linkClass == linkClass;
+    });
     std::vector<Execution::AttemptId> lost;
     for (const auto &entry : this->flights) {
         const Flight &flight = entry.second;
@@ -373,19 +377,40 @@
 
 void Dispatcher::cancelAttempts(Flight &flight)
 {
+    this->releaseCancelled(
+            [this](const auto &entry) { return entry.second.until <= this->context.now; });
+    const Peering::LinkClass linkClass = linkClassOf(flight.request->rank);
     while (!flight.open.empty()) {
         const Attempt attempt = flight.open.back();
-        this->endAttempt(flight, attempt.id);
+        flight.open.pop_back();
         if (attempt.here) {
             this->scheduler.cancel(attempt.ticket);
             continue;
         }
+        if (attempt.credit != 0) {
+            this->cancelled.emplace(attempt.id,
+                                    Cancelled { attempt.vm, linkClass, flight.request->service,
+                                                attempt.credit,
+                                                flight.request->deadline + replyGrace });
+        }
         Peering::Wire::CancelAttemptT cancel;
         cancel.attempt = attempt.id;
-        this->context.sendOn(attempt.vm, linkClassOf(flight.request->rank), std::move(cancel));
+        this->context.sendOn(attempt.vm, linkClass, std::move(cancel));
     }
 }
 
+template<typename Condition>
+void Dispatcher::releaseCancelled(const Condition &condition)
+{
+    absl::erase_if(this->cancelled, [&](const auto &entry) {
+        const bool ended = condition(entry);
+        if (ended) {
+            this->credits.giveBack(entry.second.vm, entry.second.service, entry.second.credit);
+        }
+        return ended;
+    });
+}
+
 void Dispatcher::finish(FlightId id, Common::Answer answer)
 {
     const auto found = this->flights.find(id);
--- a/Source/Daemon/Dispatcher.h
+++ b/Source/Daemon/Dispatcher.h
@@ -55,6 +55,18 @@
         Credits::CreditId credit = 0;
     };
 
+    /// An attempt at another VM that was cancelled. Its credit is in use until that VM has ended
+    /// it.
+    struct Cancelled
+    {
+        Common::VmName vm;
+        Peering::LinkClass linkClass = Peering::LinkClass::Control;
+        Common::ServiceName service;
+        Credits::CreditId credit = 0;
+        /// When the other VM has ended it without a reply.
+        Common::Instant until;
+    };
+
     /// A request on its way from this VM.
     struct Flight
     {
@@ -97,6 +109,9 @@
     void onTimeout(FlightId id);
     Common::VmName endAttempt(Flight &flight, const Execution::AttemptId &attempt);
     void cancelAttempts(Flight &flight);
+    /// Gives the credits of cancelled attempts back for which the condition holds.
+    template<typename Condition>
+    void releaseCancelled(const Condition &condition);
     void finish(FlightId id, Common::Answer answer);
     /// The last answer, or outcome-unknown if it is a refusal and an earlier attempt may have run.
     static Common::Answer outcomeOf(const Flight &flight, Common::Answer lastAnswer);
@@ -110,6 +125,7 @@
     CreditFlow &credits;
     Execution::AttemptTable attempts;
     absl::flat_hash_map<FlightId, Flight> flights;
+    absl::flat_hash_map<Execution::AttemptId, Cancelled> cancelled;
     absl::flat_hash_map<std::string, Forwarded> forwarded; // By sender and attempt.
     absl::flat_hash_map<Common::ServiceName, Execution::RetryBudget> budgets;
     // Times from the arrival to the answer.
--- a/Tests/Deployment/PartitionTest.cpp
+++ b/Tests/Deployment/PartitionTest.cpp
@@ -250,6 +250,23 @@
     requireTrueOutcomes(deployment, flood.finish());
 }
 
+// Guards against credits that a holder uses again before the granter knows that the attempt on them
+// was cancelled: the next request on them is refused although the region has room for it.
+TEST_CASE("Cancelled attempts keep their credit until the granter has ended them")
+{
+    DeploymentFixture deployment(
+            slowServers("{interval_ms: 250, max_step: 1.0, reserve: 0.0, slow_start_ms: 500}"));
+    // Hedges of the requests that hang cancel the other attempt.
+    deployment.setBackendBehaviour({ { "hang", 0.1 } });
+    Callers flood(deployment, floodThreads, false, floodZones);
+    std::vector<std::string> granters = okanagan;
+    granters.insert(granters.end(), island.begin(), island.end());
+    waitUntil([&] { return held(deployment, lowerMainland, granters, "taken") > 600; });
+    INFO(creditLog(deployment, granters));
+    CHECK(refusals(deployment, granters) == 0);
+    requireTrueOutcomes(deployment, flood.finish());
+}
+
 namespace {
 
 /// Credits that the VM has granted for the service.
