--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -105,12 +105,12 @@
         } else if (const auto *request = message.body.AsStoreRequest()) {
             this->store->onRequest(peer, *request, now);
         } else if (const auto *moves = message.body.AsObjectMoves()) {
-            this->onMoves(peer, *moves);
+            this->moves->onMessage(peer, *moves);
         }
     };
     hooks.onLinkUp = [this](const Common::VmName &peer) {
         this->store->onLinkUp(peer, Common::monotonicNow());
-        this->sendMoves(this->steering.selector().moves(), { peer });
+        this->moves->onLinkUp(peer);
     };
     hooks.onMembers = [this] { this->onMembers(); };
     hooks.ownState = [this] {
@@ -126,6 +126,12 @@
         return tl::unexpected(started.error());
     }
     this->cluster = std::move(*started);
+    ObjectMoveSync::Hooks moveHooks;
+    moveHooks.peers = [this] { return this->cluster->linkedPeers(); };
+    moveHooks.send = [this](const Common::VmName &peer, Peering::Wire::BodyUnion body) {
+        this->cluster->send(peer, std::move(body));
+    };
+    this->moves = std::make_unique<ObjectMoveSync>(this->steering, std::move(moveHooks), this->log);
     return {};
 }
 
@@ -188,14 +194,7 @@
         this->cluster->advance(at);
         this->store->advance(at);
         this->advanceShutdown(at);
-        const auto moves = this->steering.selector().takeMoves();
-        this->sendMoves(moves, this->cluster->linkedPeers());
-        for (const Steering::ObjectMove &move : moves) {
-            this->log.important("object_moved", { { "service", move.service.value() },
-                                                  { "object", move.object },
-                                                  { "from", move.from.value() },
-                                                  { "to", move.server.value() } });
-        }
+        this->moves->sendNew();
     });
     this->timers.subscribeEvery(now, housekeepingPeriod, [this](Common::Instant at) {
         this->steering.setServersConfirmed(
@@ -314,49 +313,6 @@
             = this->writer->submit(WriteRow { vmTable, own.vm.vm.value(), writeVmRow(own) }, done);
 }
 
-void EntryDaemon::sendMoves(const std::vector<Steering::ObjectMove> &moves,
-                            const std::vector<Common::VmName> &peers)
-{
-    if (moves.empty()) {
-        return;
-    }
-    Peering::Wire::ObjectMovesT message;
-    for (const Steering::ObjectMove &move : moves) {
-        auto entry = std::make_unique<Peering::Wire::ObjectMoveT>();
-        entry->service = move.service.value();
-        entry->object = move.object;
-        entry->server = move.server.value();
-        entry->from = move.from.value();
-        entry->sequence = move.sequence;
-        message.moves.push_back(std::move(entry));
-    }
-    for (const Common::VmName &peer : peers) {
-        auto copy = message;
-        Peering::Wire::BodyUnion body;
-        body.Set(std::move(copy));
-        this->cluster->send(peer, std::move(body));
-    }
-}
-
-void EntryDaemon::onMoves(const Common::VmName &peer, const Peering::Wire::ObjectMovesT &message)
-{
-    std::vector<Steering::ObjectMove> news;
-    for (const auto &entry : message.moves) {
-        if (entry == nullptr) {
-            continue;
-        }
-        Steering::ObjectMove move { Common::ServiceName(entry->service), entry->object,
-                                    Common::BackendServerName(entry->server),
-                                    Common::BackendServerName(entry->from), entry->sequence };
-        if (this->steering.selector().applyMove(move, Common::monotonicNow())) {
-            news.push_back(std::move(move));
-        }
-    }
-    std::vector<Common::VmName> others = this->cluster->linkedPeers();
-    std::erase(others, peer);
-    this->sendMoves(news, others);
-}
-
 void EntryDaemon::onMembers()
 {
     std::vector<Common::VmName> vms { this->settings.vm };
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -15,6 +15,7 @@
 #include "Cluster.h"
 #include "EntrySettings.h"
 #include "HttpEndpoint.h"
+#include "ObjectMoveSync.h"
 #include "RequestSteering.h"
 #include "StoreSync.h"
 
@@ -56,10 +57,6 @@
     void onMembers();
     void adopt(const Steering::RowChange &row);
     void registerVm();
-    /// Tells peers which objects were moved; all but the one that told this VM.
-    void sendMoves(const std::vector<Steering::ObjectMove> &moves,
-                   const std::vector<Common::VmName> &peers);
-    void onMoves(const Common::VmName &peer, const Peering::Wire::ObjectMovesT &message);
     double processorShareOf(const Common::VmName &vm) const;
 
     bool ready() const;
@@ -75,6 +72,7 @@
     boost::asio::signal_set signals;
     RequestSteering steering;
     std::unique_ptr<Cluster> cluster;
+    std::unique_ptr<ObjectMoveSync> moves;
     std::unique_ptr<StoreSync> store;
     std::unique_ptr<StoreWorker> writer;
     /// As registered, by VM.
--- a/Tests/Entry/SoakCallers.h
+++ b/Tests/Entry/SoakCallers.h
@@ -27,6 +27,9 @@
     std::chrono::milliseconds took { 0 };
     /// When the caller gives up.
     std::chrono::milliseconds deadline { 0 };
+
+    /// Whether the caller waits for a shorter time than requests may take.
+    bool impatient() const { return this->deadline < std::chrono::seconds(1); }
 };
 
 /// Callers in closed loops that look entry VMs up and keep their connections open. Half of them
--- a/Tests/Entry/SoakTest.cpp
+++ b/Tests/Entry/SoakTest.cpp
@@ -63,8 +63,9 @@
     INFO(json(verdict.outcomes).dump());
     requireNone(verdict.violations);
     for (const SoakRecord &record : records) {
-        // Impatient callers may leave before their answer is there.
-        if (record.status != 200 && record.took < record.deadline) {
+        // A short deadline may be too short for the work that the VMs have measured.
+        const bool refusedInTime = record.impatient() && record.status == 503;
+        if (record.status != 200 && record.took < record.deadline && !refusedInTime) {
             UNSCOPED_INFO(record.id + " " + record.route + " " + std::to_string(record.status) + " "
                           + record.reason);
             CHECK(record.status == 200);
