Let a VM whose clock was set back join the others again

Peers keep the latest number that they have seen and refuse links of earlier ones for good, so that a VM that starts again after its clock was set back has no peers: no directory names it, and it learns nothing from others. Hello now carries the latest run of the receiver that the sender knows, also when the link is refused; the entry VM then joins again under a later number.

Ruled out: numbering by the store, which may be away at the start.

--- a/Source/Core/Peering/LinkTable.cpp
+++ b/Source/Core/Peering/LinkTable.cpp
@@ -105,6 +105,12 @@
             }));
 }
 
+Common::Incarnation LinkTable::knownIncarnation(const Common::VmName &vm) const
+{
+    const auto known = this->incarnations.find(vm);
+    return known == this->incarnations.end() ? 0 : known->second;
+}
+
 Common::Result<void> LinkTable::judgeHello(const Link &link, const PeerIdentity &peer,
                                            LinkClass linkClass, Common::Instant now) const
 {
@@ -119,11 +125,11 @@
     if (dialed && (peer.vm != link.vm() || linkClass != link.linkClass())) {
         return refusal(link, "answered as VM '" + peer.vm.value() + "', " + toString(linkClass));
     }
-    const auto known = this->incarnations.find(peer.vm);
-    if (known != this->incarnations.end() && peer.incarnation < known->second) {
+    const Common::Incarnation known = this->knownIncarnation(peer.vm);
+    if (peer.incarnation < known) {
         return refusal(link, "incarnation " + std::to_string(peer.incarnation) + " of '"
                                      + peer.vm.value() + "' is earlier than "
-                                     + std::to_string(known->second));
+                                     + std::to_string(known));
     }
     const Slot *slot = this->slot(peer.vm, linkClass);
     // A VM dials only while it has no established link, so the dial of a higher-named peer means
--- a/Source/Core/Peering/LinkTable.h
+++ b/Source/Core/Peering/LinkTable.h
@@ -37,6 +37,9 @@
     /// Accepted links whose peer has not said Hello.
     std::size_t anonymousLinks() const;
 
+    /// The latest run of the peer that had a link; 0 if none had.
+    Common::Incarnation knownIncarnation(const Common::VmName &vm) const;
+
     /// Whether the peer that said Hello on `link` may use it. The code is Conflict if another link
     /// of the same peer takes precedence, otherwise Refused.
     Common::Result<void> judgeHello(const Link &link, const PeerIdentity &peer, LinkClass linkClass,
--- a/Source/Core/Peering/PeerLoop.cpp
+++ b/Source/Core/Peering/PeerLoop.cpp
@@ -276,7 +276,7 @@
         return;
     }
     link.markConnected();
-    this->queueHello(link, link.linkClass());
+    this->queueHello(link, link.vm(), link.linkClass());
     this->flushLink(link, now);
 }
 
@@ -315,12 +315,21 @@
     if (this->draining) {
         return tl::unexpected(stopped(peer.vm.value()));
     }
+    if (hello.known_incarnation > this->settings.self.incarnation && this->handlers.onOutdated) {
+        this->handlers.onOutdated(hello.known_incarnation);
+    }
     Common::Result<void> judged = this->links.judgeHello(link, peer, linkClass, now);
     if (!judged) {
         ++this->working.linksRefused;
         if (judged.error().code() != make_error_code(ErrorCode::Conflict)) {
             this->log.warn(judged.error().toString(), link.peerText());
         }
+        if (link.origin() == Link::Origin::Accepted
+            && peer.incarnation < this->links.knownIncarnation(peer.vm)) {
+            // Tells the peer why, so that it can start again as a later run.
+            this->queueHello(link, peer.vm, linkClass);
+            (void)link.flush(now, this->countersOf(linkClass));
+        }
         return judged;
     }
     for (const LinkId replaced : this->links.replacedBy(link, peer, linkClass)) {
@@ -330,7 +339,7 @@
                         now);
     }
     if (link.origin() == Link::Origin::Accepted) {
-        this->queueHello(link, linkClass);
+        this->queueHello(link, peer.vm, linkClass);
     }
     this->links.establish(link, peer, linkClass, now);
     ++this->working.linksUp;
@@ -344,7 +353,7 @@
     return {};
 }
 
-void PeerLoop::queueHello(Link &link, LinkClass linkClass)
+void PeerLoop::queueHello(Link &link, const Common::VmName &receiver, LinkClass linkClass)
 {
     const PeerIdentity &self = this->settings.self;
     Wire::HelloT hello;
@@ -356,6 +365,7 @@
     hello.link_class = static_cast<std::uint8_t>(linkClass);
     hello.address = self.address;
     hello.port_base = self.portBase;
+    hello.known_incarnation = this->links.knownIncarnation(receiver);
     Wire::MessageT message;
     message.body.Set(std::move(hello));
     link.queue()->push(encodeFrame(protocolVersion, linkClass, message));
--- a/Source/Core/Peering/PeerLoop.h
+++ b/Source/Core/Peering/PeerLoop.h
@@ -47,7 +47,7 @@
     void flushLink(Link &link, Common::Instant now);
     Common::Result<void> handleFrame(Link &link, Frame frame, Common::Instant now);
     Common::Result<void> handleHello(Link &link, const Wire::HelloT &hello, Common::Instant now);
-    void queueHello(Link &link, LinkClass linkClass);
+    void queueHello(Link &link, const Common::VmName &receiver, LinkClass linkClass);
     void closeLink(LinkId id, const Common::Error &reason, Common::Instant now);
 
     void beginDrain(Common::Instant now);
--- a/Source/Entry/Cluster.cpp
+++ b/Source/Entry/Cluster.cpp
@@ -23,18 +23,22 @@
 // Peers whose kernel does not acknowledge for this time have lost the link.
 constexpr absl::Duration linkTimeout = absl::Seconds(1);
 constexpr absl::Duration longestReconnectPause = absl::Milliseconds(800);
+// Nothing that is queued when the links close is worth a longer wait of the entry thread.
+constexpr absl::Duration flushTimeout = absl::Milliseconds(200);
 
 } // namespace
 
 Common::Result<std::unique_ptr<Cluster>> Cluster::start(boost::asio::io_context &context,
-                                                        const EntrySettings &settings, Hooks hooks,
+                                                        const EntrySettings &settings,
+                                                        Common::Incarnation fewest, Hooks hooks,
                                                         Common::EventLog &log)
 {
     Membership::Identity self;
     self.vm = settings.vm;
     self.zone = settings.zone;
     self.region = settings.region;
-    self.incarnation = static_cast<Common::Incarnation>(absl::ToUnixMicros(absl::Now()));
+    self.incarnation
+            = std::max(static_cast<Common::Incarnation>(absl::ToUnixMicros(absl::Now())), fewest);
     self.address = settings.address;
     self.portBase = static_cast<std::uint16_t>(settings.peers.port - Daemon::peerPortOf(0));
     Membership::MembershipSettings memberSettings;
@@ -55,6 +59,7 @@
     transport.writeTimeout = linkTimeout;
     transport.handshakeTimeout = linkTimeout;
     transport.reconnectMax = longestReconnectPause;
+    transport.flushTimeout = flushTimeout;
     Peering::PeerHandlers handlers;
     Cluster *target = cluster.get();
     const auto onEntryThread = [target, alive = cluster->alive](auto work) {
@@ -87,6 +92,9 @@
                       });
                   }
               };
+    handlers.onOutdated = [target, onEntryThread](Common::Incarnation known) {
+        onEntryThread([target, known] { target->hooks.onOutdated(known); });
+    };
     auto started = Peering::PeerTransport::start(std::move(transport), std::move(handlers));
     if (!started) {
         return tl::unexpected(started.error());
--- a/Source/Entry/Cluster.h
+++ b/Source/Entry/Cluster.h
@@ -27,11 +27,15 @@
         std::function<void()> onMembers;
         /// What this VM tells the others.
         std::function<Membership::ReportedState()> ownState;
+        /// Peers refuse this run because they know a later one of this VM.
+        std::function<void(Common::Incarnation known)> onOutdated;
     };
 
+    /// This run is numbered by the wall clock, but not below `fewest`.
     static Common::Result<std::unique_ptr<Cluster>> start(boost::asio::io_context &context,
                                                           const EntrySettings &settings,
-                                                          Hooks hooks, Common::EventLog &log);
+                                                          Common::Incarnation fewest, Hooks hooks,
+                                                          Common::EventLog &log);
     ~Cluster();
 
     /// Sends heartbeats that are due and updates the view.
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -76,7 +76,7 @@
     this->log.important("start", { { "zone", this->settings.zone.value() },
                                    { "region", this->settings.region.value() },
                                    { "store", this->settings.store.toString() } });
-    if (auto started = this->startCluster(); !started) {
+    if (auto started = this->startCluster(0); !started) {
         return started;
     }
     this->startStore();
@@ -95,7 +95,7 @@
     this->log.important("stop", { { "unfinished", this->steering.requestsInProgress() } });
 }
 
-Common::Result<void> EntryDaemon::startCluster()
+Common::Result<void> EntryDaemon::startCluster(Common::Incarnation fewest)
 {
     Cluster::Hooks hooks;
     hooks.onMessage = [this](const Common::VmName &peer, Peering::Wire::MessageT &message) {
@@ -121,7 +121,9 @@
                                  : this->steering.configuration()->version();
         return state;
     };
-    auto started = Cluster::start(this->context, this->settings, std::move(hooks), this->log);
+    hooks.onOutdated = [this](Common::Incarnation known) { this->restartCluster(known); };
+    auto started
+            = Cluster::start(this->context, this->settings, fewest, std::move(hooks), this->log);
     if (!started) {
         return tl::unexpected(started.error());
     }
@@ -135,6 +137,28 @@
     return {};
 }
 
+void EntryDaemon::restartCluster(Common::Incarnation known)
+{
+    if (this->leaving || known < this->cluster->incarnation()) {
+        return; // Said by several peers.
+    }
+    this->log.important("incarnation_outdated",
+                        { { "own", this->cluster->incarnation() }, { "known", known } });
+    // Not from within a callback of the cluster that ends.
+    boost::asio::post(this->context, [this, known] {
+        if (known < this->cluster->incarnation()) {
+            return;
+        }
+        this->cluster.reset();
+        if (const auto started = this->startCluster(known + 1); !started) {
+            this->log.important("cluster_failed", Common::errorFields(started.error()));
+            this->beginShutdown();
+            return;
+        }
+        this->onVmRows();
+    });
+}
+
 void EntryDaemon::startStore()
 {
     StoreSync::Hooks hooks;
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -38,7 +38,10 @@
     EntryDaemon(std::string settingsPath, EntrySettings settings);
 
     Common::Result<void> start();
-    Common::Result<void> startCluster();
+    /// Joins the other VMs as a run that is numbered `fewest` or higher.
+    Common::Result<void> startCluster(Common::Incarnation fewest);
+    /// Joins again as a later run than the one that peers know: the clock was set back.
+    void restartCluster(Common::Incarnation known);
     void startStore();
     Common::Result<void> startEndpoints();
     void subscribeTimers();
--- a/Source/UnitTests/Peering/PeerTransportTest.cpp
+++ b/Source/UnitTests/Peering/PeerTransportTest.cpp
@@ -80,6 +80,10 @@
             --this->up[{ peer.value(), incarnation, linkClass }];
             this->lastReason = reason.toString();
         };
+        handlers.onOutdated = [this](Common::Incarnation known) {
+            const std::lock_guard lock(this->mutex);
+            this->latestKnown = known;
+        };
         auto started = PeerTransport::start(settings, std::move(handlers));
         REQUIRE(started.has_value());
         this->transport = std::move(*started);
@@ -109,6 +113,13 @@
                && this->linksUp(vm, incarnation, LinkClass::Bulk) == 1;
     }
 
+    /// The later run of this VM of which peers have told it; 0 if none did.
+    Common::Incarnation outdatedBy()
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->latestKnown;
+    }
+
     std::string reason()
     {
         const std::lock_guard lock(this->mutex);
@@ -120,6 +131,7 @@
     std::map<std::tuple<std::string, Common::Incarnation, LinkClass>, int> up;
     std::map<std::string, std::vector<std::uint64_t>> revisions;
     std::string lastReason;
+    Common::Incarnation latestKnown = 0;
 
 public:
     std::unique_ptr<PeerTransport> transport; // Last: its thread uses the other members.
@@ -231,6 +243,28 @@
     REQUIRE(a.linksUp("b", 5, LinkClass::Control) == 0);
 }
 
+// Guards against a VM that nobody talks to for good, because its clock was set back before it
+// started again.
+TEST_CASE("A run that is earlier than the known one is told so, whichever side dials")
+{
+    Vm first(settingsOf(identity("vm-a", 1)));
+    auto later = std::make_unique<Vm>(settingsOf(identity("vm-b", 20)));
+    first.transport->setPeers({ later->address("vm-b") });
+    waitUntil([&] { return first.bothUp("vm-b", 20); });
+    CHECK(later->outdatedBy() == 0);
+    const std::uint16_t port = later->transport->port();
+    later.reset();
+    const bool firstDials = GENERATE(true, false);
+    Vm earlier(settingsOf(identity("vm-b", 10), firstDials ? port : 0));
+    if (!firstDials) {
+        first.transport->setPeers({});
+        earlier.transport->setPeers({ first.address("vm-a") });
+    }
+    waitUntil([&] { return earlier.outdatedBy() == 20; });
+    CHECK(first.linksUp("vm-b", 10, LinkClass::Control) == 0);
+    CHECK(first.outdatedBy() == 0);
+}
+
 TEST_CASE("A killed peer is dialed again until it is back")
 {
     Vm a(settingsOf(identity("a", 1)));
--- a/Tests/Entry/EntryDeployment.cpp
+++ b/Tests/Entry/EntryDeployment.cpp
@@ -235,12 +235,14 @@
     return graceSeconds;
 }
 
-void EntryDeployment::start(EntryVm &vm)
+void EntryDeployment::start(EntryVm &vm, int clockShiftMs)
 {
     vm.process.emplace(
-            CURRANTFALLD_PATH,
+            clockShiftMs == 0 ? CURRANTFALLD_PATH : CURRANTFALLD_SHIFTED_CLOCK_PATH,
             std::vector<std::string> { "--entry-settings-from", "CURRANTFALL_SOAK_SETTINGS" },
-            std::vector<std::string> { "CURRANTFALL_SOAK_SETTINGS=" + vm.settingsPath });
+            std::vector<std::string> { "CURRANTFALL_SOAK_SETTINGS=" + vm.settingsPath,
+                                       "CURRANTFALL_CLOCK_SHIFT_MS="
+                                               + std::to_string(clockShiftMs) });
 }
 
 bool EntryDeployment::ready(const EntryVm &vm) const
--- a/Tests/Entry/EntryDeployment.h
+++ b/Tests/Entry/EntryDeployment.h
@@ -44,7 +44,8 @@
 
     std::vector<EntryVm> &vms() { return this->entryVms; }
     const std::vector<EntryVm> &vms() const { return this->entryVms; }
-    void start(EntryVm &vm);
+    /// Starts the VM's process; its time of day is off by `clockShiftMs`.
+    void start(EntryVm &vm, int clockShiftMs = 0);
     /// Changes a setting that has no effect on callers.
     void rewriteSettings(EntryVm &vm, unsigned variant);
     /// Seconds from SIGTERM until the process must have ended.
--- a/Tests/Entry/SoakFaults.cpp
+++ b/Tests/Entry/SoakFaults.cpp
@@ -25,6 +25,9 @@
 // A process that is told to end may take this much longer than its settings say, on a busy machine.
 constexpr std::chrono::duration<double> shutdownSlack { 2.0 };
 
+// Of the time of day of a process that starts again.
+const std::vector<int> clockShiftsMs { 0, -5000, 0, 3000 };
+
 bool isLinkFault(SoakFaultKind kind)
 {
     return kind >= SoakFaultKind::LinkDelayed && kind <= SoakFaultKind::LinkCut;
@@ -111,12 +114,12 @@
     });
 }
 
-int SoakFaultDriver::restart(EntryVm &vm)
+int SoakFaultDriver::restart(EntryVm &vm, int clockShiftMs)
 {
     vm.process->terminate();
     const int code = vm.process->wait();
     this->endedLogs[vm.name] += vm.process->output();
-    this->deployment.start(vm);
+    this->deployment.start(vm, clockShiftMs);
     return code;
 }
 
@@ -149,8 +152,9 @@
     const auto now = Clock::now();
     if (state.startAt) {
         if (now >= *state.startAt) {
+            const int shift = state.clockShiftMs;
             state = VmState();
-            this->deployment.start(vm);
+            this->deployment.start(vm, shift);
         }
         return;
     }
@@ -224,6 +228,7 @@
     if (state.startAt || !vm.process->running()) {
         return;
     }
+    state.clockShiftMs = clockShiftsMs[fault.variant % clockShiftsMs.size()];
     if (fault.kind == SoakFaultKind::KillVm) {
         state.endExpected = true;
         vm.process->kill();
--- a/Tests/Entry/SoakFaults.h
+++ b/Tests/Entry/SoakFaults.h
@@ -64,7 +64,7 @@
     /// Returns when all faults have ended, and all VMs run and are ready.
     void run(const std::vector<SoakFault> &faults);
     /// Ends the VM with SIGTERM, waits and starts it again. Returns the exit code.
-    int restart(EntryVm &vm);
+    int restart(EntryVm &vm, int clockShiftMs = 0);
 
     const std::vector<std::string> &violations() const { return this->found; }
     /// What processes that have ended wrote.
@@ -80,6 +80,7 @@
         bool pausedWhileStopping = false;
         std::optional<Clock::time_point> stopSince;
         std::optional<Clock::time_point> startAt;
+        int clockShiftMs = 0; ///< Of the next process.
     };
     struct Due
     {
--- a/Tests/Entry/SoakTest.cpp
+++ b/Tests/Entry/SoakTest.cpp
@@ -173,3 +173,17 @@
         CHECK_FALSE(lost);
     }
 }
+
+// Guards against a VM that peers refuse and directories leave out for good, because its clock was
+// set back before it started again.
+TEST_CASE("A VM whose clock was set back joins the others again")
+{
+    EntryDeployment deployment;
+    SoakFaultDriver driver(deployment);
+    EntryVm &vm = deployment.vms()[3];
+    CHECK(driver.restart(vm, -60'000) == 0);
+    // The directories of all VMs name it again.
+    deployment.awaitReady();
+    CHECK(vm.process->output().find("incarnation_outdated") != std::string::npos);
+    requireWell(deployment, 8);
+}
--- a/include/currantfall/Peering/Messages_generated.h
+++ b/include/currantfall/Peering/Messages_generated.h
@@ -804,6 +804,7 @@
   uint8_t link_class = 0;
   std::string address{};
   uint16_t port_base = 0;
+  uint64_t known_incarnation = 0;
 };
 
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -817,7 +818,8 @@
     VT_INCARNATION = 12,
     VT_LINK_CLASS = 14,
     VT_ADDRESS = 16,
-    VT_PORT_BASE = 18
+    VT_PORT_BASE = 18,
+    VT_KNOWN_INCARNATION = 20
   };
   const flatbuffers::String *environment() const {
     return GetPointer<const flatbuffers::String *>(VT_ENVIRONMENT);
@@ -843,6 +845,9 @@
   uint16_t port_base() const {
     return GetField<uint16_t>(VT_PORT_BASE, 0);
   }
+  uint64_t known_incarnation() const {
+    return GetField<uint64_t>(VT_KNOWN_INCARNATION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ENVIRONMENT) &&
@@ -858,6 +863,7 @@
            VerifyOffset(verifier, VT_ADDRESS) &&
            verifier.VerifyString(address()) &&
            VerifyField<uint16_t>(verifier, VT_PORT_BASE, 2) &&
+           VerifyField<uint64_t>(verifier, VT_KNOWN_INCARNATION, 8) &&
            verifier.EndTable();
   }
   HelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -893,6 +899,9 @@
   void add_port_base(uint16_t port_base) {
     fbb_.AddElement<uint16_t>(Hello::VT_PORT_BASE, port_base, 0);
   }
+  void add_known_incarnation(uint64_t known_incarnation) {
+    fbb_.AddElement<uint64_t>(Hello::VT_KNOWN_INCARNATION, known_incarnation, 0);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -913,8 +922,10 @@
     uint64_t incarnation = 0,
     uint8_t link_class = 0,
     flatbuffers::Offset<flatbuffers::String> address = 0,
-    uint16_t port_base = 0) {
+    uint16_t port_base = 0,
+    uint64_t known_incarnation = 0) {
   HelloBuilder builder_(_fbb);
+  builder_.add_known_incarnation(known_incarnation);
   builder_.add_incarnation(incarnation);
   builder_.add_address(address);
   builder_.add_region(region);
@@ -935,7 +946,8 @@
     uint64_t incarnation = 0,
     uint8_t link_class = 0,
     const char *address = nullptr,
-    uint16_t port_base = 0) {
+    uint16_t port_base = 0,
+    uint64_t known_incarnation = 0) {
   auto environment__ = environment ? _fbb.CreateString(environment) : 0;
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
@@ -950,7 +962,8 @@
       incarnation,
       link_class,
       address__,
-      port_base);
+      port_base,
+      known_incarnation);
 }
 
 flatbuffers::Offset<Hello> CreateHello(flatbuffers::FlatBufferBuilder &_fbb, const HelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4039,6 +4052,7 @@
   { auto _e = link_class(); _o->link_class = _e; }
   { auto _e = address(); if (_e) _o->address = _e->str(); }
   { auto _e = port_base(); _o->port_base = _e; }
+  { auto _e = known_incarnation(); _o->known_incarnation = _e; }
 }
 
 inline flatbuffers::Offset<Hello> Hello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4057,6 +4071,7 @@
   auto _link_class = _o->link_class;
   auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
   auto _port_base = _o->port_base;
+  auto _known_incarnation = _o->known_incarnation;
   return Currantfall::Peering::Wire::CreateHello(
       _fbb,
       _environment,
@@ -4066,7 +4081,8 @@
       _incarnation,
       _link_class,
       _address,
-      _port_base);
+      _port_base,
+      _known_incarnation);
 }
 
 inline ServiceLoadT *ServiceLoad::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/include/currantfall/Peering/PeerTransport.h
+++ b/include/currantfall/Peering/PeerTransport.h
@@ -73,6 +73,8 @@
     std::function<void(const Common::VmName &peer, Common::Incarnation incarnation,
                        LinkClass linkClass, const Common::Error &reason)>
             onLinkDown;
+    /// A peer knows a later run of this VM and therefore refuses links. May be empty.
+    std::function<void(Common::Incarnation known)> onOutdated;
 };
 
 struct LinkCounters
