Count the time in which a VM is suspended

Cause: the monotonic clock was CLOCK_MONOTONIC, which stands still while a VM is suspended. After it, leases of slots, credits, copies of the store and idle connections counted as fresh, although peers had taken over and the store had moved on; the check for pauses saw no gap. Now CLOCK_BOOTTIME.

Not shown on a suspended VM: the project's own tests can't suspend one.

--- a/Source/Core/Common/Time.cpp
+++ b/Source/Core/Common/Time.cpp
@@ -1,13 +1,14 @@
 #include "currantfall/Common/Time.h"
 
-#include <chrono>
+#include <ctime>
 
 namespace Currantfall::Common {
 
 Instant monotonicNow()
 {
-    const auto sinceEpoch = std::chrono::steady_clock::now().time_since_epoch();
-    return Instant::fromOrigin(absl::FromChrono(sinceEpoch));
+    timespec time {};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return Instant::fromOrigin(absl::DurationFromTimespec(time));
 }
 
 } // namespace Currantfall::Common
--- a/include/currantfall/Common/Time.h
+++ b/include/currantfall/Common/Time.h
@@ -51,8 +51,9 @@
     absl::Duration elapsed = absl::ZeroDuration();
 };
 
-/// The current instant of the system's monotonic clock. Library state machines never call this:
-/// they take the time as a value.
+/// The current instant of the system's monotonic clock, which goes on while a VM is suspended: what
+/// has lapsed in that time must not be used. Library state machines never call this: they take the
+/// time as a value.
 Instant monotonicNow();
 
 } // namespace Currantfall::Common
