Read settings that change without a signal; count bodies sent in chunks

The file's modification time is looked at once a second. A body in chunks is counted as soon as its size is known. Test: settings rewritten without a signal are read again (the line "reload" never came before).

--- a/Source/Entry/CallerListener.cpp
+++ b/Source/Entry/CallerListener.cpp
@@ -47,6 +47,14 @@
     {
         this->total += bytes;
     }
+    /// The body turned out to be larger.
+    void growTo(std::size_t size)
+    {
+        if (size > this->bytes) {
+            this->total += size - this->bytes;
+            this->bytes = size;
+        }
+    }
     ~BodyReservation() { this->total -= this->bytes; }
     BodyReservation(const BodyReservation &) = delete;
     BodyReservation &operator=(const BodyReservation &) = delete;
@@ -146,7 +154,7 @@
     const std::size_t expected
             = error ? 0 : static_cast<std::size_t>(parser.content_length().value_or(0));
     const bool fits = this->bodyBytes + expected <= this->bodyMemory;
-    const BodyReservation reservation(this->bodyBytes, fits ? expected : 0);
+    BodyReservation reservation(this->bodyBytes, fits ? expected : 0);
     if (!error && fits) {
         stream.expires_after(toChrono(bodyTimeout));
         co_await http::async_read(stream, buffer, parser, awaitInto(error));
@@ -171,6 +179,8 @@
                 false, false);
     }
     const Adapter::HttpRequest request = parser.release();
+    // The size of a body in chunks is known only now.
+    reservation.growTo(request.body().size());
     stream.expires_never();
     ++this->inProgress;
     this->watch(stream, caller);
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <filesystem>
 #include <utility>
 
 #include "currantfall/Steering/EntryDirectory.h"
@@ -29,6 +30,16 @@
 // Time before SIGKILL at which the process ends with requests still running.
 constexpr absl::Duration killMargin = absl::Milliseconds(150);
 constexpr std::size_t queuedWrites = 4;
+// The settings file may change without a signal; one look costs a system call.
+constexpr absl::Duration settingsPeriod = absl::Seconds(1);
+
+/// The earliest time if the file can't be read.
+std::filesystem::file_time_type writeTime(const std::string &path)
+{
+    std::error_code error;
+    const auto time = std::filesystem::last_write_time(path, error);
+    return error ? std::filesystem::file_time_type::min() : time;
+}
 
 /// Reads by tables. Backend servers change a few times a second, and leaving ones must be known
 /// within two seconds; configurations come at once, because the store holds the read.
@@ -66,7 +77,8 @@
 EntryDaemon::EntryDaemon(std::string settingsPath, EntrySettings settings)
     : settingsPath(std::move(settingsPath)), settings(std::move(settings)),
       log(this->settings.vm.value(), {}), signals(this->context, SIGTERM, SIGINT, SIGHUP),
-      steering(this->context, this->settings, this->log, this->metrics)
+      steering(this->context, this->settings, this->log, this->metrics),
+      settingsWritten(writeTime(this->settingsPath))
 { }
 
 EntryDaemon::~EntryDaemon() = default;
@@ -226,6 +238,8 @@
         this->steering.advance(at);
         this->registerVm();
     });
+    this->timers.subscribeEvery(now, settingsPeriod,
+                                [this](Common::Instant) { this->checkSettingsFile(); });
     this->timers.advance(now);
     this->cluster->advance(now);
     this->store->advance(now);
@@ -258,8 +272,16 @@
     }
 }
 
+void EntryDaemon::checkSettingsFile()
+{
+    if (writeTime(this->settingsPath) != this->settingsWritten) {
+        this->reloadSettings();
+    }
+}
+
 void EntryDaemon::reloadSettings()
 {
+    this->settingsWritten = writeTime(this->settingsPath);
     auto read = EntrySettings::readFile(this->settingsPath);
     if (!read) {
         this->log.important("reload_failed", Common::errorFields(read.error()));
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <filesystem>
 #include <memory>
 #include <set>
 #include <string>
@@ -49,6 +50,8 @@
     Task awaitSignals();
 
     void reloadSettings();
+    /// Reloads settings that changed without a signal.
+    void checkSettingsFile();
     void beginShutdown();
     void advanceShutdown(Common::Instant now);
 
@@ -89,6 +92,8 @@
     bool leaving = false;
     bool stopped = false;
     Common::Instant leavingSince;
+    /// Modification time of the settings file at the last reading.
+    std::filesystem::file_time_type settingsWritten;
 };
 
 } // namespace Currantfall::Entry
--- a/Tests/Entry/SoakTest.cpp
+++ b/Tests/Entry/SoakTest.cpp
@@ -187,3 +187,15 @@
     CHECK(vm.process->output().find("incarnation_outdated") != std::string::npos);
     requireWell(deployment, 8);
 }
+
+// Guards against settings that take effect only with a signal, which the platform does not always
+// send.
+TEST_CASE("Settings that change without a signal are read again")
+{
+    EntryDeployment deployment;
+    EntryVm &vm = deployment.vms()[0];
+    CHECK(vm.process->output().find("\"reload\"") == std::string::npos);
+    deployment.rewriteSettings(vm, 1);
+    waitUntil([&] { return vm.process->output().find("\"reload\"") != std::string::npos; });
+    CHECK(vm.process->running());
+}
