--- a/Tests/Entry/SoakTest.cpp
+++ b/Tests/Entry/SoakTest.cpp
@@ -15,6 +15,9 @@
 namespace {
 
 constexpr std::size_t calmCalls = 300;
+constexpr milliseconds usualLength { 15'000 };
+constexpr milliseconds usualGap { 250 };
+constexpr std::size_t usualCallers = 12;
 
 struct SoakSettings
 {
@@ -143,10 +146,29 @@
 TEST_CASE("Long soak of entry VMs", "[.long]")
 {
     constexpr std::uint64_t millisecondsPerSecond = 1000;
-    soak({ variable("CURRANTFALL_SOAK_SEED", 1),
-           milliseconds(variable("CURRANTFALL_SOAK_SECONDS", 15) * millisecondsPerSecond),
-           milliseconds(variable("CURRANTFALL_SOAK_GAP_MS", 250)),
-           variable("CURRANTFALL_SOAK_CALLERS", 12) });
+    const std::uint64_t seconds
+            = variable("CURRANTFALL_SOAK_SECONDS", usualLength.count() / millisecondsPerSecond);
+    soak({ variable("CURRANTFALL_SOAK_SEED", 1), milliseconds(seconds * millisecondsPerSecond),
+           milliseconds(variable("CURRANTFALL_SOAK_GAP_MS", usualGap.count())),
+           variable("CURRANTFALL_SOAK_CALLERS", usualCallers) });
+}
+
+// Seeds of the long soak that failed once, with the cause. They run with its usual length and gap.
+TEST_CASE("Seeds of the soak that failed before", "[.regression]")
+{
+    // The relay hid resets of responses that end with their connection.
+    const std::vector<std::uint64_t> hiddenReset { 103, 104, 111, 112, 125 };
+    // SIGTERM came before the process handled it.
+    const std::vector<std::uint64_t> earlySignal { 101 };
+    // The check took refusals of requests with a deadline below the work's time for faults.
+    const std::vector<std::uint64_t> shortDeadline { 203, 209, 216, 218 };
+    // Run with an unfinished change that left VMs with a wrong clock out of directories for good.
+    const std::vector<std::uint64_t> wrongClock { 308, 309 };
+    for (const auto *seeds : { &hiddenReset, &earlySignal, &shortDeadline, &wrongClock }) {
+        for (const std::uint64_t seed : *seeds) {
+            soak({ seed, usualLength, usualGap, usualCallers });
+        }
+    }
 }
 
 // Guards against requests that end with their VM's process, and against connections that a VM
