--- a/Tests/Deployment/PartitionTest.cpp
+++ b/Tests/Deployment/PartitionTest.cpp
@@ -184,7 +184,9 @@
         for (std::string line; std::getline(lines, line);) {
             const bool wanted = line.find("on credit") != std::string::npos
                                 || line.find("was paused") != std::string::npos;
-            found += wanted ? vm + ": " + line + "\n" : "";
+            if (wanted) {
+                found.append(vm).append(": ").append(line).append("\n");
+            }
         }
     }
     return found;
--- a/Tests/Deployment/RandomizedRun.cpp
+++ b/Tests/Deployment/RandomizedRun.cpp
@@ -7,6 +7,7 @@
 
 #include "Callers.h"
 #include "FaultDriver.h"
+#include "Support/RunSupport.h"
 
 using namespace Currantfall::Tests;
 using nlohmann::json;
@@ -86,15 +87,6 @@
     return verdict;
 }
 
-void requireNone(const std::vector<std::string> &violations)
-{
-    constexpr std::size_t mostShown = 20;
-    for (std::size_t index = 0; index < std::min(mostShown, violations.size()); ++index) {
-        UNSCOPED_INFO(violations[index]);
-    }
-    CHECK(violations.empty());
-}
-
 /// Fresh callers while nothing fails: all are answered, and no slot is used twice.
 void requireWell(DeploymentFixture &deployment, std::size_t threads)
 {
@@ -166,12 +158,6 @@
     requireNone(driver.violations());
 }
 
-std::uint64_t variable(const char *name, std::uint64_t otherwise)
-{
-    const char *const text = std::getenv(name);
-    return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
-}
-
 } // namespace
 
 // Guards against faults of the coordination between VMs that only a combination of failures shows.
@@ -186,11 +172,13 @@
 {
     constexpr std::uint64_t millisecondsPerSecond = 1000;
     RunSettings settings;
-    settings.seed = variable("CURRANTFALL_RUN_SEED", 1);
-    settings.length = milliseconds(variable("CURRANTFALL_RUN_SECONDS", 60) * millisecondsPerSecond);
-    settings.meanGap = milliseconds(variable("CURRANTFALL_RUN_GAP_MS", 500));
-    settings.threads = variable("CURRANTFALL_RUN_CALLERS", 12);
-    settings.behaviour = { { "service_time_ms", variable("CURRANTFALL_RUN_SERVICE_MS", 10) } };
+    settings.seed = numberFromEnvironment("CURRANTFALL_RUN_SEED", 1);
+    settings.length = milliseconds(numberFromEnvironment("CURRANTFALL_RUN_SECONDS", 60)
+                                   * millisecondsPerSecond);
+    settings.meanGap = milliseconds(numberFromEnvironment("CURRANTFALL_RUN_GAP_MS", 500));
+    settings.threads = numberFromEnvironment("CURRANTFALL_RUN_CALLERS", 12);
+    settings.behaviour
+            = { { "service_time_ms", numberFromEnvironment("CURRANTFALL_RUN_SERVICE_MS", 10) } };
     const char *const kinds = std::getenv("CURRANTFALL_RUN_KINDS");
     settings.kinds = kinds == nullptr ? "" : kinds;
     runWithFaults(settings);
--- a/Tests/Entry/SoakTest.cpp
+++ b/Tests/Entry/SoakTest.cpp
@@ -7,6 +7,7 @@
 #include "EntryDeployment.h"
 #include "SoakCallers.h"
 #include "SoakFaults.h"
+#include "Support/RunSupport.h"
 
 using namespace Currantfall::Tests;
 using nlohmann::json;
@@ -27,15 +28,6 @@
     std::size_t callers = 0;
 };
 
-void requireNone(const std::vector<std::string> &violations)
-{
-    constexpr std::size_t mostShown = 20;
-    for (std::size_t index = 0; index < std::min(mostShown, violations.size()); ++index) {
-        UNSCOPED_INFO(violations[index]);
-    }
-    CHECK(violations.empty());
-}
-
 /// Versions of the configuration that a VM's processes have put into force never fall within one
 /// process.
 void requireRisingVersions(const std::string &log)
@@ -126,12 +118,6 @@
     keepLogs(deployment, driver, settings.seed);
 }
 
-std::uint64_t variable(const char *name, std::uint64_t otherwise)
-{
-    const char *const text = std::getenv(name);
-    return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
-}
-
 } // namespace
 
 // Guards against untrue refusals, second runs, and wrong or partial answers of entry VMs that only
@@ -146,11 +132,12 @@
 TEST_CASE("Long soak of entry VMs", "[.long]")
 {
     constexpr std::uint64_t millisecondsPerSecond = 1000;
-    const std::uint64_t seconds
-            = variable("CURRANTFALL_SOAK_SECONDS", usualLength.count() / millisecondsPerSecond);
-    soak({ variable("CURRANTFALL_SOAK_SEED", 1), milliseconds(seconds * millisecondsPerSecond),
-           milliseconds(variable("CURRANTFALL_SOAK_GAP_MS", usualGap.count())),
-           variable("CURRANTFALL_SOAK_CALLERS", usualCallers) });
+    const std::uint64_t seconds = numberFromEnvironment(
+            "CURRANTFALL_SOAK_SECONDS", usualLength.count() / millisecondsPerSecond);
+    soak({ numberFromEnvironment("CURRANTFALL_SOAK_SEED", 1),
+           milliseconds(seconds * millisecondsPerSecond),
+           milliseconds(numberFromEnvironment("CURRANTFALL_SOAK_GAP_MS", usualGap.count())),
+           numberFromEnvironment("CURRANTFALL_SOAK_CALLERS", usualCallers) });
 }
 
 // Seeds of the long soak that failed once, with the cause. They run with its usual length and gap.
