Mend two faults at the end of an entry VM's process

The counter is now shared. New test; it failed before (use after free), passes now. - Code 143 when a second SIGTERM comes while the process cleans up, after its handlers are gone. Signals are held back again before that. A restart that ends with another code now shows the process's errors.

--- a/Source/Entry/CallerListener.cpp
+++ b/Source/Entry/CallerListener.cpp
@@ -39,28 +39,30 @@
            && error != http::error::end_of_stream && error != http::error::partial_message;
 }
 
-/// Counts the bytes of a body as long as it is kept.
+/// Counts the bytes of a body as long as it is kept. A request that is on its way when the daemon
+/// ends outlives the listener.
 class BodyReservation
 {
 public:
-    BodyReservation(std::size_t &total, std::size_t bytes) : total(total), bytes(bytes)
+    BodyReservation(std::shared_ptr<std::size_t> total, std::size_t bytes)
+        : total(std::move(total)), bytes(bytes)
     {
-        this->total += bytes;
+        *this->total += bytes;
     }
     /// The body turned out to be larger.
     void growTo(std::size_t size)
     {
         if (size > this->bytes) {
-            this->total += size - this->bytes;
+            *this->total += size - this->bytes;
             this->bytes = size;
         }
     }
-    ~BodyReservation() { this->total -= this->bytes; }
+    ~BodyReservation() { *this->total -= this->bytes; }
     BodyReservation(const BodyReservation &) = delete;
     BodyReservation &operator=(const BodyReservation &) = delete;
 
 private:
-    std::size_t &total;
+    std::shared_ptr<std::size_t> total;
     std::size_t bytes;
 };
 
@@ -153,7 +155,7 @@
     }
     const std::size_t expected
             = error ? 0 : static_cast<std::size_t>(parser.content_length().value_or(0));
-    const bool fits = this->bodyBytes + expected <= this->bodyMemory;
+    const bool fits = *this->bodyBytes + expected <= this->bodyMemory;
     BodyReservation reservation(this->bodyBytes, fits ? expected : 0);
     if (!error && fits) {
         stream.expires_after(toChrono(bodyTimeout));
--- a/Source/Entry/CallerListener.h
+++ b/Source/Entry/CallerListener.h
@@ -54,7 +54,7 @@
     Common::EventLog &log;
     std::size_t bodyMemory;
     std::size_t mostConnections;
-    std::size_t bodyBytes = 0;
+    std::shared_ptr<std::size_t> bodyBytes = std::make_shared<std::size_t>(0);
     std::size_t connections = 0;
     std::size_t inProgress = 0;
     bool leaving = false;
--- a/Source/Entry/EntryProgram.cpp
+++ b/Source/Entry/EntryProgram.cpp
@@ -25,8 +25,9 @@
         sigaddset(&this->held, SIGTERM);
         sigaddset(&this->held, SIGINT);
         sigaddset(&this->held, SIGHUP);
-        pthread_sigmask(SIG_BLOCK, &this->held, nullptr);
+        this->hold();
     }
+    void hold() const { pthread_sigmask(SIG_BLOCK, &this->held, nullptr); }
     /// Lets this thread have them.
     void release() const { pthread_sigmask(SIG_UNBLOCK, &this->held, nullptr); }
 
@@ -61,6 +62,8 @@
     }
     block.release();
     (*daemon)->run();
+    // Another signal must not end the process while it cleans up.
+    block.hold();
     return 0;
 }
 
--- a/Tests/Entry/SoakFaults.cpp
+++ b/Tests/Entry/SoakFaults.cpp
@@ -119,6 +119,10 @@
     vm.process->terminate();
     const int code = vm.process->wait();
     this->endedLogs[vm.name] += vm.process->output();
+    if (code != 0) {
+        this->found.push_back(vm.name + " ended with code " + std::to_string(code) + ": "
+                              + vm.process->errors());
+    }
     this->deployment.start(vm, clockShiftMs);
     return code;
 }
--- a/Tests/Entry/SoakTest.cpp
+++ b/Tests/Entry/SoakTest.cpp
@@ -1,6 +1,10 @@
+#include <arpa/inet.h>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <catch2/catch.hpp>
 
@@ -48,6 +52,33 @@
     }
 }
 
+/// A caller's connection that sends what the test wants.
+class RawCaller
+{
+public:
+    RawCaller(const std::string &host, int port) : descriptor(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        ::inet_pton(AF_INET, host.c_str(), &address.sin_addr);
+        const auto *generic = reinterpret_cast<const sockaddr *>(&address);
+        REQUIRE(::connect(this->descriptor, generic, sizeof(address)) == 0);
+    }
+    ~RawCaller() { ::close(this->descriptor); }
+    RawCaller(const RawCaller &) = delete;
+    RawCaller &operator=(const RawCaller &) = delete;
+
+    void send(const std::string &bytes) const
+    {
+        REQUIRE(::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL)
+                == static_cast<ssize_t>(bytes.size()));
+    }
+
+private:
+    int descriptor;
+};
+
 /// Fresh callers while nothing fails are all answered.
 void requireWell(EntryDeployment &deployment, std::size_t threads)
 {
@@ -174,6 +205,7 @@
     const auto records = callers.finish();
     const SoakVerdict verdict = judge(records, deployment.ledger());
     requireNone(verdict.violations);
+    requireNone(driver.violations());
     const auto executions = deployment.ledger().executions();
     for (const SoakRecord &record : records) {
         const bool lost = executions.contains(record.id) && record.status != 200
@@ -208,3 +240,29 @@
     waitUntil([&] { return vm.process->output().find("\"reload\"") != std::string::npos; });
     CHECK(vm.process->running());
 }
+
+// Guards against requests that use what the daemon has destroyed already. AddressSanitizer shows
+// it.
+TEST_CASE("A VM that ends while a body is on its way ends cleanly")
+{
+    EntryDeployment deployment;
+    SoakFaultDriver driver(deployment);
+    EntryVm &vm = deployment.vms()[0];
+    RawCaller caller(vm.host, EntryDeployment::callersPort);
+    caller.send("POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 1000\r\n\r\nabc");
+    CHECK(driver.restart(vm) == 0);
+    requireNone(driver.violations());
+}
+
+// Guards against a process that a second SIGTERM kills while it ends.
+TEST_CASE("Repeated signals do not change how a VM ends")
+{
+    EntryDeployment deployment;
+    ProcessFixture &process = *deployment.vms()[0].process;
+    while (process.running()) {
+        process.terminate();
+        process.hangUp();
+        pauseBetweenChecks();
+    }
+    CHECK(process.wait() == 0);
+}
