Share the threads and responses of the randomized runs; end a VM whose cluster can't start again

A field that nothing read is gone, and the list of zones that stood twice. - EntryDaemon: the exchange of moves was made anew with each cluster, and the question whether a run is outdated was asked twice. - A fault on that path: if the cluster could not start again, timers went on to use it, and the process crashed. It now ends in order. Not shown by a test: its port would have to be taken in between. - A peer of another environment can't make a VM count itself outdated. Checks and expectations are unchanged.

--- a/Source/Core/Peering/PeerLoop.cpp
+++ b/Source/Core/Peering/PeerLoop.cpp
@@ -315,7 +315,8 @@
     if (this->draining) {
         return tl::unexpected(stopped(peer.vm.value()));
     }
-    if (hello.known_incarnation > this->settings.self.incarnation && this->handlers.onOutdated) {
+    if (peer.environment == this->settings.self.environment
+        && hello.known_incarnation > this->settings.self.incarnation && this->handlers.onOutdated) {
         this->handlers.onOutdated(hello.known_incarnation);
     }
     Common::Result<void> judged = this->links.judgeHello(link, peer, linkClass, now);
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -91,6 +91,7 @@
     if (auto started = this->startCluster(0); !started) {
         return started;
     }
+    this->startMoves();
     this->startStore();
     if (auto started = this->startEndpoints(); !started) {
         return started;
@@ -133,42 +134,45 @@
                                  : this->steering.configuration()->version();
         return state;
     };
-    hooks.onOutdated = [this](Common::Incarnation known) { this->restartCluster(known); };
+    hooks.onOutdated = [this](Common::Incarnation known) {
+        // Not from within a callback of the cluster that ends.
+        boost::asio::post(this->context, [this, known] { this->restartCluster(known); });
+    };
     auto started
             = Cluster::start(this->context, this->settings, fewest, std::move(hooks), this->log);
     if (!started) {
         return tl::unexpected(started.error());
     }
     this->cluster = std::move(*started);
-    ObjectMoveSync::Hooks moveHooks;
-    moveHooks.peers = [this] { return this->cluster->linkedPeers(); };
-    moveHooks.send = [this](const Common::VmName &peer, Peering::Wire::BodyUnion body) {
-        this->cluster->send(peer, std::move(body));
-    };
-    this->moves = std::make_unique<ObjectMoveSync>(this->steering, std::move(moveHooks), this->log);
     return {};
 }
 
 void EntryDaemon::restartCluster(Common::Incarnation known)
 {
+    // Several peers may have said it.
     if (this->leaving || known < this->cluster->incarnation()) {
-        return; // Said by several peers.
+        return;
     }
     this->log.important("incarnation_outdated",
                         { { "own", this->cluster->incarnation() }, { "known", known } });
-    // Not from within a callback of the cluster that ends.
-    boost::asio::post(this->context, [this, known] {
-        if (known < this->cluster->incarnation()) {
-            return;
-        }
-        this->cluster.reset();
-        if (const auto started = this->startCluster(known + 1); !started) {
-            this->log.important("cluster_failed", Common::errorFields(started.error()));
-            this->beginShutdown();
-            return;
-        }
-        this->onVmRows();
-    });
+    // Its port is needed again.
+    this->cluster.reset();
+    if (const auto started = this->startCluster(known + 1); !started) {
+        this->log.important("cluster_failed", Common::errorFields(started.error()));
+        this->end();
+        return;
+    }
+    this->onVmRows();
+}
+
+void EntryDaemon::startMoves()
+{
+    ObjectMoveSync::Hooks hooks;
+    hooks.peers = [this] { return this->cluster->linkedPeers(); };
+    hooks.send = [this](const Common::VmName &peer, Peering::Wire::BodyUnion body) {
+        this->cluster->send(peer, std::move(body));
+    };
+    this->moves = std::make_unique<ObjectMoveSync>(this->steering, std::move(hooks), this->log);
 }
 
 void EntryDaemon::startStore()
@@ -321,13 +325,18 @@
     const bool idle = since >= grace * stayPart && this->steering.requestsInProgress() == 0
                       && this->callers->requestsInProgress() == 0;
     if (idle || since >= grace - killMargin) {
-        this->stopped = true;
-        this->callers->close();
         this->cluster->stop();
-        this->context.stop();
+        this->end();
     }
 }
 
+void EntryDaemon::end()
+{
+    this->stopped = true;
+    this->callers->close();
+    this->context.stop();
+}
+
 void EntryDaemon::registerVm()
 {
     if (this->registered || this->registering || this->leaving) {
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -43,6 +43,7 @@
     Common::Result<void> startCluster(Common::Incarnation fewest);
     /// Joins again as a later run than the one that peers know: the clock was set back.
     void restartCluster(Common::Incarnation known);
+    void startMoves();
     void startStore();
     Common::Result<void> startEndpoints();
     void subscribeTimers();
@@ -54,6 +55,8 @@
     void checkSettingsFile();
     void beginShutdown();
     void advanceShutdown(Common::Instant now);
+    /// Makes run() return.
+    void end();
 
     std::vector<Steering::RowChange> onRows(const std::string &table,
                                             const std::vector<Steering::RowChange> &changes);
--- a/Tests/Deployment/Callers.cpp
+++ b/Tests/Deployment/Callers.cpp
@@ -1,5 +1,7 @@
 #include "Callers.h"
 
+#include <atomic>
+
 #include <nlohmann/json.hpp>
 
 namespace Currantfall::Tests {
@@ -33,9 +35,7 @@
       idPrefix((keyed ? "booking-" : "query-") + std::to_string(++instances) + "-"),
       zones(zones.empty() ? deployment.zoneNames() : zones), options(options)
 {
-    for (std::size_t index = 0; index < threads; ++index) {
-        this->threads.emplace_back([this, index] { this->run(index); });
-    }
+    this->threads.start(threads, [this](std::size_t index) { this->run(index); });
 }
 
 Callers::~Callers()
@@ -45,23 +45,14 @@
 
 std::vector<CallRecord> Callers::finish()
 {
-    this->stopping = true;
-    for (std::thread &thread : this->threads) {
-        thread.join();
-    }
-    this->threads.clear();
-    const std::lock_guard lock(this->mutex);
-    return this->records;
+    return this->threads.finish();
 }
 
 void Callers::run(std::size_t index)
 {
-    for (std::uint64_t number = 0; !this->stopping; ++number) {
+    for (std::uint64_t number = 0; !this->threads.stopping(); ++number) {
         const std::string &zone = this->zones[(index + number) % this->zones.size()];
-        CallRecord record = this->call(index, number, zone);
-        const std::lock_guard lock(this->mutex);
-        this->records.push_back(std::move(record));
-        ++this->completedCalls;
+        this->threads.add(this->call(index, number, zone));
     }
 }
 
--- a/Tests/Deployment/Callers.h
+++ b/Tests/Deployment/Callers.h
@@ -1,16 +1,14 @@
 #pragma once
 
-#include <atomic>
 #include <cstddef>
 #include <cstdint>
-#include <mutex>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include <httplib.h>
 
 #include "DeploymentFixture.h"
+#include "Support/RecordingThreads.h"
 
 namespace Currantfall::Tests {
 
@@ -47,7 +45,7 @@
             const std::vector<std::string> &zones = {}, CallerOptions options = {});
     ~Callers();
 
-    std::size_t completed() const { return this->completedCalls; }
+    std::size_t completed() const { return this->threads.completed(); }
     /// Ends the loops and returns all records.
     std::vector<CallRecord> finish();
 
@@ -64,11 +62,7 @@
     std::string idPrefix; // Differs between the instances of a test program.
     std::vector<std::string> zones;
     CallerOptions options;
-    std::atomic<bool> stopping { false };
-    std::atomic<std::size_t> completedCalls { 0 };
-    std::mutex mutex;
-    std::vector<CallRecord> records;
-    std::vector<std::thread> threads;
+    RecordingThreads<CallRecord> threads;
 };
 
 } // namespace Currantfall::Tests
--- a/Tests/Entry/EntryDeployment.cpp
+++ b/Tests/Entry/EntryDeployment.cpp
@@ -38,7 +38,6 @@
 const std::vector<Zone> allZones { { "north-a", "north" },
                                    { "north-b", "north" },
                                    { "south-a", "south" } };
-const std::vector<std::string> zoneNames { "north-a", "north-b", "south-a" };
 const std::vector<std::string> services { "catalog", "orders", "photos" };
 
 std::string endpoint(const std::string &host, int port)
@@ -328,9 +327,9 @@
     }
 }
 
-const std::vector<std::string> &EntryDeployment::zones() const
+const std::string &EntryDeployment::zoneOf(unsigned choice)
 {
-    return zoneNames;
+    return allZones[choice % allZones.size()].name;
 }
 
 std::vector<std::string> EntryDeployment::servicesOf(const std::string &route)
--- a/Tests/Entry/EntryDeployment.h
+++ b/Tests/Entry/EntryDeployment.h
@@ -66,7 +66,8 @@
     /// Writes the next configuration. `variant` selects where photos go, and the timeouts.
     void configure(unsigned variant);
     void evacuate(const std::string &zone, bool wanted);
-    const std::vector<std::string> &zones() const;
+    /// One of the zones.
+    static const std::string &zoneOf(unsigned choice);
     /// Services to which requests of the route may ever go.
     static std::vector<std::string> servicesOf(const std::string &route);
 
--- a/Tests/Entry/SoakCallers.cpp
+++ b/Tests/Entry/SoakCallers.cpp
@@ -1,8 +1,9 @@
 #include "SoakCallers.h"
 
 #include <algorithm>
+#include <atomic>
 #include <memory>
-#include <optional>
+#include <thread>
 
 namespace Currantfall::Tests {
 
@@ -39,14 +40,10 @@
 
     void run()
     {
-        for (unsigned number = 0; !this->owner.stopping; ++number) {
+        for (unsigned number = 0; !this->owner.threads.stopping(); ++number) {
             SoakRecord record = this->call(number);
             const bool failed = record.status != 200;
-            {
-                const std::lock_guard lock(this->owner.mutex);
-                this->owner.records.push_back(std::move(record));
-            }
-            ++this->owner.completedCalls;
+            this->owner.threads.add(std::move(record));
             if (failed) {
                 // A new connection, as after any failure.
                 this->client.reset();
@@ -82,11 +79,8 @@
         record.took = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - start);
         if (!result) {
             record.reason = httplib::to_string(result.error());
-            record.connected = result.error() != httplib::Error::Connection
-                               && result.error() != httplib::Error::ConnectionTimeout;
             return record;
         }
-        record.connected = true;
         record.status = result->status;
         const std::string seal = result->get_header_value("Server-Seal");
         const std::string suffix = "." + record.id;
@@ -167,9 +161,8 @@
     : deployment(deployment)
 {
     const std::string prefix = "q" + std::to_string(++groups) + "-";
-    for (std::size_t index = 0; index < threads; ++index) {
-        this->threads.emplace_back([this, index, prefix] { Caller(*this, index, prefix).run(); });
-    }
+    this->threads.start(threads,
+                        [this, prefix](std::size_t index) { Caller(*this, index, prefix).run(); });
 }
 
 SoakCallers::~SoakCallers()
@@ -179,13 +172,7 @@
 
 std::vector<SoakRecord> SoakCallers::finish()
 {
-    this->stopping = true;
-    for (std::thread &thread : this->threads) {
-        thread.join();
-    }
-    this->threads.clear();
-    const std::lock_guard lock(this->mutex);
-    return this->records;
+    return this->threads.finish();
 }
 
 SoakVerdict judge(const std::vector<SoakRecord> &records, const ExecutionLedger &ledger)
--- a/Tests/Entry/SoakCallers.h
+++ b/Tests/Entry/SoakCallers.h
@@ -1,16 +1,14 @@
 #pragma once
 
-#include <atomic>
 #include <chrono>
 #include <map>
-#include <mutex>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include <httplib.h>
 
 #include "EntryDeployment.h"
+#include "Support/RecordingThreads.h"
 
 namespace Currantfall::Tests {
 
@@ -22,7 +20,6 @@
     std::string entry; ///< Address of the entry VM.
     int status = 0;    ///< 0: no response.
     std::string reason;
-    bool connected = false;
     bool wholeAnswer = false; ///< The body and the signature are those of this request.
     std::chrono::milliseconds took { 0 };
     /// When the caller gives up.
@@ -42,7 +39,7 @@
     SoakCallers(const SoakCallers &) = delete;
     SoakCallers &operator=(const SoakCallers &) = delete;
 
-    std::size_t completed() const { return this->completedCalls; }
+    std::size_t completed() const { return this->threads.completed(); }
     /// Ends the loops and returns all records.
     std::vector<SoakRecord> finish();
 
@@ -50,11 +47,7 @@
     class Caller;
 
     const EntryDeployment &deployment;
-    std::atomic<bool> stopping { false };
-    std::atomic<std::size_t> completedCalls { 0 };
-    std::mutex mutex;
-    std::vector<SoakRecord> records;
-    std::vector<std::thread> threads;
+    RecordingThreads<SoakRecord> threads;
 };
 
 /// What the records and the executions at backend servers show together.
--- a/Tests/Entry/SoakFaults.cpp
+++ b/Tests/Entry/SoakFaults.cpp
@@ -213,8 +213,7 @@
         }
         return;
     case SoakFaultKind::Evacuate: {
-        const std::string zone
-                = this->deployment.zones()[fault.target % this->deployment.zones().size()];
+        const std::string zone = EntryDeployment::zoneOf(fault.target);
         this->deployment.evacuate(zone, true);
         this->after(fault.duration, [this, zone] { this->deployment.evacuate(zone, false); });
         return;
--- a/Tests/Entry/SoakServer.cpp
+++ b/Tests/Entry/SoakServer.cpp
@@ -23,13 +23,6 @@
     return result;
 }
 
-std::string response(const std::string &status, const std::string &request,
-                     const std::string &headers, const std::string &body)
-{
-    return "HTTP/1.1 " + status + "\r\nRequest-Id: " + headerOf(request, "Request-Id") + "\r\n"
-           + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
 } // namespace
 
 std::string requestBodyOf(const std::string &request)
@@ -89,27 +82,27 @@
 {
     const std::string instance = "Instance-Id: " + self.id + "\r\n";
     if (header.starts_with("GET /health ")) {
-        connection.write(response("200 OK", header, instance, ""));
+        connection.write(responseTo(header, "200 OK", instance, ""));
         return true;
     }
     const ServerFault applied
             = ++this->requests % usualEvery == 0 ? ServerFault::None : this->fault.load();
     const bool early = applied == ServerFault::AnswersEarly;
     const std::string refusal
-            = response("503 Service Unavailable", header, "Not-Executed: 1\r\n", "");
+            = responseTo(header, "503 Service Unavailable", "Not-Executed: 1\r\n", "");
     if (early) {
         connection.write(refusal);
     }
-    const std::string request = header + connection.readBody(header);
+    const auto body = connection.readBody(header);
+    if (!body) {
+        return false;
+    }
     if (early) {
         return true;
     }
-    const std::string length = headerOf(header, "Content-Length");
-    if (!length.empty() && request.size() < header.size() + std::stoul(length)) {
-        return false;
-    }
+    const std::string request = header + *body;
     if (headerOf(request, "Expect-Instance") != self.id) {
-        connection.write(response("421 Misdirected Request", request, instance, ""));
+        connection.write(responseTo(request, "421 Misdirected Request", instance, ""));
         return true;
     }
     if (applied == ServerFault::Sheds) {
@@ -133,12 +126,12 @@
     const std::string seal = "Server-Seal: " + sealOf(id, self.id) + "\r\nServer-Load: 1,0,"
                              + std::to_string(slots) + "\r\n";
     const std::string body = responseBodyOf(id);
-    const std::string whole = response("200 OK", request, seal, body);
+    const std::string whole = responseTo(request, "200 OK", seal, body);
     const std::string unframed = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\n" + seal
                                  + "Connection: close\r\n\r\n" + body;
     switch (applied) {
     case ServerFault::Fails:
-        connection.write(response("500 Internal Server Error", request, seal, "failed"));
+        connection.write(responseTo(request, "500 Internal Server Error", seal, "failed"));
         return;
     case ServerFault::LosesAnswer:
         connection.reset();
--- a/Tests/Support/ScriptedBackend.cpp
+++ b/Tests/Support/ScriptedBackend.cpp
@@ -25,7 +25,7 @@
     return header;
 }
 
-std::string ScriptedConnection::readBody(const std::string &header)
+std::optional<std::string> ScriptedConnection::readBody(const std::string &header)
 {
     const std::string length = headerOf(header, "Content-Length");
     const std::size_t expected = length.empty() ? 0 : std::stoul(length);
@@ -33,7 +33,7 @@
     while (this->buffer.size() < expected) {
         const auto received = ::recv(this->descriptor, chunk.data(), chunk.size(), 0);
         if (received <= 0) {
-            break;
+            return std::nullopt;
         }
         this->buffer.append(chunk.data(), static_cast<std::size_t>(received));
     }
@@ -45,10 +45,8 @@
 std::string ScriptedConnection::readRequest()
 {
     const std::string header = this->readHeader();
-    const std::string body = this->readBody(header);
-    const std::string length = headerOf(header, "Content-Length");
-    const bool whole = length.empty() || body.size() == std::stoul(length);
-    return whole ? header + body : std::string();
+    const auto body = this->readBody(header);
+    return body ? header + *body : std::string();
 }
 
 void ScriptedConnection::write(const std::string &bytes)
@@ -143,12 +141,17 @@
     return request.substr(value, request.find("\r\n", value) - value);
 }
 
+std::string responseTo(const std::string &request, const std::string &status,
+                       const std::string &headers, const std::string &body)
+{
+    return "HTTP/1.1 " + status + "\r\nRequest-Id: " + headerOf(request, "Request-Id") + "\r\n"
+           + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 std::string answerTo(const std::string &request, const std::string &body, const std::string &status,
                      const std::string &headers)
 {
-    return "HTTP/1.1 " + status + "\r\nRequest-Id: " + headerOf(request, "Request-Id")
-           + "\r\nServer-Seal: seal\r\n" + headers
-           + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return responseTo(request, status, "Server-Seal: seal\r\n" + headers, body);
 }
 
 } // namespace Currantfall::Tests
--- a/Tests/Support/ScriptedBackend.h
+++ b/Tests/Support/ScriptedBackend.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -20,8 +21,8 @@
     std::string readRequest();
     /// Reads the header only.
     std::string readHeader();
-    /// Reads the body that follows a header; what came of it if the peer closes before its end.
-    std::string readBody(const std::string &header);
+    /// Reads the body that follows a header; nothing if the peer closes before its end.
+    std::optional<std::string> readBody(const std::string &header);
     void write(const std::string &bytes);
     /// Waits until the peer closes; true if it did so before `milliseconds` have passed.
     bool closedWithin(int milliseconds);
@@ -68,7 +69,11 @@
 /// The value of a header in a request's text; empty if there is none.
 std::string headerOf(const std::string &request, const std::string &name);
 
-/// A whole response with a signature for the request.
+/// A whole response to the request. Each of `headers` ends with a line break.
+std::string responseTo(const std::string &request, const std::string &status,
+                       const std::string &headers, const std::string &body);
+
+/// The same with a signature.
 std::string answerTo(const std::string &request, const std::string &body,
                      const std::string &status = "200 OK", const std::string &headers = "");
 
