Take callers of a lost region only within credits

Cause: a request did not say where its caller is from. Callers of a lost region came through lookups to another region's entry VMs and took its slots like its own callers: 7 to 9 in use, 6 grantable.

Change: the entry VM finds the caller's region by the document's client blocks and passes it on with the request. Requests of another region's callers need a credit wherever they run, also from owners of the entry VM's own region and from itself; demand for these credits is noted apart.

Ruled out: limiting lookups, because answers are cached and a refused caller comes back; a header from the caller, because nobody would have to send it.

Test callers now come from an address of their zone. The red test is unchanged but for one more check, that these callers are answered.

Sanitizer builds: not run yet.

--- a/Source/Core/Placement/RequestRouter.cpp
+++ b/Source/Core/Placement/RequestRouter.cpp
@@ -126,7 +126,8 @@
         }
         const TargetKind kind = kindOf(member, *self);
         const bool otherRegion = kind == TargetKind::OtherRegion;
-        if (otherRegion && !query.withCredit.contains(member.vm)) {
+        const bool onCredit = otherRegion || query.everywhereOnCredit;
+        if (onCredit && !query.withCredit.contains(member.vm)) {
             continue;
         }
         const GroupKey key { orderOf(kind, availabilityOf(*load)), kind,
--- a/Source/Daemon/CallerServer.cpp
+++ b/Source/Daemon/CallerServer.cpp
@@ -5,6 +5,7 @@
 
 #include <absl/strings/numbers.h>
 
+#include "CallerLocation.h"
 #include "CallerResponse.h"
 #include "HttpHeaders.h"
 
@@ -221,6 +222,8 @@
     request->path = target.pathWithQuery;
     request->headers = endToEndHeaders(in.headers);
     request->key = in.get_header_value("Idempotency-Key");
+    request->callerRegion
+            = regionOfCaller(*snapshot->environment, snapshot->clientBlocks.get(), in.remote_addr);
     request->idempotent = route->idempotent;
     request->deadline = arrival + timeout;
     auto completion = std::make_shared<Completion>();
--- a/Source/Daemon/CreditFlow.cpp
+++ b/Source/Daemon/CreditFlow.cpp
@@ -1,6 +1,7 @@
 #include "CreditFlow.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Currantfall::Daemon {
 
@@ -63,14 +64,24 @@
     if (!grant) {
         return;
     }
+    this->sendGrant(from, service, *grant);
+}
+
+void CreditFlow::sendGrant(const Common::VmName &holder, const Common::ServiceName &service,
+                           const Credits::CreditGrant &grant)
+{
+    if (holder == this->context.self.vm) {
+        this->onCreditGrant(holder, service, grant);
+        return;
+    }
     Peering::Wire::CreditGrantT message;
     message.service = service.value();
-    message.sequence = grant->sequence;
-    message.credit = grant->credit;
-    message.concurrent = static_cast<std::uint32_t>(grant->concurrent);
-    message.bytes_per_second = static_cast<std::uint64_t>(grant->bytesPerSecond);
-    message.valid_ms = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(grant->validity));
-    this->context.sendControl(from, std::move(message));
+    message.sequence = grant.sequence;
+    message.credit = grant.credit;
+    message.concurrent = static_cast<std::uint32_t>(grant.concurrent);
+    message.bytes_per_second = static_cast<std::uint64_t>(grant.bytesPerSecond);
+    message.valid_ms = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(grant.validity));
+    this->context.sendControl(holder, std::move(message));
 }
 
 void CreditFlow::onCreditGrant(const Common::VmName &from, const Common::ServiceName &service,
@@ -89,6 +100,11 @@
     }
 }
 
+bool CreditFlow::isForeign(const Request &request) const
+{
+    return !request.callerRegion.empty() && request.callerRegion != this->context.region;
+}
+
 absl::flat_hash_set<Common::VmName> CreditFlow::usableVms(const Common::ServiceName &service)
 {
     absl::flat_hash_set<Common::VmName> usable;
@@ -122,19 +138,24 @@
 void CreditFlow::onRouted(const Request &request,
                           const std::vector<Placement::RouteTarget> &targets)
 {
-    if (this->regionHasFreeSlots(request.service, targets)) {
-        return;
+    const auto note = [&request](Demand &demand) {
+        ++demand.requests;
+        demand.bytes += request.body.size();
+    };
+    if (this->isForeign(request)) {
+        note(this->foreignDemands[request.service]);
+    }
+    if (!this->regionHasFreeSlots(request.service, targets)) {
+        note(this->demands[request.service]);
     }
-    Demand &demand = this->demands[request.service];
-    ++demand.requests;
-    demand.bytes += request.body.size();
 }
 
 bool CreditFlow::begin(const Common::VmName &holder, const Request &request,
                        Credits::CreditId credit)
 {
     const Membership::Member *sender = this->member(holder);
-    if (sender != nullptr && sender->region == this->context.region) {
+    const bool ownCaller = credit == 0 && !this->isForeign(request);
+    if (ownCaller && sender != nullptr && sender->region == this->context.region) {
         return true;
     }
     const auto found = this->granters.find(request.service);
@@ -167,45 +188,71 @@
 void CreditFlow::tick()
 {
     this->updateGranters();
-    for (const auto &[service, demand] : this->demands) {
-        this->askForCredits(service, demand);
+    for (const auto &[service, demand] : std::exchange(this->demands, {})) {
+        this->askForCredits(service, demand, false);
+    }
+    for (const auto &[service, demand] : std::exchange(this->foreignDemands, {})) {
+        this->askForCredits(service, demand, true);
     }
-    this->demands.clear();
 }
 
-void CreditFlow::askForCredits(const Common::ServiceName &service, const Demand &demand)
+bool CreditFlow::ownsSlots(const Membership::Member &candidate,
+                           const Common::ServiceName &service) const
+{
+    if (candidate.vm == this->context.self.vm) {
+        return this->scheduler.loadOf(service).totalSlots > 0;
+    }
+    return candidate.state == Membership::MemberState::Live
+           && std::any_of(candidate.loads.begin(), candidate.loads.end(),
+                          [&service](const Membership::ServiceLoad &load) {
+                              return load.service == service && load.totalSlots > 0;
+                          });
+}
+
+void CreditFlow::askForCredits(const Common::ServiceName &service, const Demand &demand,
+                               bool ownRegion)
 {
-    const double perSecond = absl::FDivDuration(absl::Seconds(1), demandInterval);
     std::size_t asked = 0;
     for (const auto &candidate : this->context.members->members()) {
         if (asked == grantersAsked) {
             return;
         }
-        const bool owns = std::any_of(candidate->loads.begin(), candidate->loads.end(),
-                                      [&service](const Membership::ServiceLoad &load) {
-                                          return load.service == service && load.totalSlots > 0;
-                                      });
-        if (!owns || candidate->region == this->context.region
-            || candidate->state != Membership::MemberState::Live) {
-            continue;
-        }
-        ++asked;
-        this->cluster.requestPeer(candidate->vm);
-        Credits::CreditHolder &holder = this->holders[{ candidate->vm, service }];
-        const auto request = holder.ask(this->context.now, holder.inFlight() + demand.requests,
-                                        static_cast<double>(demand.bytes) * perSecond);
-        if (!request) {
-            continue;
+        const bool wanted = (candidate->region == this->context.region) == ownRegion;
+        if (wanted && this->ownsSlots(*candidate, service)) {
+            ++asked;
+            this->askGranter(candidate->vm, service, demand);
         }
-        Peering::Wire::CreditRequestT message;
-        message.service = service.value();
-        message.sequence = request->sequence;
-        message.wanted = static_cast<std::uint32_t>(request->wanted);
-        message.bytes_per_second = static_cast<std::uint64_t>(request->wantedBytesPerSecond);
-        this->context.sendControl(candidate->vm, std::move(message));
     }
 }
 
+void CreditFlow::askGranter(const Common::VmName &granter, const Common::ServiceName &service,
+                            const Demand &demand)
+{
+    const double perSecond = absl::FDivDuration(absl::Seconds(1), demandInterval);
+    Credits::CreditHolder &holder = this->holders[{ granter, service }];
+    const auto request = holder.ask(this->context.now, holder.inFlight() + demand.requests,
+                                    static_cast<double>(demand.bytes) * perSecond);
+    if (request) {
+        this->sendRequest(granter, service, *request);
+    }
+}
+
+void CreditFlow::sendRequest(const Common::VmName &granter, const Common::ServiceName &service,
+                             const Credits::CreditRequest &request)
+{
+    if (granter == this->context.self.vm) {
+        this->onCreditRequest(granter, service, request);
+        return;
+    }
+    this->cluster.requestPeer(granter);
+    Peering::Wire::CreditRequestT message;
+    message.service = service.value();
+    message.sequence = request.sequence;
+    message.wanted = static_cast<std::uint32_t>(request.wanted);
+    message.bytes_per_second = static_cast<std::uint64_t>(request.wantedBytesPerSecond);
+    this->context.sendControl(granter, std::move(message));
+}
+
 void CreditFlow::updateGranterSettings()
 {
     this->settingsTopology = this->context.members->topologyVersion();
--- a/Source/Daemon/CreditFlow.h
+++ b/Source/Daemon/CreditFlow.h
@@ -35,18 +35,22 @@
     /// This process was paused for longer than credits are valid.
     void onPause();
 
-    /// Holder's side. usableVms() lists the VMs of other regions for which a credit is at hand.
+    /// Whether the caller is of another region, so that its request needs a credit wherever it
+    /// runs.
+    bool isForeign(const Request &request) const;
+
+    /// Holder's side. usableVms() lists the VMs for which a credit is at hand.
     absl::flat_hash_set<Common::VmName> usableVms(const Common::ServiceName &service);
     std::optional<Credits::CreditId> take(const Common::VmName &granter, const Request &request);
     void giveBack(const Common::VmName &granter, const Common::ServiceName &service,
                   Credits::CreditId credit);
-    /// Notes demand if the request finds no free slot in its own region.
+    /// Notes demand if the request finds no free slot in this region, or needs credits in it.
     void onRouted(const Request &request, const std::vector<Placement::RouteTarget> &targets);
 
     /// Credits granted and held, for /status.
     nlohmann::ordered_json describe() const;
 
-    /// Granter's side. Requests of the own region need no credit.
+    /// Granter's side. Requests of the own region's callers need no credit.
     [[nodiscard]] bool begin(const Common::VmName &holder, const Request &request,
                              Credits::CreditId credit);
     void end(const Common::VmName &holder, const Common::ServiceName &service,
@@ -62,7 +66,16 @@
     };
 
     void tick();
-    void askForCredits(const Common::ServiceName &service, const Demand &demand);
+    /// Asks owners of the service: those of this region for callers of others, or the reverse.
+    void askForCredits(const Common::ServiceName &service, const Demand &demand, bool ownRegion);
+    void askGranter(const Common::VmName &granter, const Common::ServiceName &service,
+                    const Demand &demand);
+    void sendRequest(const Common::VmName &granter, const Common::ServiceName &service,
+                     const Credits::CreditRequest &request);
+    void sendGrant(const Common::VmName &holder, const Common::ServiceName &service,
+                   const Credits::CreditGrant &grant);
+    /// Whether the member, or this VM, owns slots of the service.
+    bool ownsSlots(const Membership::Member &candidate, const Common::ServiceName &service) const;
     void updateGranters();
     void updateGranterSettings();
     bool regionHasFreeSlots(const Common::ServiceName &service,
@@ -76,6 +89,8 @@
     absl::flat_hash_map<HolderKey, Credits::CreditHolder> holders;
     absl::flat_hash_map<Common::ServiceName, Credits::CreditGranter> granters;
     absl::flat_hash_map<Common::ServiceName, Demand> demands;
+    /// Demand of callers of other regions.
+    absl::flat_hash_map<Common::ServiceName, Demand> foreignDemands;
     std::uint64_t refused = 0;
     /// Of the member view from which the granters' settings were computed.
     std::uint64_t settingsTopology = 0;
--- a/Source/Daemon/Dispatcher.cpp
+++ b/Source/Daemon/Dispatcher.cpp
@@ -197,6 +197,7 @@
         query.excluded.insert(attempt.vm);
     }
     query.withCredit = this->credits.usableVms(flight.request->service);
+    query.everywhereOnCredit = this->credits.isForeign(*flight.request);
     query.random = this->context.random();
     const auto &members
             = this->cluster.placementMembers(this->scheduler.loadOf(flight.request->service));
@@ -219,21 +220,33 @@
     Common::requireInvariant(!flight.mayHaveRun || flight.request->idempotent, partName,
                              "only an idempotent request is repeated after it may have run",
                              [&] { return describe(flight, {}); });
-    if (target.kind == TargetKind::Self) {
-        this->runHere(id);
-        return true;
+    Credits::CreditId credit = 0;
+    if (target.kind == TargetKind::OtherRegion || this->credits.isForeign(*flight.request)) {
+        const auto taken = this->credits.take(target.vm, *flight.request);
+        if (!taken) {
+            return false;
+        }
+        credit = *taken;
     }
-    return this->forward(id, target);
+    const bool sent = target.kind == TargetKind::Self ? this->runHere(id, credit)
+                                                      : this->forward(id, target.vm, credit);
+    if (!sent) {
+        this->credits.giveBack(target.vm, flight.request->service, credit);
+    }
+    return sent;
 }
 
-void Dispatcher::runHere(FlightId id)
+bool Dispatcher::runHere(FlightId id, Credits::CreditId credit)
 {
     Flight &flight = this->flights.at(id);
     const SharedRequest request = flight.request;
+    if (credit != 0 && !this->credits.begin(this->context.self.vm, *request, credit)) {
+        return false;
+    }
     const auto avoid = flight.triedServers;
     const Execution::AttemptId attempt
             = "here." + std::to_string(id) + "." + std::to_string(++flight.targets);
-    flight.open.push_back({ attempt, this->context.self.vm, true, 0, 0 });
+    flight.open.push_back({ attempt, this->context.self.vm, true, 0, credit });
     const OwnerScheduler::Ticket ticket
             = this->scheduler.offer(request, avoid, [this, id, attempt](OwnerResult result) {
                   this->onResult(id, attempt, result.server, std::move(result.answer));
@@ -241,42 +254,33 @@
     // The result may have come before the return.
     const auto found = this->flights.find(id);
     if (found == this->flights.end()) {
-        return;
+        return true;
     }
     for (Attempt &entry : found->second.open) {
         if (entry.id == attempt) {
             entry.ticket = ticket;
         }
     }
+    return true;
 }
 
-bool Dispatcher::forward(FlightId id, const RouteTarget &target)
+bool Dispatcher::forward(FlightId id, const Common::VmName &vm, Credits::CreditId credit)
 {
     Flight &flight = this->flights.at(id);
-    Credits::CreditId credit = 0;
-    if (target.kind == TargetKind::OtherRegion) {
-        const auto taken = this->credits.take(target.vm, *flight.request);
-        if (!taken) {
-            return false;
-        }
-        credit = *taken;
-    }
-    const auto attempt = this->attempts.start(this->context.now, id, target.vm.value());
+    const auto attempt = this->attempts.start(this->context.now, id, vm.value());
     if (!attempt) {
-        this->credits.giveBack(target.vm, flight.request->service, credit);
         return false;
     }
     const bool sent = this->context.sendOn(
-            target.vm, linkClassOf(flight.request->rank),
+            vm, linkClassOf(flight.request->rank),
             toWire(*attempt, *flight.request, false, credit, this->context.now));
     if (!sent) {
-        this->attempts.onAnswer(*attempt, target.vm.value(), Outcome::NotRun);
-        this->credits.giveBack(target.vm, flight.request->service, credit);
-        this->cluster.requestPeer(target.vm);
+        this->attempts.onAnswer(*attempt, vm.value(), Outcome::NotRun);
+        this->cluster.requestPeer(vm);
         return false;
     }
     ++flight.targets;
-    flight.open.push_back({ *attempt, target.vm, false, 0, credit });
+    flight.open.push_back({ *attempt, vm, false, 0, credit });
     this->context.metrics.addToCounter("currantfall_forwards_total",
                                        { { "service", flight.request->service.value() } });
     return true;
@@ -369,12 +373,18 @@
     }
     const Attempt ended = std::move(*found);
     flight.open.erase(found);
-    if (!ended.here) {
-        this->credits.giveBack(ended.vm, flight.request->service, ended.credit);
-    }
+    this->endCredit(flight, ended);
     return ended.vm;
 }
 
+void Dispatcher::endCredit(const Flight &flight, const Attempt &attempt)
+{
+    if (attempt.here) {
+        this->credits.end(attempt.vm, flight.request->service, attempt.credit);
+    }
+    this->credits.giveBack(attempt.vm, flight.request->service, attempt.credit);
+}
+
 void Dispatcher::cancelAttempts(Flight &flight)
 {
     this->releaseCancelled(
@@ -385,6 +395,7 @@
         flight.open.pop_back();
         if (attempt.here) {
             this->scheduler.cancel(attempt.ticket);
+            this->endCredit(flight, attempt);
             continue;
         }
         if (attempt.credit != 0) {
--- a/Source/Daemon/Dispatcher.h
+++ b/Source/Daemon/Dispatcher.h
@@ -52,7 +52,7 @@
         Common::VmName vm;
         bool here = false;
         OwnerScheduler::Ticket ticket = 0; // Set if the attempt is on this VM.
-        Credits::CreditId credit = 0;
+        Credits::CreditId credit = 0;      // On this VM as well, for callers of other regions.
     };
 
     /// An attempt at another VM that was cancelled. Its credit is in use until that VM has ended
@@ -94,8 +94,9 @@
     Targets route(const Flight &flight);
     void noteDemand(Flight &flight, const Targets &targets);
     bool tryTarget(FlightId id, const Placement::RouteTarget &target);
-    void runHere(FlightId id);
-    bool forward(FlightId id, const Placement::RouteTarget &target);
+    /// Runs the request on this VM's slots; false if the credit does not allow it.
+    bool runHere(FlightId id, Credits::CreditId credit);
+    bool forward(FlightId id, const Common::VmName &vm, Credits::CreditId credit);
     void onResult(FlightId id, const Execution::AttemptId &attempt,
                   const Common::BackendServerName &server, Common::Answer answer);
     void noteFailure(Flight &flight, const Common::VmName &vm,
@@ -109,6 +110,8 @@
     void onTimeout(FlightId id);
     Common::VmName endAttempt(Flight &flight, const Execution::AttemptId &attempt);
     void cancelAttempts(Flight &flight);
+    /// The attempt does not use its credit any more.
+    void endCredit(const Flight &flight, const Attempt &attempt);
     /// Gives the credits of cancelled attempts back for which the condition holds.
     template<typename Condition>
     void releaseCancelled(const Condition &condition);
--- a/Source/Daemon/LookupService.cpp
+++ b/Source/Daemon/LookupService.cpp
@@ -1,7 +1,6 @@
 #include "LookupService.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <atomic>
 #include <utility>
 
@@ -9,6 +8,7 @@
 
 #include "currantfall/Placement/LookupPlanner.h"
 
+#include "CallerLocation.h"
 #include "CallerResponse.h"
 #include "Settings.h"
 
@@ -23,29 +23,6 @@
 
 std::atomic<std::uint64_t> lastSeed { 0 };
 
-/// Host byte order; nothing if `text` is not an IPv4 address.
-std::optional<std::uint32_t> parseAddress(const std::string &text)
-{
-    in_addr parsed {};
-    if (inet_pton(AF_INET, text.c_str(), &parsed) != 1) {
-        return std::nullopt;
-    }
-    return ntohl(parsed.s_addr);
-}
-
-Common::ZoneName zoneOf(const LookupSnapshot &snapshot, std::uint32_t client)
-{
-    if (snapshot.clientBlocks == nullptr) {
-        return snapshot.zone;
-    }
-    const auto index = snapshot.clientBlocks->lookup(client);
-    if (!index) {
-        return snapshot.zone;
-    }
-    const auto zones = Configuration::zonesInOrder(*snapshot.environment);
-    return *index < zones.size() ? zones[*index] : snapshot.zone;
-}
-
 nlohmann::ordered_json describeEntry(const LookupSnapshot &snapshot,
                                      const Configuration::Service &service,
                                      const Membership::Member &member)
@@ -116,10 +93,11 @@
                     out);
         return;
     }
+    const auto zone = zoneOfCaller(*snapshot->environment, snapshot->clientBlocks.get(), *address);
     nlohmann::ordered_json entries = nlohmann::ordered_json::array();
     for (const Common::VmName &vm :
          Placement::LookupPlanner::plan(*snapshot->environment, snapshot->members, service->name,
-                                        zoneOf(*snapshot, *address), ++lastSeed)) {
+                                        zone.value_or(snapshot->zone), ++lastSeed)) {
         if (const Membership::Member *member = snapshot->view->find(vm)) {
             entries.push_back(describeEntry(*snapshot, *service, *member));
         }
--- a/Source/Daemon/Request.h
+++ b/Source/Daemon/Request.h
@@ -25,7 +25,8 @@
     std::string path; ///< With the query, as the backend server gets it.
     std::vector<Common::Header> headers;
     std::string body;
-    std::string key; ///< Empty without an idempotency key.
+    std::string key;                 ///< Empty without an idempotency key.
+    Common::RegionName callerRegion; ///< Empty if no client block names it.
     bool idempotent = false;
     Common::Instant deadline;
 };
--- a/Source/Daemon/RoutingSnapshot.h
+++ b/Source/Daemon/RoutingSnapshot.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "currantfall/Common/Mutex.h"
+#include "currantfall/Configuration/ClientBlockTable.h"
 #include "currantfall/Configuration/Environment.h"
 
 namespace Currantfall::Daemon {
@@ -14,6 +15,7 @@
 {
     std::shared_ptr<const Configuration::Environment> environment; ///< Null before the first one.
     Common::Revision revision = 0;
+    std::shared_ptr<const Configuration::ClientBlockTable> clientBlocks;
 };
 
 /// Hands the latest snapshot from the steering thread to others.
--- a/Source/Daemon/Steering.cpp
+++ b/Source/Daemon/Steering.cpp
@@ -206,8 +206,8 @@
                 return nlohmann::json { { "before", this->routingSnapshots.read()->revision },
                                         { "now", this->context.revision } };
             });
-    this->routingSnapshots.publish(std::make_shared<const RoutingSnapshot>(
-            RoutingSnapshot { this->context.environment, this->context.revision }));
+    this->routingSnapshots.publish(std::make_shared<const RoutingSnapshot>(RoutingSnapshot {
+            this->context.environment, this->context.revision, this->clientBlocks }));
     this->updateLeaving();
     this->cluster->onConfigurationChanged();
     this->scheduler->reconfigure();
--- a/Source/Daemon/WireConversion.cpp
+++ b/Source/Daemon/WireConversion.cpp
@@ -155,6 +155,7 @@
     message.deadline_ms = toMilliseconds(request.deadline - now);
     message.to_issuer = toIssuer;
     message.credit = credit;
+    message.caller_region = request.callerRegion.value();
     return message;
 }
 
@@ -171,6 +172,7 @@
     request->headers = headersFromWire(message.headers);
     request->body.assign(message.body.begin(), message.body.end());
     request->key = std::move(message.key);
+    request->callerRegion = Common::RegionName(std::move(message.caller_region));
     request->idempotent = idempotent;
     request->deadline = now + absl::Milliseconds(message.deadline_ms);
     return request;
--- a/Source/UnitTests/Placement/RoutingTest.cpp
+++ b/Source/UnitTests/Placement/RoutingTest.cpp
@@ -30,12 +30,13 @@
 std::vector<std::string> route(const std::vector<PlacementMember> &members,
                                const std::vector<std::string> &excluded = {},
                                const std::vector<std::string> &withCredit = {},
-                               std::uint64_t random = 0)
+                               std::uint64_t random = 0, bool everywhereOnCredit = false)
 {
     RouteQuery query;
     query.self = VmName("self");
     query.service = ServiceName("s");
     query.random = random;
+    query.everywhereOnCredit = everywhereOnCredit;
     for (const std::string &vm : excluded) {
         query.excluded.insert(VmName(vm));
     }
@@ -99,6 +100,17 @@
             == std::vector<std::string> { "self", "far", "mate" });
 }
 
+// Guards against callers of a lost region who take slots of this one as if they were its own.
+TEST_CASE("A request of another region's caller goes to owners on credit only")
+{
+    const std::vector members { member("self", "r1-a", 2, 2), member("mate", "r1-a", 2, 2),
+                                member("far", "r2-a", 2, 2) };
+    REQUIRE(route(members, {}, {}, 0, true).empty());
+    REQUIRE(route(members, {}, { "mate", "far" }, 0, true)
+            == std::vector<std::string> { "mate", "far" });
+    REQUIRE(route(members, {}, { "self" }, 0, true) == std::vector<std::string> { "self" });
+}
+
 TEST_CASE("A request is not sent to leaving or suspect owners")
 {
     std::vector members { member("self", "r1-a", 1, 2), member("mate", "r1-a", 2, 2) };
--- a/Tests/Deployment/Callers.cpp
+++ b/Tests/Deployment/Callers.cpp
@@ -106,6 +106,8 @@
         httplib::Client client(entry["address"].get<std::string>(), entry["port"].get<int>());
         client.set_read_timeout(callTimeoutSeconds);
         client.set_tcp_nodelay(true);
+        // The address by which an entry VM knows where the caller is.
+        client.set_interface(this->deployment.clientIn(zone));
         const auto response = this->send(client, record.requestId, key, number);
         if (!response) {
             record.repeated = true;
--- a/Tests/Deployment/PartitionTest.cpp
+++ b/Tests/Deployment/PartitionTest.cpp
@@ -386,4 +386,12 @@
         }
         REQUIRE(inUse <= grantableSlots);
     }
+    const auto records = callers.finish();
+    requireTrueOutcomes(deployment, records);
+    // They are served, not only kept out.
+    const auto answered
+            = std::count_if(records.begin(), records.end(),
+                            [](const CallRecord &record) { return record.outcome == "answered"; });
+    INFO(answered << " of " << records.size() << " answered");
+    CHECK(answered >= grantableSlots);
 }
--- a/include/currantfall/Peering/Messages_generated.h
+++ b/include/currantfall/Peering/Messages_generated.h
@@ -1826,6 +1826,7 @@
   uint32_t deadline_ms = 0;
   bool to_issuer = false;
   uint64_t credit = 0;
+  std::string caller_region{};
   ForwardRequestT() = default;
   ForwardRequestT(const ForwardRequestT &o);
   ForwardRequestT(ForwardRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1847,7 +1848,8 @@
     VT_KEY = 20,
     VT_DEADLINE_MS = 22,
     VT_TO_ISSUER = 24,
-    VT_CREDIT = 26
+    VT_CREDIT = 26,
+    VT_CALLER_REGION = 28
   };
   const flatbuffers::String *attempt() const {
     return GetPointer<const flatbuffers::String *>(VT_ATTEMPT);
@@ -1885,6 +1887,9 @@
   uint64_t credit() const {
     return GetField<uint64_t>(VT_CREDIT, 0);
   }
+  const flatbuffers::String *caller_region() const {
+    return GetPointer<const flatbuffers::String *>(VT_CALLER_REGION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ATTEMPT) &&
@@ -1909,6 +1914,8 @@
            VerifyField<uint32_t>(verifier, VT_DEADLINE_MS, 4) &&
            VerifyField<uint8_t>(verifier, VT_TO_ISSUER, 1) &&
            VerifyField<uint64_t>(verifier, VT_CREDIT, 8) &&
+           VerifyOffset(verifier, VT_CALLER_REGION) &&
+           verifier.VerifyString(caller_region()) &&
            verifier.EndTable();
   }
   ForwardRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1956,6 +1963,9 @@
   void add_credit(uint64_t credit) {
     fbb_.AddElement<uint64_t>(ForwardRequest::VT_CREDIT, credit, 0);
   }
+  void add_caller_region(flatbuffers::Offset<flatbuffers::String> caller_region) {
+    fbb_.AddOffset(ForwardRequest::VT_CALLER_REGION, caller_region);
+  }
   explicit ForwardRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1980,9 +1990,11 @@
     flatbuffers::Offset<flatbuffers::String> key = 0,
     uint32_t deadline_ms = 0,
     bool to_issuer = false,
-    uint64_t credit = 0) {
+    uint64_t credit = 0,
+    flatbuffers::Offset<flatbuffers::String> caller_region = 0) {
   ForwardRequestBuilder builder_(_fbb);
   builder_.add_credit(credit);
+  builder_.add_caller_region(caller_region);
   builder_.add_deadline_ms(deadline_ms);
   builder_.add_key(key);
   builder_.add_tenant(tenant);
@@ -2010,7 +2022,8 @@
     const char *key = nullptr,
     uint32_t deadline_ms = 0,
     bool to_issuer = false,
-    uint64_t credit = 0) {
+    uint64_t credit = 0,
+    const char *caller_region = nullptr) {
   auto attempt__ = attempt ? _fbb.CreateString(attempt) : 0;
   auto request__ = request ? _fbb.CreateString(request) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
@@ -2020,6 +2033,7 @@
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
   auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto caller_region__ = caller_region ? _fbb.CreateString(caller_region) : 0;
   return Currantfall::Peering::Wire::CreateForwardRequest(
       _fbb,
       attempt__,
@@ -2033,7 +2047,8 @@
       key__,
       deadline_ms,
       to_issuer,
-      credit);
+      credit,
+      caller_region__);
 }
 
 flatbuffers::Offset<ForwardRequest> CreateForwardRequest(flatbuffers::FlatBufferBuilder &_fbb, const ForwardRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4441,7 +4456,8 @@
         key(o.key),
         deadline_ms(o.deadline_ms),
         to_issuer(o.to_issuer),
-        credit(o.credit) {
+        credit(o.credit),
+        caller_region(o.caller_region) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new Currantfall::Peering::Wire::HeaderT(*headers_) : nullptr); }
 }
@@ -4459,6 +4475,7 @@
   std::swap(deadline_ms, o.deadline_ms);
   std::swap(to_issuer, o.to_issuer);
   std::swap(credit, o.credit);
+  std::swap(caller_region, o.caller_region);
   return *this;
 }
 
@@ -4483,6 +4500,7 @@
   { auto _e = deadline_ms(); _o->deadline_ms = _e; }
   { auto _e = to_issuer(); _o->to_issuer = _e; }
   { auto _e = credit(); _o->credit = _e; }
+  { auto _e = caller_region(); if (_e) _o->caller_region = _e->str(); }
 }
 
 inline flatbuffers::Offset<ForwardRequest> ForwardRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ForwardRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4505,6 +4523,7 @@
   auto _deadline_ms = _o->deadline_ms;
   auto _to_issuer = _o->to_issuer;
   auto _credit = _o->credit;
+  auto _caller_region = _o->caller_region.empty() ? 0 : _fbb.CreateString(_o->caller_region);
   return Currantfall::Peering::Wire::CreateForwardRequest(
       _fbb,
       _attempt,
@@ -4518,7 +4537,8 @@
       _key,
       _deadline_ms,
       _to_issuer,
-      _credit);
+      _credit,
+      _caller_region);
 }
 
 inline ForwardReplyT::ForwardReplyT(const ForwardReplyT &o)
--- a/include/currantfall/Placement/RequestRouter.h
+++ b/include/currantfall/Placement/RequestRouter.h
@@ -32,8 +32,10 @@
     Common::ServiceName service;
     /// VMs that have already been tried.
     absl::flat_hash_set<Common::VmName> excluded;
-    /// VMs of other regions for which a credit is at hand.
+    /// VMs for which a credit is at hand.
     absl::flat_hash_set<Common::VmName> withCredit;
+    /// The caller is of another region: owners of the own region need a credit as well.
+    bool everywhereOnCredit = false;
     /// Uniformly distributed; decides among equals.
     std::uint64_t random = 0;
 };
