--- a/Source/Core/Steering/ServerSelector.cpp
+++ b/Source/Core/Steering/ServerSelector.cpp
@@ -30,6 +30,13 @@
 // Space between two requests of this VM to one cold server. It exceeds the second in which they
 // are counted by the largest delay that may differ between two requests.
 constexpr absl::Duration coldSpacing = absl::Milliseconds(1100);
+// Time after the end of an evacuation in which an entry may not yet say that its server is cold: a
+// heartbeat of a server, and a read of the store.
+constexpr absl::Duration entryDelay = absl::Milliseconds(2500);
+// A VM without peers believes the entries after this time; links to live peers take less.
+constexpr absl::Duration longestUninformed = absl::Seconds(1);
+// A store that is away for longer does not keep a zone's servers from full work.
+constexpr absl::Duration longestEntryDelay = absl::Seconds(20);
 // Longest part of the target latency that a request waits for a cold server's permit.
 constexpr double longestWaitPerTarget = 0.5;
 // Requests per slot, on average, at which a server gives up an object, and below which another
@@ -42,6 +49,9 @@
 constexpr std::size_t mostMoves = 16384;
 // Time in which a move takes effect on the mean load of a server.
 constexpr absl::Duration moveInterval = absl::Seconds(1);
+// Part of a service's usable servers that may be given up as failing. If more fail, giving them up
+// would only overload the others.
+constexpr double givenUpPart = 1.0 / 3.0;
 constexpr absl::Duration shortestRetryAfter = absl::Milliseconds(300);
 
 /// Uniform in (0, 1], the same on all VMs.
@@ -53,13 +63,20 @@
 
 } // namespace
 
-ServerSelector::ServerSelector(SelectorSettings settings, ServerTable &servers)
-    : settings(std::move(settings)), servers(servers), vms({ this->settings.vm })
+ServerSelector::ServerSelector(SelectorSettings settings, ServerTable &servers,
+                               const FleetOutcomes &outcomes)
+    : settings(std::move(settings)), servers(servers), outcomes(outcomes),
+      vms({ this->settings.vm })
 { }
 
-void ServerSelector::setEvacuatedZones(std::set<Common::ZoneName> zones)
+void ServerSelector::setEvacuatedZones(std::set<Common::ZoneName> zones, Common::Instant now)
 {
     if (zones != this->evacuated) {
+        for (const Common::ZoneName &zone : this->evacuated) {
+            if (!zones.contains(zone)) {
+                this->returnedAt[zone] = now;
+            }
+        }
         this->evacuated = std::move(zones);
         this->weights.clear();
     }
@@ -122,6 +139,7 @@
     const auto &weights = this->weightsOf(question.service);
     const std::string &key = question.object.empty() ? question.requestId : question.object;
     std::vector<Candidate> result;
+    std::size_t failing = 0;
     for (ServerRecord *server : this->servers.ofService(question.service)) {
         const BackendServer &entry = server->server();
         if (question.tried.contains(entry.name) || !this->mayUse(*server, *question.route, now)) {
@@ -134,7 +152,12 @@
         const double weight = (1.0 - localityPart + localityPart * local)
                               * std::max<std::uint32_t>(entry.slots, 1);
         // Weighted rendezvous hashing: the smallest value is the first of the order.
-        result.push_back({ server, -std::log(unitHash(key, entry.name.value())) / weight });
+        result.push_back({ server, -std::log(unitHash(key, entry.name.value())) / weight,
+                           this->outcomes.failing(entry.name, now) });
+        failing += result.back().failing ? 1 : 0;
+    }
+    if (static_cast<double>(failing) <= static_cast<double>(result.size()) * givenUpPart) {
+        std::erase_if(result, [](const Candidate &candidate) { return candidate.failing; });
     }
     std::sort(result.begin(), result.end(), [](const Candidate &left, const Candidate &right) {
         return left.score < right.score;
@@ -142,6 +165,41 @@
     return result;
 }
 
+bool ServerSelector::cold(const ServerRecord &server, Common::Instant now) const
+{
+    if (server.cold(now)
+        || (this->uninformedSince && now - *this->uninformedSince < longestUninformed)) {
+        return true;
+    }
+    const auto returned = this->returnedAt.find(server.server().zone);
+    if (returned == this->returnedAt.end() || now - returned->second > longestEntryDelay) {
+        return false;
+    }
+    const Common::Instant known = returned->second + entryDelay;
+    return now < known || this->serversConfirmed < known;
+}
+
+std::vector<ReturnedZone> ServerSelector::returnedZones(Common::Instant now) const
+{
+    std::vector<ReturnedZone> result;
+    for (const auto &[zone, time] : this->returnedAt) {
+        if (now - time <= longestEntryDelay) {
+            result.push_back({ zone, now - time });
+        }
+    }
+    return result;
+}
+
+void ServerSelector::applyReturnedZones(const std::vector<ReturnedZone> &zones, Common::Instant now)
+{
+    this->uninformedSince.reset();
+    for (const ReturnedZone &returned : zones) {
+        const Common::Instant time = now - returned.age;
+        const auto known = this->returnedAt.try_emplace(returned.zone, time).first;
+        known->second = std::max(known->second, time);
+    }
+}
+
 Common::Instant ServerSelector::coldPermit(const ServerRecord &server,
                                            const ServiceTerms *terms) const
 {
@@ -175,7 +233,7 @@
                               Common::Instant now, ServerRecord &server, std::size_t position,
                               Offers &offers) const
 {
-    if (server.cold(now)) {
+    if (this->cold(server, now)) {
         const Common::Instant permit = this->coldPermit(server, terms);
         if (permit > now) {
             offers.earliestPermit = std::min(offers.earliestPermit, permit);
@@ -237,7 +295,8 @@
     std::size_t calmest = 0;
     for (std::size_t position = 1; position < targets; ++position) {
         const ServerRecord &server = *order[position].server;
-        if (!server.cold(now) && server.meanLoad(now) < order[calmest].server->meanLoad(now)) {
+        if (!this->cold(server, now)
+            && server.meanLoad(now) < order[calmest].server->meanLoad(now)) {
             calmest = position;
         }
     }
--- a/Source/Core/Steering/ServerTable.cpp
+++ b/Source/Core/Steering/ServerTable.cpp
@@ -102,6 +102,10 @@
     if (this->inFlight > 0) {
         --this->inFlight;
     }
+    if (end != AttemptEnd::Unreachable && end != AttemptEnd::Broken
+        && end != AttemptEnd::Abandoned) {
+        this->heardAt = now;
+    }
     if (latest != nullptr) {
         const double perSlot = static_cast<double>(latest->running + latest->waiting)
                                / std::max<std::uint32_t>(latest->slots, 1);
@@ -161,6 +165,13 @@
     }
 }
 
+void ServerRecord::onUnreachable(Common::Instant now)
+{
+    while (this->breaker.state(now) == Admission::CircuitBreaker::State::Closed) {
+        this->breaker.failed(now);
+    }
+}
+
 bool ServerRecord::hasHandled(const std::string &object, Common::Instant now) const
 {
     const auto found = this->handled.find(object);
--- a/Source/Entry/BackendPool.cpp
+++ b/Source/Entry/BackendPool.cpp
@@ -272,6 +272,19 @@
     co_return result;
 }
 
+boost::asio::awaitable<bool> BackendPool::reach(Steering::BackendServer server)
+{
+    Exchange exchange;
+    exchange.server = std::move(server);
+    IoError error;
+    const SharedConnection connection = co_await this->connect(exchange, error);
+    if (!connection) {
+        co_return false;
+    }
+    this->keep(exchange.server.name, connection, defaultKeepAlive);
+    co_return true;
+}
+
 void BackendPool::drop(const Common::BackendServerName &server)
 {
     const auto found = this->idle.find(server);
--- a/Source/Entry/BackendPool.h
+++ b/Source/Entry/BackendPool.h
@@ -67,6 +67,9 @@
     /// Sends the request and reads the whole response.
     boost::asio::awaitable<ExchangeResult> run(std::shared_ptr<Exchange> exchange);
 
+    /// Whether a connection to the server can be made; it is kept for the next request.
+    boost::asio::awaitable<bool> reach(Steering::BackendServer server);
+
     /// Closes idle connections to a server that is gone.
     void drop(const Common::BackendServerName &server);
     /// Closes connections that have been idle for too long.
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -19,6 +19,8 @@
 using Membership::MemberState;
 
 constexpr absl::Duration timerStep = absl::Milliseconds(25);
+// Two failures on different VMs should stop the third.
+constexpr absl::Duration outcomesPeriod = absl::Milliseconds(250);
 constexpr absl::Duration housekeepingPeriod = absl::Milliseconds(100);
 // Callers ask again after this time, and learn of VMs that fail or leave.
 constexpr absl::Duration lookupTtl = absl::Seconds(1);
@@ -91,7 +93,8 @@
     if (auto started = this->startCluster(0); !started) {
         return started;
     }
-    this->startMoves();
+    this->startExchanges();
+    this->steering.selector().setStarted(Common::monotonicNow());
     this->startStore();
     if (auto started = this->startEndpoints(); !started) {
         return started;
@@ -119,11 +122,16 @@
             this->store->onRequest(peer, *request, now);
         } else if (const auto *moves = message.body.AsObjectMoves()) {
             this->moves->onMessage(peer, *moves);
+        } else if (const auto *outcomes = message.body.AsOutcomeReport()) {
+            this->outcomes->onMessage(*outcomes, now);
+        } else if (const auto *returned = message.body.AsReturnedZones()) {
+            this->onReturnedZones(*returned, now);
         }
     };
     hooks.onLinkUp = [this](const Common::VmName &peer) {
         this->store->onLinkUp(peer, Common::monotonicNow());
         this->moves->onLinkUp(peer);
+        this->sendReturnedZones(peer);
     };
     hooks.onMembers = [this] { this->onMembers(); };
     hooks.ownState = [this] {
@@ -144,6 +152,7 @@
         return tl::unexpected(started.error());
     }
     this->cluster = std::move(*started);
+    this->steering.outcomes().startRun(this->cluster->incarnation());
     return {};
 }
 
@@ -165,19 +174,58 @@
     this->onVmRows();
 }
 
-void EntryDaemon::startMoves()
+void EntryDaemon::startExchanges()
 {
-    ObjectMoveSync::Hooks hooks;
-    hooks.peers = [this] { return this->cluster->linkedPeers(); };
-    hooks.send = [this](const Common::VmName &peer, Peering::Wire::BodyUnion body) {
+    const auto peers = [this] { return this->cluster->linkedPeers(); };
+    const auto send = [this](const Common::VmName &peer, Peering::Wire::BodyUnion body) {
         this->cluster->send(peer, std::move(body));
     };
-    this->moves = std::make_unique<ObjectMoveSync>(this->steering, std::move(hooks), this->log);
+    this->moves = std::make_unique<ObjectMoveSync>(
+            this->steering, ObjectMoveSync::Hooks { peers, send }, this->log);
+    // Requests of a region go to the same servers, mostly its own, and links between regions are
+    // dear.
+    const auto regionPeers = [this] {
+        std::vector<Common::VmName> result = this->cluster->linkedPeers();
+        std::erase_if(result, [this](const Common::VmName &peer) {
+            const Membership::Member *member = this->cluster->members().find(peer);
+            return member == nullptr || member->region != this->settings.region;
+        });
+        return result;
+    };
+    this->outcomes = std::make_unique<OutcomeSync>(
+            this->steering, OutcomeSync::Hooks { this->settings.vm, regionPeers, send });
+}
+
+void EntryDaemon::sendReturnedZones(const Common::VmName &peer)
+{
+    Peering::Wire::ReturnedZonesT message;
+    for (const Steering::ReturnedZone &returned :
+         this->steering.selector().returnedZones(Common::monotonicNow())) {
+        auto entry = std::make_unique<Peering::Wire::ReturnedZoneT>();
+        entry->zone = returned.zone.value();
+        entry->age_ms = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(returned.age));
+        message.zones.push_back(std::move(entry));
+    }
+    Peering::Wire::BodyUnion body;
+    body.Set(std::move(message));
+    this->cluster->send(peer, std::move(body));
+}
+
+void EntryDaemon::onReturnedZones(const Peering::Wire::ReturnedZonesT &message, Common::Instant now)
+{
+    std::vector<Steering::ReturnedZone> zones;
+    for (const auto &entry : message.zones) {
+        if (entry != nullptr) {
+            zones.push_back({ Common::ZoneName(entry->zone), absl::Milliseconds(entry->age_ms) });
+        }
+    }
+    this->steering.selector().applyReturnedZones(zones, now);
 }
 
 void EntryDaemon::startStore()
 {
     StoreSync::Hooks hooks;
+    hooks.self = this->settings.vm;
     hooks.onChanges = [this](const std::string &table, const auto &changes) {
         return this->onRows(table, changes);
     };
@@ -242,6 +290,8 @@
         this->steering.advance(at);
         this->registerVm();
     });
+    this->timers.subscribeEvery(now, outcomesPeriod,
+                                [this](Common::Instant at) { this->outcomes->sendNew(at); });
     this->timers.subscribeEvery(now, settingsPeriod,
                                 [this](Common::Instant) { this->checkSettingsFile(); });
     this->timers.advance(now);
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -17,6 +17,7 @@
 #include "EntrySettings.h"
 #include "HttpEndpoint.h"
 #include "ObjectMoveSync.h"
+#include "OutcomeSync.h"
 #include "RequestSteering.h"
 #include "StoreSync.h"
 
@@ -43,7 +44,10 @@
     Common::Result<void> startCluster(Common::Incarnation fewest);
     /// Joins again as a later run than the one that peers know: the clock was set back.
     void restartCluster(Common::Incarnation known);
-    void startMoves();
+    /// What entry VMs tell each other beside the store's rows.
+    void startExchanges();
+    void sendReturnedZones(const Common::VmName &peer);
+    void onReturnedZones(const Peering::Wire::ReturnedZonesT &message, Common::Instant now);
     void startStore();
     Common::Result<void> startEndpoints();
     void subscribeTimers();
@@ -82,6 +86,7 @@
     RequestSteering steering;
     std::unique_ptr<Cluster> cluster;
     std::unique_ptr<ObjectMoveSync> moves;
+    std::unique_ptr<OutcomeSync> outcomes;
     std::unique_ptr<StoreSync> store;
     std::unique_ptr<StoreWorker> writer;
     /// As registered, by VM.
--- a/Source/Entry/EntryDaemonRows.cpp
+++ b/Source/Entry/EntryDaemonRows.cpp
@@ -46,6 +46,7 @@
             if (known != nullptr) {
                 servers.remove(name);
                 this->steering.pool().drop(name);
+                this->steering.outcomes().forget(name);
                 this->log.important("server_removed", Common::errorFields(server.error()));
                 news.push_back(row);
             } else if (!row.deleted && this->log.admits()) {
@@ -62,6 +63,9 @@
             if (before == *server && !coldChanged) {
                 continue;
             }
+            if (before.born != server->born) {
+                this->steering.outcomes().forget(name);
+            }
         }
         servers.put(*server, row.readAt);
         news.push_back(row);
@@ -95,7 +99,7 @@
                                                 { "version", row.version } });
         }
     }
-    this->steering.selector().setEvacuatedZones(std::move(evacuated));
+    this->steering.selector().setEvacuatedZones(std::move(evacuated), Common::monotonicNow());
 }
 
 void EntryDaemon::adopt(const Steering::RowChange &row)
--- a/Source/Entry/RequestSteering.cpp
+++ b/Source/Entry/RequestSteering.cpp
@@ -19,6 +19,13 @@
 constexpr absl::Duration cancelDelay = absl::Milliseconds(350);
 // Attempts at servers that can't be reached do not count as attempts; this bounds them.
 constexpr std::size_t unreachableAttempts = 3;
+// Multiple of the expected time after which the server's reachability is checked; few requests of a
+// sound server take as long.
+constexpr double overdueFactor = 3.0;
+// The same at a server that other VMs saw failing.
+constexpr double suspectFactor = 1.0;
+// A connection that can't be made says more than one failed request: two of them are enough.
+constexpr double unreachableWeight = 1.25;
 constexpr absl::Duration healthTimeout = absl::Milliseconds(800);
 constexpr absl::Duration noConfigurationRetryAfter = absl::Seconds(1);
 
@@ -66,6 +73,10 @@
     bool warm = false;
     std::size_t position = 0;
     Common::Instant start;
+    /// How long the server should take.
+    absl::Duration expected;
+    /// The server's reachability was checked because of this attempt.
+    bool checked = false;
     std::optional<ExchangeResult> result;
 };
 
@@ -99,9 +110,9 @@
 
 RequestSteering::RequestSteering(boost::asio::io_context &context, const EntrySettings &settings,
                                  Common::EventLog &log, Telemetry::MetricsRegistry &metrics)
-    : context(context), settings(settings), log(log), metrics(metrics),
+    : context(context), settings(settings), log(log), metrics(metrics), fleetOutcomes(settings.vm),
       serverSelector({ settings.vm, settings.zone, settings.region, settings.zones, settings.cold },
-                     this->table),
+                     this->table, this->fleetOutcomes),
       backendPool(context, metrics), random(std::random_device()())
 { }
 
@@ -243,6 +254,7 @@
     attempt->warm = choice.warm;
     attempt->position = choice.position;
     attempt->start = now;
+    attempt->expected = choice.expected;
     work.tried.insert(attempt->exchange->server.name);
     ++work.attempts;
     boost::asio::co_spawn(this->context, this->runAttempt(attempt), boost::asio::detached);
@@ -257,6 +269,7 @@
     this->running.erase(attempt);
     --this->inProgress;
     const Common::Instant now = Common::monotonicNow();
+    this->noteOutcome(*attempt, result);
     if (Steering::ServerRecord *server = this->table.find(attempt->exchange->server.name)) {
         const Steering::LoadReport *load = result.meaning.load ? &*result.meaning.load : nullptr;
         server->onEnd(now, result.end, load);
@@ -271,6 +284,73 @@
     attempt->caller->wake.cancel();
 }
 
+void RequestSteering::noteOutcome(const Attempt &attempt, const ExchangeResult &result)
+{
+    const Common::BackendServerName &server = attempt.exchange->server.name;
+    const Common::Instant now = Common::monotonicNow();
+    switch (result.end) {
+    case AttemptEnd::Answered:
+        this->fleetOutcomes.onAnswered(server, now);
+        return;
+    case AttemptEnd::ServerError:
+    case AttemptEnd::Broken:
+        this->fleetOutcomes.onFailed(server, now);
+        return;
+    case AttemptEnd::Unreachable:
+        this->fleetOutcomes.onFailed(server, now, unreachableWeight);
+        return;
+    case AttemptEnd::NotExecuted:
+        if (result.meaning.load && result.meaning.load->running < result.meaning.load->slots) {
+            this->fleetOutcomes.onFailed(server, now);
+        }
+        return;
+    case AttemptEnd::Misdirected:
+    case AttemptEnd::Abandoned:
+        return;
+    }
+}
+
+void RequestSteering::checkOverdue(Common::Instant now)
+{
+    for (const std::shared_ptr<Attempt> &attempt : this->running) {
+        const Common::BackendServerName &name = attempt->exchange->server.name;
+        const double factor
+                = this->fleetOutcomes.failing(name, now) ? suspectFactor : overdueFactor;
+        if (attempt->checked || now - attempt->start < attempt->expected * factor) {
+            continue;
+        }
+        attempt->checked = true;
+        const Steering::ServerRecord *server = this->table.find(name);
+        if (server != nullptr && server->lastHeard() < attempt->start + attempt->expected) {
+            boost::asio::co_spawn(this->context, this->checkConnection(name),
+                                  boost::asio::detached);
+        }
+    }
+}
+
+Task RequestSteering::checkConnection(Common::BackendServerName name)
+{
+    Steering::ServerRecord *record = this->table.find(name);
+    if (record == nullptr) {
+        co_return;
+    }
+    const bool reachable = co_await this->backendPool.reach(record->server());
+    const Common::Instant now = Common::monotonicNow();
+    this->log.important("connection_check",
+                        { { "server", name.value() }, { "reachable", reachable } });
+    record = this->table.find(name);
+    if (record == nullptr) {
+        co_return;
+    }
+    if (reachable) {
+        record->onHeard(now);
+        co_return;
+    }
+    record->onUnreachable(now);
+    this->fleetOutcomes.onFailed(name, now, unreachableWeight);
+    this->releaseStranded(name);
+}
+
 void RequestSteering::releaseStranded(const Common::BackendServerName &server)
 {
     for (const std::shared_ptr<Attempt> &attempt : this->running) {
@@ -402,6 +482,7 @@
 void RequestSteering::advance(Common::Instant now)
 {
     this->backendPool.advance(now);
+    this->checkOverdue(now);
     for (Steering::ServerRecord *server : this->table.all()) {
         if (server->needsProbe(now)) {
             server->onProbeStarted(now);
--- a/Source/Entry/RequestSteering.h
+++ b/Source/Entry/RequestSteering.h
@@ -60,8 +60,14 @@
     Steering::ServerTable &servers() { return this->table; }
     Steering::ServerSelector &selector() { return this->serverSelector; }
     BackendPool &pool() { return this->backendPool; }
+    /// How requests at backend servers ended, here and at other VMs.
+    Steering::FleetOutcomes &outcomes() { return this->fleetOutcomes; }
     /// Age of the list of backend servers, for log lines.
-    void setServersConfirmed(Common::Instant time) { this->serversConfirmed = time; }
+    void setServersConfirmed(Common::Instant time)
+    {
+        this->serversConfirmed = time;
+        this->serverSelector.setServersConfirmed(time);
+    }
 
     /// Starts health checks that are due and closes idle connections.
     void advance(Common::Instant now);
@@ -80,6 +86,11 @@
     std::shared_ptr<Attempt> startAttempt(Work &work, const Steering::SendTo &choice);
     Task runAttempt(std::shared_ptr<Attempt> attempt);
     Task checkHealth(Common::BackendServerName name);
+    /// Checks servers whose requests take much longer than expected.
+    void checkOverdue(Common::Instant now);
+    Task checkConnection(Common::BackendServerName name);
+    /// Counts the attempt's end for all VMs.
+    void noteOutcome(const Attempt &attempt, const ExchangeResult &result);
     /// Lets idempotent requests on a server that can't be reached any more go to another one.
     void releaseStranded(const Common::BackendServerName &server);
     /// Ends an idempotent request on its server a little after its caller got a timeout.
@@ -100,6 +111,7 @@
     Telemetry::MetricsRegistry &metrics;
     std::shared_ptr<const Steering::RoutingConfiguration> current;
     Steering::ServerTable table;
+    Steering::FleetOutcomes fleetOutcomes;
     Steering::ServerSelector serverSelector;
     Steering::SplitChooser splits;
     BackendPool backendPool;
--- a/Source/Entry/StoreSync.cpp
+++ b/Source/Entry/StoreSync.cpp
@@ -163,7 +163,7 @@
 }
 
 void StoreSync::apply(State &state, const Steering::TableUpdate &update,
-                      const std::optional<Common::VmName> &source, Common::Instant now)
+                      const std::optional<Source> &source, Common::Instant now)
 {
     const Common::Instant confirmedBefore = state.replica.confirmedAt();
     const Steering::StoreVersion versionBefore = state.replica.version();
@@ -176,7 +176,7 @@
         request.table = state.table.name;
         request.loaded = state.replica.loaded();
         request.version = versionBefore;
-        this->hooks.send(*source, body(std::move(request)));
+        this->hooks.send(source->peer, body(std::move(request)));
     }
     if (outcome.verdict != Steering::TableReplica::Verdict::Applied) {
         return;
@@ -200,9 +200,24 @@
         relayed.from = relayed.to;
         relayed.rows.clear();
     }
-    for (const Common::VmName &peer : this->hooks.peers()) {
-        if (!source || peer != *source) {
-            this->hooks.send(peer, body(toWire(state.table.name, relayed, now)));
+    this->relay(state, relayed, source, now);
+}
+
+void StoreSync::relay(const State &state, const Steering::TableUpdate &update,
+                      const std::optional<Source> &source, Common::Instant now) const
+{
+    Wire::StoreUpdateT message = toWire(state.table.name, update, now);
+    std::vector<Common::VmName> peers = this->hooks.peers();
+    if (update.rows.empty()) {
+        Membership::Recipients recipients = source ? source->recipients : Membership::Recipients();
+        recipients.add(this->hooks.self);
+        peers = recipients.addMissing(peers);
+        message.recipients = recipients.hashes();
+    }
+    for (const Common::VmName &peer : peers) {
+        if (!source || peer != source->peer) {
+            auto copy = message;
+            this->hooks.send(peer, body(std::move(copy)));
         }
     }
 }
@@ -227,7 +242,8 @@
 {
     const auto state = this->states.find(message.table);
     if (state != this->states.end()) {
-        this->apply(state->second, fromWire(message, now), peer, now);
+        this->apply(state->second, fromWire(message, now),
+                    Source { peer, Membership::Recipients(message.recipients) }, now);
     }
 }
 
--- a/Source/Entry/StoreSync.h
+++ b/Source/Entry/StoreSync.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "currantfall/Common/EventLog.h"
+#include "currantfall/Membership/Recipients.h"
 #include "currantfall/Peering/FrameCodec.h"
 #include "currantfall/Steering/ReadSchedule.h"
 #include "currantfall/Steering/TableReplica.h"
@@ -25,6 +26,7 @@
 public:
     struct Hooks
     {
+        Common::VmName self;
         /// Applies changes; returns those that peers need to know.
         std::function<std::vector<Steering::RowChange>(const std::string &table,
                                                        const std::vector<Steering::RowChange> &)>
@@ -74,9 +76,20 @@
 
     void read(State &state);
     void onRead(State &state, const StoreResult &result, Common::Instant now);
+    /// Where an update came from.
+    struct Source
+    {
+        Common::VmName peer;
+        /// VMs to which it was sent, if it only confirms a version.
+        Membership::Recipients recipients;
+    };
     /// Applies an update from the store, or from `source`, and tells the other peers.
     void apply(State &state, const Steering::TableUpdate &update,
-               const std::optional<Common::VmName> &source, Common::Instant now);
+               const std::optional<Source> &source, Common::Instant now);
+    /// Changes go to all peers, each of which may be the only path to some VM; a confirmed version
+    /// goes to those that have not got it.
+    void relay(const State &state, const Steering::TableUpdate &update,
+               const std::optional<Source> &source, Common::Instant now) const;
     void noteReachable(State &state, const StoreResult &result);
 
     boost::asio::io_context &context;
--- a/Source/UnitTests/Steering/ServerSelectorTest.cpp
+++ b/Source/UnitTests/Steering/ServerSelectorTest.cpp
@@ -44,7 +44,7 @@
                        { ZoneName("b"), RegionName("west") },
                        { ZoneName("c"), RegionName("east") } },
                      { 1.5, 5.0 } },
-                   servers)
+                   servers, outcomes)
     {
         const std::vector<std::string> zones { "a", "b", "c" };
         for (int number = 0; number < 6; ++number) {
@@ -81,6 +81,7 @@
     }
 
     ServerTable servers;
+    FleetOutcomes outcomes { VmName("observer") };
     ServerSelector selector;
     Route route;
     ServiceTerms terms;
@@ -238,7 +239,7 @@
 TEST_CASE("Evacuated zones and regions that a route does not allow get nothing")
 {
     Deployment deployment;
-    deployment.selector.setEvacuatedZones({ ZoneName("a") });
+    deployment.selector.setEvacuatedZones({ ZoneName("a") }, at(0));
     deployment.route.allowedRegions = { RegionName("west") };
     for (int object = 0; object < 30; ++object) {
         ServerRecord *chosen = deployment.send(std::to_string(object), object);
@@ -247,12 +248,90 @@
             chosen->onEnd(at(object), AttemptEnd::Answered, nullptr);
         }
     }
-    deployment.selector.setEvacuatedZones({ ZoneName("a"), ZoneName("b") });
+    deployment.selector.setEvacuatedZones({ ZoneName("a"), ZoneName("b") }, at(50));
     const Selection none
             = deployment.selector.select(deployment.question("1"), &deployment.terms, at(100));
     CHECK(std::get<Reject>(none).reason == RejectReason::NoServer);
 }
 
+// Load pattern: an evacuation ends, and the zone's servers are cold although their entries do not
+// say so yet.
+TEST_CASE("Servers of a zone that comes back get their cold rate until their entries are known")
+{
+    Deployment deployment;
+    deployment.selector.setEvacuatedZones({ ZoneName("a") }, at(0));
+    deployment.selector.setEvacuatedZones({}, at(5000));
+    deployment.selector.setServersConfirmed(at(5000));
+    const auto sendAll = [&](int start) {
+        std::map<BackendServerName, int> sent;
+        for (int object = 0; object < 200; ++object) {
+            ServerRecord *chosen = deployment.send(std::to_string(object), start + object * 5);
+            if (chosen == nullptr) {
+                continue;
+            }
+            chosen->onEnd(at(start + object * 5), AttemptEnd::Answered, nullptr);
+            if (chosen->server().zone == ZoneName("a")) {
+                ++sent[chosen->server().name];
+            }
+        }
+        int most = 0;
+        for (const auto &[server, count] : sent) {
+            most = std::max(most, count);
+        }
+        return most;
+    };
+    // One request of this VM in any second.
+    CHECK(sendAll(5000) == 1);
+    SECTION("the store is away")
+    {
+        CHECK(sendAll(9000) == 1);
+        CHECK(sendAll(26000) > 10);
+    }
+    SECTION("the entries are read again")
+    {
+        deployment.selector.setServersConfirmed(at(8000));
+        CHECK(sendAll(8000) > 10);
+    }
+}
+
+// Load pattern: a VM is restarted just after an evacuation has ended, and has not seen it.
+TEST_CASE("A VM that has just started uses cold rates until a peer tells which zones came back")
+{
+    Deployment deployment;
+    deployment.selector.setStarted(at(0));
+    const auto sends = [&](int start) {
+        int count = 0;
+        for (int object = 0; object < 100; ++object) {
+            ServerRecord *chosen = deployment.send(std::to_string(object), start + object);
+            if (chosen != nullptr) {
+                chosen->onEnd(at(start + object), AttemptEnd::Answered, nullptr);
+                ++count;
+            }
+        }
+        return count;
+    };
+    CHECK(sends(0) == 6);
+    SECTION("a peer knows of none")
+    {
+        deployment.selector.applyReturnedZones({}, at(200));
+        CHECK(sends(200) == 100);
+    }
+    SECTION("a peer knows of one")
+    {
+        Deployment peer("vm2");
+        peer.selector.setEvacuatedZones({ ZoneName("a") }, at(0));
+        peer.selector.setEvacuatedZones({}, at(0));
+        deployment.selector.applyReturnedZones(peer.selector.returnedZones(at(200)), at(200));
+        const int count = sends(200);
+        CHECK(count < 100);
+        CHECK(count > 30);
+    }
+    SECTION("there is no peer")
+    {
+        CHECK(sends(1000) == 100);
+    }
+}
+
 // Guards against requests to a server that has ended, or to another one at its address.
 TEST_CASE("Servers that fail, drain or lost their address are left out")
 {
--- a/include/currantfall/Peering/Messages_generated.h
+++ b/include/currantfall/Peering/Messages_generated.h
@@ -129,6 +129,22 @@
 struct ObjectMovesBuilder;
 struct ObjectMovesT;
 
+struct ServerOutcomes;
+struct ServerOutcomesBuilder;
+struct ServerOutcomesT;
+
+struct OutcomeReport;
+struct OutcomeReportBuilder;
+struct OutcomeReportT;
+
+struct ReturnedZone;
+struct ReturnedZoneBuilder;
+struct ReturnedZoneT;
+
+struct ReturnedZones;
+struct ReturnedZonesBuilder;
+struct ReturnedZonesT;
+
 struct Message;
 struct MessageBuilder;
 struct MessageT;
@@ -253,11 +269,13 @@
   StoreUpdate = 20,
   StoreRequest = 21,
   ObjectMoves = 22,
+  OutcomeReport = 23,
+  ReturnedZones = 24,
   MIN = NONE,
-  MAX = ObjectMoves
+  MAX = ReturnedZones
 };
 
-inline const Body (&EnumValuesBody())[23] {
+inline const Body (&EnumValuesBody())[25] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -281,13 +299,15 @@
     Body::CreditGrant,
     Body::StoreUpdate,
     Body::StoreRequest,
-    Body::ObjectMoves
+    Body::ObjectMoves,
+    Body::OutcomeReport,
+    Body::ReturnedZones
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[24] = {
+  static const char * const names[26] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -311,13 +331,15 @@
     "StoreUpdate",
     "StoreRequest",
     "ObjectMoves",
+    "OutcomeReport",
+    "ReturnedZones",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ObjectMoves)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ReturnedZones)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -414,6 +436,14 @@
   static const Body enum_value = Body::ObjectMoves;
 };
 
+template<> struct BodyTraits<Currantfall::Peering::Wire::OutcomeReport> {
+  static const Body enum_value = Body::OutcomeReport;
+};
+
+template<> struct BodyTraits<Currantfall::Peering::Wire::ReturnedZones> {
+  static const Body enum_value = Body::ReturnedZones;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -506,6 +536,14 @@
   static const Body enum_value = Body::ObjectMoves;
 };
 
+template<> struct BodyUnionTraits<Currantfall::Peering::Wire::OutcomeReportT> {
+  static const Body enum_value = Body::OutcomeReport;
+};
+
+template<> struct BodyUnionTraits<Currantfall::Peering::Wire::ReturnedZonesT> {
+  static const Body enum_value = Body::ReturnedZones;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -712,6 +750,22 @@
     return type == Body::ObjectMoves ?
       reinterpret_cast<const Currantfall::Peering::Wire::ObjectMovesT *>(value) : nullptr;
   }
+  Currantfall::Peering::Wire::OutcomeReportT *AsOutcomeReport() {
+    return type == Body::OutcomeReport ?
+      reinterpret_cast<Currantfall::Peering::Wire::OutcomeReportT *>(value) : nullptr;
+  }
+  const Currantfall::Peering::Wire::OutcomeReportT *AsOutcomeReport() const {
+    return type == Body::OutcomeReport ?
+      reinterpret_cast<const Currantfall::Peering::Wire::OutcomeReportT *>(value) : nullptr;
+  }
+  Currantfall::Peering::Wire::ReturnedZonesT *AsReturnedZones() {
+    return type == Body::ReturnedZones ?
+      reinterpret_cast<Currantfall::Peering::Wire::ReturnedZonesT *>(value) : nullptr;
+  }
+  const Currantfall::Peering::Wire::ReturnedZonesT *AsReturnedZones() const {
+    return type == Body::ReturnedZones ?
+      reinterpret_cast<const Currantfall::Peering::Wire::ReturnedZonesT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -3402,6 +3456,7 @@
   bool complete = false;
   uint32_t age_ms = 0;
   std::vector<std::unique_ptr<Currantfall::Peering::Wire::StoreRowT>> rows{};
+  std::vector<uint32_t> recipients{};
   StoreUpdateT() = default;
   StoreUpdateT(const StoreUpdateT &o);
   StoreUpdateT(StoreUpdateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3417,7 +3472,8 @@
     VT_TO = 8,
     VT_COMPLETE = 10,
     VT_AGE_MS = 12,
-    VT_ROWS = 14
+    VT_ROWS = 14,
+    VT_RECIPIENTS = 16
   };
   const flatbuffers::String *table() const {
     return GetPointer<const flatbuffers::String *>(VT_TABLE);
@@ -3437,6 +3493,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::StoreRow>> *rows() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::StoreRow>> *>(VT_ROWS);
   }
+  const flatbuffers::Vector<uint32_t> *recipients() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_RECIPIENTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_TABLE) &&
@@ -3448,6 +3507,8 @@
            VerifyOffset(verifier, VT_ROWS) &&
            verifier.VerifyVector(rows()) &&
            verifier.VerifyVectorOfTables(rows()) &&
+           VerifyOffset(verifier, VT_RECIPIENTS) &&
+           verifier.VerifyVector(recipients()) &&
            verifier.EndTable();
   }
   StoreUpdateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3477,6 +3538,9 @@
   void add_rows(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::StoreRow>>> rows) {
     fbb_.AddOffset(StoreUpdate::VT_ROWS, rows);
   }
+  void add_recipients(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> recipients) {
+    fbb_.AddOffset(StoreUpdate::VT_RECIPIENTS, recipients);
+  }
   explicit StoreUpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3495,10 +3559,12 @@
     uint64_t to = 0,
     bool complete = false,
     uint32_t age_ms = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::StoreRow>>> rows = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::StoreRow>>> rows = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> recipients = 0) {
   StoreUpdateBuilder builder_(_fbb);
   builder_.add_to(to);
   builder_.add_from(from);
+  builder_.add_recipients(recipients);
   builder_.add_rows(rows);
   builder_.add_age_ms(age_ms);
   builder_.add_table(table);
@@ -3513,9 +3579,11 @@
     uint64_t to = 0,
     bool complete = false,
     uint32_t age_ms = 0,
-    const std::vector<flatbuffers::Offset<Currantfall::Peering::Wire::StoreRow>> *rows = nullptr) {
+    const std::vector<flatbuffers::Offset<Currantfall::Peering::Wire::StoreRow>> *rows = nullptr,
+    const std::vector<uint32_t> *recipients = nullptr) {
   auto table__ = table ? _fbb.CreateString(table) : 0;
   auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<Currantfall::Peering::Wire::StoreRow>>(*rows) : 0;
+  auto recipients__ = recipients ? _fbb.CreateVector<uint32_t>(*recipients) : 0;
   return Currantfall::Peering::Wire::CreateStoreUpdate(
       _fbb,
       table__,
@@ -3523,7 +3591,8 @@
       to,
       complete,
       age_ms,
-      rows__);
+      rows__,
+      recipients__);
 }
 
 flatbuffers::Offset<StoreUpdate> CreateStoreUpdate(flatbuffers::FlatBufferBuilder &_fbb, const StoreUpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3803,6 +3872,346 @@
 
 flatbuffers::Offset<ObjectMoves> CreateObjectMoves(flatbuffers::FlatBufferBuilder &_fbb, const ObjectMovesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ServerOutcomesT : public flatbuffers::NativeTable {
+  typedef ServerOutcomes TableType;
+  std::string server{};
+  float answered = 0.0f;
+  float failed = 0.0f;
+};
+
+struct ServerOutcomes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ServerOutcomesT NativeTableType;
+  typedef ServerOutcomesBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_ANSWERED = 6,
+    VT_FAILED = 8
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  float answered() const {
+    return GetField<float>(VT_ANSWERED, 0.0f);
+  }
+  float failed() const {
+    return GetField<float>(VT_FAILED, 0.0f);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<float>(verifier, VT_ANSWERED, 4) &&
+           VerifyField<float>(verifier, VT_FAILED, 4) &&
+           verifier.EndTable();
+  }
+  ServerOutcomesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ServerOutcomesT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ServerOutcomes> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServerOutcomesT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ServerOutcomesBuilder {
+  typedef ServerOutcomes Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(ServerOutcomes::VT_SERVER, server);
+  }
+  void add_answered(float answered) {
+    fbb_.AddElement<float>(ServerOutcomes::VT_ANSWERED, answered, 0.0f);
+  }
+  void add_failed(float failed) {
+    fbb_.AddElement<float>(ServerOutcomes::VT_FAILED, failed, 0.0f);
+  }
+  explicit ServerOutcomesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ServerOutcomes> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ServerOutcomes>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ServerOutcomes> CreateServerOutcomes(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    float answered = 0.0f,
+    float failed = 0.0f) {
+  ServerOutcomesBuilder builder_(_fbb);
+  builder_.add_failed(failed);
+  builder_.add_answered(answered);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ServerOutcomes> CreateServerOutcomesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    float answered = 0.0f,
+    float failed = 0.0f) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return Currantfall::Peering::Wire::CreateServerOutcomes(
+      _fbb,
+      server__,
+      answered,
+      failed);
+}
+
+flatbuffers::Offset<ServerOutcomes> CreateServerOutcomes(flatbuffers::FlatBufferBuilder &_fbb, const ServerOutcomesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct OutcomeReportT : public flatbuffers::NativeTable {
+  typedef OutcomeReport TableType;
+  std::string vm{};
+  uint64_t sequence = 0;
+  std::vector<std::unique_ptr<Currantfall::Peering::Wire::ServerOutcomesT>> servers{};
+  std::vector<uint32_t> recipients{};
+  OutcomeReportT() = default;
+  OutcomeReportT(const OutcomeReportT &o);
+  OutcomeReportT(OutcomeReportT&&) FLATBUFFERS_NOEXCEPT = default;
+  OutcomeReportT &operator=(OutcomeReportT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct OutcomeReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OutcomeReportT NativeTableType;
+  typedef OutcomeReportBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VM = 4,
+    VT_SEQUENCE = 6,
+    VT_SERVERS = 8,
+    VT_RECIPIENTS = 10
+  };
+  const flatbuffers::String *vm() const {
+    return GetPointer<const flatbuffers::String *>(VT_VM);
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::ServerOutcomes>> *servers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::ServerOutcomes>> *>(VT_SERVERS);
+  }
+  const flatbuffers::Vector<uint32_t> *recipients() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_RECIPIENTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_VM) &&
+           verifier.VerifyString(vm()) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyOffset(verifier, VT_SERVERS) &&
+           verifier.VerifyVector(servers()) &&
+           verifier.VerifyVectorOfTables(servers()) &&
+           VerifyOffset(verifier, VT_RECIPIENTS) &&
+           verifier.VerifyVector(recipients()) &&
+           verifier.EndTable();
+  }
+  OutcomeReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(OutcomeReportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<OutcomeReport> Pack(flatbuffers::FlatBufferBuilder &_fbb, const OutcomeReportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct OutcomeReportBuilder {
+  typedef OutcomeReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_vm(flatbuffers::Offset<flatbuffers::String> vm) {
+    fbb_.AddOffset(OutcomeReport::VT_VM, vm);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(OutcomeReport::VT_SEQUENCE, sequence, 0);
+  }
+  void add_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::ServerOutcomes>>> servers) {
+    fbb_.AddOffset(OutcomeReport::VT_SERVERS, servers);
+  }
+  void add_recipients(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> recipients) {
+    fbb_.AddOffset(OutcomeReport::VT_RECIPIENTS, recipients);
+  }
+  explicit OutcomeReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OutcomeReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OutcomeReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OutcomeReport> CreateOutcomeReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> vm = 0,
+    uint64_t sequence = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::ServerOutcomes>>> servers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> recipients = 0) {
+  OutcomeReportBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
+  builder_.add_recipients(recipients);
+  builder_.add_servers(servers);
+  builder_.add_vm(vm);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<OutcomeReport> CreateOutcomeReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *vm = nullptr,
+    uint64_t sequence = 0,
+    const std::vector<flatbuffers::Offset<Currantfall::Peering::Wire::ServerOutcomes>> *servers = nullptr,
+    const std::vector<uint32_t> *recipients = nullptr) {
+  auto vm__ = vm ? _fbb.CreateString(vm) : 0;
+  auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<Currantfall::Peering::Wire::ServerOutcomes>>(*servers) : 0;
+  auto recipients__ = recipients ? _fbb.CreateVector<uint32_t>(*recipients) : 0;
+  return Currantfall::Peering::Wire::CreateOutcomeReport(
+      _fbb,
+      vm__,
+      sequence,
+      servers__,
+      recipients__);
+}
+
+flatbuffers::Offset<OutcomeReport> CreateOutcomeReport(flatbuffers::FlatBufferBuilder &_fbb, const OutcomeReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ReturnedZoneT : public flatbuffers::NativeTable {
+  typedef ReturnedZone TableType;
+  std::string zone{};
+  uint32_t age_ms = 0;
+};
+
+struct ReturnedZone FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ReturnedZoneT NativeTableType;
+  typedef ReturnedZoneBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ZONE = 4,
+    VT_AGE_MS = 6
+  };
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+  ReturnedZoneT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ReturnedZoneT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ReturnedZone> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReturnedZoneT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ReturnedZoneBuilder {
+  typedef ReturnedZone Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(ReturnedZone::VT_ZONE, zone);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(ReturnedZone::VT_AGE_MS, age_ms, 0);
+  }
+  explicit ReturnedZoneBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ReturnedZone> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ReturnedZone>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ReturnedZone> CreateReturnedZone(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    uint32_t age_ms = 0) {
+  ReturnedZoneBuilder builder_(_fbb);
+  builder_.add_age_ms(age_ms);
+  builder_.add_zone(zone);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ReturnedZone> CreateReturnedZoneDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *zone = nullptr,
+    uint32_t age_ms = 0) {
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  return Currantfall::Peering::Wire::CreateReturnedZone(
+      _fbb,
+      zone__,
+      age_ms);
+}
+
+flatbuffers::Offset<ReturnedZone> CreateReturnedZone(flatbuffers::FlatBufferBuilder &_fbb, const ReturnedZoneT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ReturnedZonesT : public flatbuffers::NativeTable {
+  typedef ReturnedZones TableType;
+  std::vector<std::unique_ptr<Currantfall::Peering::Wire::ReturnedZoneT>> zones{};
+  ReturnedZonesT() = default;
+  ReturnedZonesT(const ReturnedZonesT &o);
+  ReturnedZonesT(ReturnedZonesT&&) FLATBUFFERS_NOEXCEPT = default;
+  ReturnedZonesT &operator=(ReturnedZonesT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct ReturnedZones FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ReturnedZonesT NativeTableType;
+  typedef ReturnedZonesBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ZONES = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::ReturnedZone>> *zones() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::ReturnedZone>> *>(VT_ZONES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ZONES) &&
+           verifier.VerifyVector(zones()) &&
+           verifier.VerifyVectorOfTables(zones()) &&
+           verifier.EndTable();
+  }
+  ReturnedZonesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ReturnedZonesT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ReturnedZones> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReturnedZonesT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ReturnedZonesBuilder {
+  typedef ReturnedZones Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_zones(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::ReturnedZone>>> zones) {
+    fbb_.AddOffset(ReturnedZones::VT_ZONES, zones);
+  }
+  explicit ReturnedZonesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ReturnedZones> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ReturnedZones>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ReturnedZones> CreateReturnedZones(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::ReturnedZone>>> zones = 0) {
+  ReturnedZonesBuilder builder_(_fbb);
+  builder_.add_zones(zones);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ReturnedZones> CreateReturnedZonesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<Currantfall::Peering::Wire::ReturnedZone>> *zones = nullptr) {
+  auto zones__ = zones ? _fbb.CreateVector<flatbuffers::Offset<Currantfall::Peering::Wire::ReturnedZone>>(*zones) : 0;
+  return Currantfall::Peering::Wire::CreateReturnedZones(
+      _fbb,
+      zones__);
+}
+
+flatbuffers::Offset<ReturnedZones> CreateReturnedZones(flatbuffers::FlatBufferBuilder &_fbb, const ReturnedZonesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct MessageT : public flatbuffers::NativeTable {
   typedef Message TableType;
   Currantfall::Peering::Wire::BodyUnion body{};
@@ -3888,6 +4297,12 @@
   const Currantfall::Peering::Wire::ObjectMoves *body_as_ObjectMoves() const {
     return body_type() == Currantfall::Peering::Wire::Body::ObjectMoves ? static_cast<const Currantfall::Peering::Wire::ObjectMoves *>(body()) : nullptr;
   }
+  const Currantfall::Peering::Wire::OutcomeReport *body_as_OutcomeReport() const {
+    return body_type() == Currantfall::Peering::Wire::Body::OutcomeReport ? static_cast<const Currantfall::Peering::Wire::OutcomeReport *>(body()) : nullptr;
+  }
+  const Currantfall::Peering::Wire::ReturnedZones *body_as_ReturnedZones() const {
+    return body_type() == Currantfall::Peering::Wire::Body::ReturnedZones ? static_cast<const Currantfall::Peering::Wire::ReturnedZones *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -3988,6 +4403,14 @@
   return body_as_ObjectMoves();
 }
 
+template<> inline const Currantfall::Peering::Wire::OutcomeReport *Message::body_as<Currantfall::Peering::Wire::OutcomeReport>() const {
+  return body_as_OutcomeReport();
+}
+
+template<> inline const Currantfall::Peering::Wire::ReturnedZones *Message::body_as<Currantfall::Peering::Wire::ReturnedZones>() const {
+  return body_as_ReturnedZones();
+}
+
 struct MessageBuilder {
   typedef Message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5089,7 +5512,8 @@
         from(o.from),
         to(o.to),
         complete(o.complete),
-        age_ms(o.age_ms) {
+        age_ms(o.age_ms),
+        recipients(o.recipients) {
   rows.reserve(o.rows.size());
   for (const auto &rows_ : o.rows) { rows.emplace_back((rows_) ? new Currantfall::Peering::Wire::StoreRowT(*rows_) : nullptr); }
 }
@@ -5101,6 +5525,7 @@
   std::swap(complete, o.complete);
   std::swap(age_ms, o.age_ms);
   std::swap(rows, o.rows);
+  std::swap(recipients, o.recipients);
   return *this;
 }
 
@@ -5119,6 +5544,7 @@
   { auto _e = complete(); _o->complete = _e; }
   { auto _e = age_ms(); _o->age_ms = _e; }
   { auto _e = rows(); if (_e) { _o->rows.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rows[_i] = std::unique_ptr<Currantfall::Peering::Wire::StoreRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = recipients(); if (_e) { _o->recipients.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->recipients[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<StoreUpdate> StoreUpdate::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StoreUpdateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5135,6 +5561,7 @@
   auto _complete = _o->complete;
   auto _age_ms = _o->age_ms;
   auto _rows = _o->rows.size() ? _fbb.CreateVector<flatbuffers::Offset<Currantfall::Peering::Wire::StoreRow>> (_o->rows.size(), [](size_t i, _VectorArgs *__va) { return CreateStoreRow(*__va->__fbb, __va->__o->rows[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _recipients = _o->recipients.size() ? _fbb.CreateVector(_o->recipients) : 0;
   return Currantfall::Peering::Wire::CreateStoreUpdate(
       _fbb,
       _table,
@@ -5142,7 +5569,8 @@
       _to,
       _complete,
       _age_ms,
-      _rows);
+      _rows,
+      _recipients);
 }
 
 inline StoreRequestT *StoreRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5251,6 +5679,154 @@
       _moves);
 }
 
+inline ServerOutcomesT *ServerOutcomes::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<ServerOutcomesT>(new ServerOutcomesT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ServerOutcomes::UnPackTo(ServerOutcomesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = server(); if (_e) _o->server = _e->str(); }
+  { auto _e = answered(); _o->answered = _e; }
+  { auto _e = failed(); _o->failed = _e; }
+}
+
+inline flatbuffers::Offset<ServerOutcomes> ServerOutcomes::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServerOutcomesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateServerOutcomes(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ServerOutcomes> CreateServerOutcomes(flatbuffers::FlatBufferBuilder &_fbb, const ServerOutcomesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ServerOutcomesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _server = _o->server.empty() ? 0 : _fbb.CreateString(_o->server);
+  auto _answered = _o->answered;
+  auto _failed = _o->failed;
+  return Currantfall::Peering::Wire::CreateServerOutcomes(
+      _fbb,
+      _server,
+      _answered,
+      _failed);
+}
+
+inline OutcomeReportT::OutcomeReportT(const OutcomeReportT &o)
+      : vm(o.vm),
+        sequence(o.sequence),
+        recipients(o.recipients) {
+  servers.reserve(o.servers.size());
+  for (const auto &servers_ : o.servers) { servers.emplace_back((servers_) ? new Currantfall::Peering::Wire::ServerOutcomesT(*servers_) : nullptr); }
+}
+
+inline OutcomeReportT &OutcomeReportT::operator=(OutcomeReportT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(vm, o.vm);
+  std::swap(sequence, o.sequence);
+  std::swap(servers, o.servers);
+  std::swap(recipients, o.recipients);
+  return *this;
+}
+
+inline OutcomeReportT *OutcomeReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<OutcomeReportT>(new OutcomeReportT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void OutcomeReport::UnPackTo(OutcomeReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = vm(); if (_e) _o->vm = _e->str(); }
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = servers(); if (_e) { _o->servers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->servers[_i] = std::unique_ptr<Currantfall::Peering::Wire::ServerOutcomesT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = recipients(); if (_e) { _o->recipients.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->recipients[_i] = _e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<OutcomeReport> OutcomeReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OutcomeReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateOutcomeReport(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<OutcomeReport> CreateOutcomeReport(flatbuffers::FlatBufferBuilder &_fbb, const OutcomeReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const OutcomeReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _vm = _o->vm.empty() ? 0 : _fbb.CreateString(_o->vm);
+  auto _sequence = _o->sequence;
+  auto _servers = _o->servers.size() ? _fbb.CreateVector<flatbuffers::Offset<Currantfall::Peering::Wire::ServerOutcomes>> (_o->servers.size(), [](size_t i, _VectorArgs *__va) { return CreateServerOutcomes(*__va->__fbb, __va->__o->servers[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _recipients = _o->recipients.size() ? _fbb.CreateVector(_o->recipients) : 0;
+  return Currantfall::Peering::Wire::CreateOutcomeReport(
+      _fbb,
+      _vm,
+      _sequence,
+      _servers,
+      _recipients);
+}
+
+inline ReturnedZoneT *ReturnedZone::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<ReturnedZoneT>(new ReturnedZoneT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ReturnedZone::UnPackTo(ReturnedZoneT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+}
+
+inline flatbuffers::Offset<ReturnedZone> ReturnedZone::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReturnedZoneT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateReturnedZone(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ReturnedZone> CreateReturnedZone(flatbuffers::FlatBufferBuilder &_fbb, const ReturnedZoneT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ReturnedZoneT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _age_ms = _o->age_ms;
+  return Currantfall::Peering::Wire::CreateReturnedZone(
+      _fbb,
+      _zone,
+      _age_ms);
+}
+
+inline ReturnedZonesT::ReturnedZonesT(const ReturnedZonesT &o) {
+  zones.reserve(o.zones.size());
+  for (const auto &zones_ : o.zones) { zones.emplace_back((zones_) ? new Currantfall::Peering::Wire::ReturnedZoneT(*zones_) : nullptr); }
+}
+
+inline ReturnedZonesT &ReturnedZonesT::operator=(ReturnedZonesT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(zones, o.zones);
+  return *this;
+}
+
+inline ReturnedZonesT *ReturnedZones::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<ReturnedZonesT>(new ReturnedZonesT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ReturnedZones::UnPackTo(ReturnedZonesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = zones(); if (_e) { _o->zones.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->zones[_i] = std::unique_ptr<Currantfall::Peering::Wire::ReturnedZoneT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<ReturnedZones> ReturnedZones::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReturnedZonesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateReturnedZones(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ReturnedZones> CreateReturnedZones(flatbuffers::FlatBufferBuilder &_fbb, const ReturnedZonesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ReturnedZonesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _zones = _o->zones.size() ? _fbb.CreateVector<flatbuffers::Offset<Currantfall::Peering::Wire::ReturnedZone>> (_o->zones.size(), [](size_t i, _VectorArgs *__va) { return CreateReturnedZone(*__va->__fbb, __va->__o->zones[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return Currantfall::Peering::Wire::CreateReturnedZones(
+      _fbb,
+      _zones);
+}
+
 inline MessageT *Message::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<MessageT>(new MessageT());
   UnPackTo(_o.get(), _resolver);
@@ -5373,6 +5949,14 @@
       auto ptr = reinterpret_cast<const Currantfall::Peering::Wire::ObjectMoves *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::OutcomeReport: {
+      auto ptr = reinterpret_cast<const Currantfall::Peering::Wire::OutcomeReport *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::ReturnedZones: {
+      auto ptr = reinterpret_cast<const Currantfall::Peering::Wire::ReturnedZones *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -5480,6 +6064,14 @@
       auto ptr = reinterpret_cast<const Currantfall::Peering::Wire::ObjectMoves *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::OutcomeReport: {
+      auto ptr = reinterpret_cast<const Currantfall::Peering::Wire::OutcomeReport *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::ReturnedZones: {
+      auto ptr = reinterpret_cast<const Currantfall::Peering::Wire::ReturnedZones *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -5575,6 +6167,14 @@
       auto ptr = reinterpret_cast<const Currantfall::Peering::Wire::ObjectMovesT *>(value);
       return CreateObjectMoves(_fbb, ptr, _rehasher).Union();
     }
+    case Body::OutcomeReport: {
+      auto ptr = reinterpret_cast<const Currantfall::Peering::Wire::OutcomeReportT *>(value);
+      return CreateOutcomeReport(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::ReturnedZones: {
+      auto ptr = reinterpret_cast<const Currantfall::Peering::Wire::ReturnedZonesT *>(value);
+      return CreateReturnedZones(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -5669,6 +6269,14 @@
       value = new Currantfall::Peering::Wire::ObjectMovesT(*reinterpret_cast<Currantfall::Peering::Wire::ObjectMovesT *>(u.value));
       break;
     }
+    case Body::OutcomeReport: {
+      value = new Currantfall::Peering::Wire::OutcomeReportT(*reinterpret_cast<Currantfall::Peering::Wire::OutcomeReportT *>(u.value));
+      break;
+    }
+    case Body::ReturnedZones: {
+      value = new Currantfall::Peering::Wire::ReturnedZonesT(*reinterpret_cast<Currantfall::Peering::Wire::ReturnedZonesT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -5786,6 +6394,16 @@
       delete ptr;
       break;
     }
+    case Body::OutcomeReport: {
+      auto ptr = reinterpret_cast<Currantfall::Peering::Wire::OutcomeReportT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::ReturnedZones: {
+      auto ptr = reinterpret_cast<Currantfall::Peering::Wire::ReturnedZonesT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/include/currantfall/Steering/ServerSelector.h
+++ b/include/currantfall/Steering/ServerSelector.h
@@ -10,6 +10,7 @@
 #include <absl/time/time.h>
 
 #include "currantfall/Common/Time.h"
+#include "currantfall/Steering/FleetOutcomes.h"
 #include "currantfall/Steering/LocalityShares.h"
 #include "currantfall/Steering/RoutingConfiguration.h"
 #include "currantfall/Steering/ServerTable.h"
@@ -91,12 +92,21 @@
     friend bool operator==(const ObjectMove &left, const ObjectMove &right) = default;
 };
 
+/// A zone whose evacuation has ended.
+struct ReturnedZone
+{
+    Common::ZoneName zone;
+    absl::Duration age; ///< Time since the end.
+
+    friend bool operator==(const ReturnedZone &left, const ReturnedZone &right) = default;
+};
+
 /// Chooses the backend server of each request. Every object has its own order of servers, the same
 /// on all VMs; a request goes to the first one of it that can answer in time.
 class ServerSelector
 {
 public:
-    ServerSelector(SelectorSettings settings, ServerTable &servers);
+    ServerSelector(SelectorSettings settings, ServerTable &servers, const FleetOutcomes &outcomes);
 
     Selection select(const SelectionQuestion &question, const ServiceTerms *terms,
                      Common::Instant now);
@@ -106,7 +116,17 @@
     /// Learns how long the service's requests take. `warm` is what the selection expected.
     void onAnswered(const Common::ServiceName &service, bool warm, absl::Duration time);
 
-    void setEvacuatedZones(std::set<Common::ZoneName> zones);
+    /// Servers of zones that are not evacuated any more are taken for cold until their entries
+    /// would say so: they had no work, and may have been restarted.
+    void setEvacuatedZones(std::set<Common::ZoneName> zones, Common::Instant now);
+    /// This VM has just started and has not seen which evacuations ended before. Until a peer tells
+    /// it, all servers may be cold.
+    void setStarted(Common::Instant now) { this->uninformedSince = now; }
+    /// What other VMs need to know when they start.
+    std::vector<ReturnedZone> returnedZones(Common::Instant now) const;
+    void applyReturnedZones(const std::vector<ReturnedZone> &zones, Common::Instant now);
+    /// The servers' entries are known as of `time`.
+    void setServersConfirmed(Common::Instant time) { this->serversConfirmed = time; }
     /// All VMs that may send requests, this one included.
     void setVms(std::vector<Common::VmName> vms);
     std::size_t vmCount() const { return this->vms.size(); }
@@ -129,6 +149,7 @@
     {
         ServerRecord *server = nullptr;
         double score = 0.0;
+        bool failing = false;
     };
     struct Times
     {
@@ -143,7 +164,8 @@
         std::map<Common::RegionName, double> weights;
     };
 
-    /// Usable servers in the object's order.
+    /// Usable servers in the object's order. Those that all VMs see failing are left out, unless
+    /// too many are.
     std::vector<Candidate> candidates(const SelectionQuestion &question, Common::Instant now);
     /// What the servers that were looked at so far offer.
     struct Offers
@@ -162,12 +184,20 @@
     void consider(const SelectionQuestion &question, const ServiceTerms *terms, Common::Instant now,
                   ServerRecord &server, std::size_t position, Offers &offers) const;
     const std::map<Common::RegionName, double> &weightsOf(const Common::ServiceName &service);
+    /// Whether the server is cold, or may be.
+    bool cold(const ServerRecord &server, Common::Instant now) const;
     /// When a cold server may get the next request from this VM.
     Common::Instant coldPermit(const ServerRecord &server, const ServiceTerms *terms) const;
 
     SelectorSettings settings;
     ServerTable &servers;
+    const FleetOutcomes &outcomes;
     std::set<Common::ZoneName> evacuated;
+    /// When the evacuation of a zone ended.
+    std::map<Common::ZoneName, Common::Instant> returnedAt;
+    Common::Instant serversConfirmed;
+    /// Set until a peer has told which evacuations ended.
+    std::optional<Common::Instant> uninformedSince;
     std::vector<Common::VmName> vms;
     std::map<Common::ServiceName, Times> times;
     std::map<ObjectKey, ObjectMove> movedObjects;
--- a/include/currantfall/Steering/ServerTable.h
+++ b/include/currantfall/Steering/ServerTable.h
@@ -61,6 +61,8 @@
     void onSent(Common::Instant now, const std::string &object);
     void onEnd(Common::Instant now, AttemptEnd end, const LoadReport *report);
     void onHealth(Common::Instant now, bool healthy);
+    /// No connection to the server can be made: no work goes there until it is found healthy.
+    void onUnreachable(Common::Instant now);
 
     /// Whether this VM has sent a request for the object lately, so that it is in the server's
     /// cache.
@@ -76,6 +78,9 @@
     double failureRate() const { return this->failures; }
 
     Common::Instant lastSent() const { return this->latestSend; }
+    /// When the server last gave a sign of life.
+    Common::Instant lastHeard() const { return this->heardAt; }
+    void onHeard(Common::Instant now) { this->heardAt = now; }
 
 private:
     BackendServer current;
@@ -91,6 +96,7 @@
     double failures = 0.0;
     Admission::CircuitBreaker breaker;
     Common::Instant latestSend = Common::Instant::fromOrigin(-absl::InfiniteDuration());
+    Common::Instant heardAt = Common::Instant::fromOrigin(-absl::InfiniteDuration());
     Common::Instant probeUntil = Common::Instant::fromOrigin(-absl::InfiniteDuration());
     /// Last use of objects, bounded by `handledObjects`.
     absl::flat_hash_map<std::string, Common::Instant> handled;
