--- a/Source/UnitTests/Entry/RequestSteeringTest.cpp
+++ b/Source/UnitTests/Entry/RequestSteeringTest.cpp
@@ -116,6 +116,36 @@
     CHECK(broken <= 1);
 }
 
+// Guards against requests that wait until their deadline for a server that died without a word.
+TEST_CASE("An overdue request leaves a server to which no connection can be made")
+{
+    std::atomic<int> stuck { 0 };
+    ScriptedBackend *dying = nullptr;
+    ScriptedBackend bad([&](ScriptedConnection &connection) {
+        if (!connection.readRequest().empty()) {
+            ++stuck;
+            dying->stopListening();
+            (void)connection.closedWithin(5000);
+        }
+    });
+    dying = &bad;
+    ScriptedBackend good(answerAll);
+    // The order of the servers depends on their names; both orders are tried.
+    const bool swapped = GENERATE(false, true);
+    SteeringFixture fixture;
+    fixture.addServer("i-1", swapped ? good.port() : bad.port());
+    fixture.addServer("i-2", swapped ? bad.port() : good.port());
+    const auto read = fixture.launch(SteeringFixture::request("/read/1", "id-1"));
+    const Common::Instant start = Common::monotonicNow();
+    while (!*read && Common::monotonicNow() - start < absl::Seconds(6)) {
+        fixture.runFor(absl::Milliseconds(50));
+        fixture.steering.advance(Common::monotonicNow());
+    }
+    REQUIRE(*read);
+    CHECK((*read)->result_int() == 200);
+    CHECK(stuck <= 1);
+}
+
 // Guards against refusals that stop at the first full server, and against untrue ones.
 TEST_CASE("What a server did not execute goes to another one, or is refused as not run")
 {
