Send overdue idempotent requests to another server as well

Cause: a server that ends while it runs requests, or loses an answer, leaves its callers waiting until their deadline; its address answers again at once, so that the connection check finds nothing.

Change: after six times the expected time, or two and a half cold runs, an idempotent request is sent to the next server too, from the retry budget, if the time left suffices for a cold run. The first answer counts; the other attempt is cancelled. The rule is OverduePolicy, without network or clock.

--- a/Source/Entry/RequestSteering.cpp
+++ b/Source/Entry/RequestSteering.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/asio/this_coro.hpp>
 
+#include "currantfall/Steering/OverduePolicy.h"
+
 namespace Currantfall::Entry {
 
 namespace {
@@ -19,11 +21,6 @@
 constexpr absl::Duration cancelDelay = absl::Milliseconds(350);
 // Attempts at servers that can't be reached do not count as attempts; this bounds them.
 constexpr std::size_t unreachableAttempts = 3;
-// Multiple of the expected time after which the server's reachability is checked; few requests of a
-// sound server take as long.
-constexpr double overdueFactor = 3.0;
-// The same at a server that other VMs saw failing.
-constexpr double suspectFactor = 1.0;
 // A connection that can't be made says more than one failed request: two of them are enough.
 constexpr double unreachableWeight = 1.25;
 constexpr absl::Duration healthTimeout = absl::Milliseconds(800);
@@ -75,6 +72,8 @@
     Common::Instant start;
     /// How long the server should take.
     absl::Duration expected;
+    /// It was sent while another attempt of the request was running.
+    bool hedge = false;
     /// The server's reachability was checked because of this attempt.
     bool checked = false;
     std::optional<ExchangeResult> result;
@@ -168,10 +167,7 @@
                     ? this->fail(work, Failure::TimedOut, "timeout-before-retry")
                     : this->refuse(work, "timeout-before-start", absl::ZeroDuration());
         }
-        const Steering::SelectionQuestion question {
-            &route,           work.service,     work.caller.object, work.caller.id,
-            work.limit - now, now - work.start, work.tried
-        };
+        const Steering::SelectionQuestion question = this->questionOf(work, now);
         const Steering::Selection selection = this->serverSelector.select(question, terms, now);
         if (const auto *reject = std::get_if<Steering::Reject>(&selection)) {
             if (work.mayHaveRun) {
@@ -192,18 +188,12 @@
         }
         const auto &choice = std::get<Steering::SendTo>(selection);
         this->serverSelector.onSent(question, choice, now);
-        const auto attempt = this->startAttempt(work, choice);
-        co_await this->awaitAttempt(work, *attempt);
+        const SharedAttempt attempt
+                = co_await this->awaitDecision(work, this->startAttempt(work, choice));
         if (work.state->gone) {
-            if (route.idempotent && !attempt->result) {
-                attempt->exchange->cancel();
-            }
             co_return this->fail(work, Failure::OutcomeUnknown, "caller-gone");
         }
-        if (!attempt->result) {
-            if (route.idempotent) {
-                this->cancelLater(attempt);
-            }
+        if (!attempt) {
             co_return this->fail(work, Failure::TimedOut, "timeout");
         }
         work.mayHaveRun = work.mayHaveRun || !provenNotRun(attempt->result->end);
@@ -215,28 +205,116 @@
     }
 }
 
-Task RequestSteering::awaitAttempt(Work &work, Attempt &attempt)
+Steering::SelectionQuestion RequestSteering::questionOf(const Work &work, Common::Instant now) const
+{
+    return { work.route,       work.service,     work.caller.object, work.caller.id,
+             work.limit - now, now - work.start, work.tried };
+}
+
+boost::asio::awaitable<RequestSteering::SharedAttempt>
+RequestSteering::awaitDecision(Work &work, SharedAttempt first)
 {
-    while (!attempt.result && !work.state->gone) {
-        const absl::Duration left = work.limit - Common::monotonicNow();
+    const absl::Duration missed = this->serverSelector.workTime(work.service, *work.route, false);
+    const absl::Duration hedgeAfter = work.route->idempotent ? Steering::OverduePolicy::hedgeAfter(
+                                              first->expected, missed, work.limit - first->start)
+                                                             : absl::InfiniteDuration();
+    Common::Instant until = std::min(work.limit, first->start + hedgeAfter);
+    std::vector<SharedAttempt> open { std::move(first) };
+    SharedAttempt decisive;
+    while (!decisive) {
+        co_await this->awaitAny(work, open, until);
+        const auto ended = std::find_if(open.begin(), open.end(),
+                                        [](const auto &attempt) { return attempt->result; });
+        if (ended != open.end() && !work.state->gone) {
+            if (open.size() == 1 || (*ended)->result->end == AttemptEnd::Answered) {
+                decisive = *ended;
+            } else {
+                // The other attempt may still be answered.
+                work.mayHaveRun = work.mayHaveRun || !provenNotRun((*ended)->result->end);
+                addToHistory(work, **ended);
+                open.erase(ended);
+            }
+            continue;
+        }
+        if (work.state->gone || Common::monotonicNow() >= work.limit) {
+            break;
+        }
+        until = work.limit;
+        if (SharedAttempt hedge = this->startHedge(work)) {
+            open.push_back(std::move(hedge));
+        }
+    }
+    for (const SharedAttempt &attempt : open) {
+        addToHistory(work, *attempt);
+        if (!work.route->idempotent || attempt->result) {
+            continue;
+        }
+        if (decisive || work.state->gone) {
+            attempt->exchange->cancel();
+        } else {
+            this->cancelLater(attempt);
+        }
+    }
+    co_return decisive;
+}
+
+Task RequestSteering::awaitAny(Work &work, const std::vector<SharedAttempt> &attempts,
+                               Common::Instant until)
+{
+    const auto ended = [&attempts] {
+        return std::any_of(attempts.begin(), attempts.end(),
+                           [](const auto &attempt) { return attempt->result; });
+    };
+    while (!ended() && !work.state->gone) {
+        const absl::Duration left = until - Common::monotonicNow();
         if (left <= absl::ZeroDuration()) {
             break;
         }
         co_await sleepFor(work.state->wake, left);
     }
-    work.history.push_back(
-            { { "server", attempt.exchange->server.name.value() },
-              { "position", attempt.position },
-              { "warm", attempt.warm },
-              { "ms", absl::ToInt64Milliseconds(Common::monotonicNow() - attempt.start) },
-              { "end", attempt.result ? toString(attempt.result->end) : "unfinished" } });
+}
+
+RequestSteering::SharedAttempt RequestSteering::startHedge(Work &work)
+{
+    const Common::Instant now = Common::monotonicNow();
+    if (work.attempts >= work.route->maxAttempts) {
+        return nullptr;
+    }
+    const Steering::SelectionQuestion question = this->questionOf(work, now);
+    const Steering::Selection selection
+            = this->serverSelector.select(question, work.configuration->service(work.service), now);
+    const auto *choice = std::get_if<Steering::SendTo>(&selection);
+    if (choice == nullptr
+        || !this->allowance(work.service).tryTake(now, this->serverSelector.vmCount())) {
+        return nullptr;
+    }
+    this->serverSelector.onSent(question, *choice, now);
+    this->metrics.addToCounter("currantfall_hedges_total", { { "service", work.service.value() } });
+    SharedAttempt attempt = this->startAttempt(work, *choice);
+    attempt->hedge = true;
+    return attempt;
+}
+
+void RequestSteering::addToHistory(Work &work, const Attempt &attempt)
+{
+    nlohmann::ordered_json entry {
+        { "server", attempt.exchange->server.name.value() },
+        { "position", attempt.position },
+        { "warm", attempt.warm },
+        { "ms", absl::ToInt64Milliseconds(Common::monotonicNow() - attempt.start) },
+        { "end", attempt.result ? toString(attempt.result->end) : "unfinished" }
+    };
+    if (attempt.hedge) {
+        entry["hedge"] = true;
+    }
     if (attempt.result && !attempt.result->detail.empty()) {
-        work.history.back()["detail"] = attempt.result->detail;
+        entry["detail"] = attempt.result->detail;
     }
+    work.history.push_back(std::move(entry));
 }
 
-std::shared_ptr<RequestSteering::Attempt>
-RequestSteering::startAttempt(Work &work, const Steering::SendTo &choice)
+RequestSteering::SharedAttempt RequestSteering::startAttempt(Work &work,
+                                                             const Steering::SendTo &choice)
 {
     const Common::Instant now = Common::monotonicNow();
     auto exchange = std::make_shared<Exchange>();
@@ -261,7 +339,7 @@
     return attempt;
 }
 
-Task RequestSteering::runAttempt(std::shared_ptr<Attempt> attempt)
+Task RequestSteering::runAttempt(SharedAttempt attempt)
 {
     ++this->inProgress;
     this->running.insert(attempt);
@@ -314,9 +392,9 @@
 {
     for (const std::shared_ptr<Attempt> &attempt : this->running) {
         const Common::BackendServerName &name = attempt->exchange->server.name;
-        const double factor
-                = this->fleetOutcomes.failing(name, now) ? suspectFactor : overdueFactor;
-        if (attempt->checked || now - attempt->start < attempt->expected * factor) {
+        const absl::Duration checkAfter = Steering::OverduePolicy::checkAfter(
+                attempt->expected, this->fleetOutcomes.failing(name, now));
+        if (attempt->checked || now - attempt->start < checkAfter) {
             continue;
         }
         attempt->checked = true;
@@ -360,7 +438,7 @@
     }
 }
 
-void RequestSteering::cancelLater(std::shared_ptr<Attempt> attempt)
+void RequestSteering::cancelLater(SharedAttempt attempt)
 {
     boost::asio::co_spawn(
             this->context,
--- a/Source/Entry/RequestSteering.h
+++ b/Source/Entry/RequestSteering.h
@@ -7,6 +7,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "currantfall/Common/EventLog.h"
 #include "currantfall/Steering/RetryAllowance.h"
@@ -81,10 +82,20 @@
     struct Attempt;
 
     boost::asio::awaitable<Adapter::HttpResponse> steer(Work &work);
-    /// Waits for the attempt's end, the caller's leaving or the time limit.
-    Task awaitAttempt(Work &work, Attempt &attempt);
-    std::shared_ptr<Attempt> startAttempt(Work &work, const Steering::SendTo &choice);
-    Task runAttempt(std::shared_ptr<Attempt> attempt);
+    using SharedAttempt = std::shared_ptr<Attempt>;
+    /// Waits for the attempt that decides: `first`, or one at another server if that is overdue.
+    /// Nothing if the caller leaves or the time limit passes before.
+    boost::asio::awaitable<SharedAttempt> awaitDecision(Work &work, SharedAttempt first);
+    /// Waits until one of the attempts ends, the caller leaves or it is `until`.
+    Task awaitAny(Work &work, const std::vector<SharedAttempt> &attempts, Common::Instant until);
+    /// Sends the request to another server as well; nothing if none can take it or the budget is
+    /// used up.
+    SharedAttempt startHedge(Work &work);
+    SharedAttempt startAttempt(Work &work, const Steering::SendTo &choice);
+    /// Adds the attempt to the request's log line.
+    static void addToHistory(Work &work, const Attempt &attempt);
+    Steering::SelectionQuestion questionOf(const Work &work, Common::Instant now) const;
+    Task runAttempt(SharedAttempt attempt);
     Task checkHealth(Common::BackendServerName name);
     /// Checks servers whose requests take much longer than expected.
     void checkOverdue(Common::Instant now);
@@ -94,7 +105,7 @@
     /// Lets idempotent requests on a server that can't be reached any more go to another one.
     void releaseStranded(const Common::BackendServerName &server);
     /// Ends an idempotent request on its server a little after its caller got a timeout.
-    void cancelLater(std::shared_ptr<Attempt> attempt);
+    void cancelLater(SharedAttempt attempt);
 
     /// Whether the request goes to another server after this result.
     bool mayRetry(Work &work, const ExchangeResult &result);
@@ -117,7 +128,7 @@
     BackendPool backendPool;
     std::map<Common::ServiceName, Steering::RetryAllowance> allowances;
     /// Attempts that are running.
-    std::set<std::shared_ptr<Attempt>> running;
+    std::set<SharedAttempt> running;
     Common::Instant serversConfirmed;
     std::size_t inProgress = 0;
     std::minstd_rand random;
--- a/Source/UnitTests/Entry/RequestSteeringTest.cpp
+++ b/Source/UnitTests/Entry/RequestSteeringTest.cpp
@@ -116,6 +116,43 @@
     CHECK(broken <= 1);
 }
 
+// Guards against requests that wait until their deadline for an answer that was lost, and against
+// doubled requests that must run once.
+TEST_CASE("A request whose answer is lost goes to another server if it may be repeated")
+{
+    const bool idempotent = GENERATE(true, false);
+    std::atomic<int> lost { 0 };
+    std::atomic<int> cancelled { 0 };
+    ScriptedBackend silent([&](ScriptedConnection &connection) {
+        if (!connection.readRequest().empty()) {
+            ++lost;
+            cancelled += connection.closedWithin(4500) ? 1 : 0;
+        }
+    });
+    std::atomic<int> answered { 0 };
+    ScriptedBackend good([&answered](ScriptedConnection &connection) {
+        for (std::string request = connection.readRequest(); !request.empty();
+             request = connection.readRequest()) {
+            ++answered;
+            connection.write(answerTo(request, "body"));
+        }
+    });
+    // The order of the servers depends on their names; both orders are tried.
+    const bool swapped = GENERATE(false, true);
+    SteeringFixture fixture;
+    fixture.addServer("i-1", swapped ? good.port() : silent.port());
+    fixture.addServer("i-2", swapped ? silent.port() : good.port());
+    const auto response
+            = fixture.run(SteeringFixture::request(idempotent ? "/read/1" : "/write/1"));
+    REQUIRE(response);
+    CHECK(lost + answered == (idempotent ? lost + 1 : 1));
+    CHECK(response->result_int() == (answered > 0 ? 200 : 504));
+    fixture.runFor(absl::Milliseconds(50));
+    if (idempotent) {
+        CHECK(cancelled == lost);
+    }
+}
+
 // Guards against requests that wait until their deadline for a server that died without a word.
 TEST_CASE("An overdue request leaves a server to which no connection can be made")
 {
