Move what RequestSteering learns of servers into a file of its own

Outcomes, health and connection checks move to RequestSteeringServers.cpp, the state of a request to a private header, the name of an attempt's end beside its type.

--- a/Source/Core/Steering/ServerTable.cpp
+++ b/Source/Core/Steering/ServerTable.cpp
@@ -34,6 +34,27 @@
 
 } // namespace
 
+std::string toString(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::Answered:
+        return "answered";
+    case AttemptEnd::ServerError:
+        return "server-error";
+    case AttemptEnd::NotExecuted:
+        return "not-executed";
+    case AttemptEnd::Misdirected:
+        return "misdirected";
+    case AttemptEnd::Unreachable:
+        return "unreachable";
+    case AttemptEnd::Broken:
+        return "broken";
+    case AttemptEnd::Abandoned:
+        return "abandoned";
+    }
+    return "unknown";
+}
+
 ServerRecord::ServerRecord(BackendServer server, Common::Instant readAt)
     : current(std::move(server)), coldEnd(readAt + this->current.coldFor), reportedAt(readAt),
       breaker(breakerSettings())
--- a/Source/Entry/RequestSteering.cpp
+++ b/Source/Entry/RequestSteering.cpp
@@ -7,6 +7,8 @@
 
 #include "currantfall/Steering/OverduePolicy.h"
 
+#include "RequestSteeringState.h"
+
 namespace Currantfall::Entry {
 
 namespace {
@@ -21,32 +23,8 @@
 constexpr absl::Duration cancelDelay = absl::Milliseconds(350);
 // Attempts at servers that can't be reached do not count as attempts; this bounds them.
 constexpr std::size_t unreachableAttempts = 3;
-// A connection that can't be made says more than one failed request: two of them are enough.
-constexpr double unreachableWeight = 1.25;
-constexpr absl::Duration healthTimeout = absl::Milliseconds(800);
 constexpr absl::Duration noConfigurationRetryAfter = absl::Seconds(1);
 
-std::string toString(AttemptEnd end)
-{
-    switch (end) {
-    case AttemptEnd::Answered:
-        return "answered";
-    case AttemptEnd::ServerError:
-        return "server-error";
-    case AttemptEnd::NotExecuted:
-        return "not-executed";
-    case AttemptEnd::Misdirected:
-        return "misdirected";
-    case AttemptEnd::Unreachable:
-        return "unreachable";
-    case AttemptEnd::Broken:
-        return "broken";
-    case AttemptEnd::Abandoned:
-        return "abandoned";
-    }
-    return "unknown";
-}
-
 bool provenNotRun(AttemptEnd end)
 {
     return end == AttemptEnd::NotExecuted || end == AttemptEnd::Misdirected
@@ -61,52 +39,6 @@
 
 } // namespace
 
-struct RequestSteering::Attempt
-{
-    std::shared_ptr<Exchange> exchange;
-    SharedCaller caller;
-    Common::ServiceName service;
-    std::string object;
-    bool warm = false;
-    std::size_t position = 0;
-    Common::Instant start;
-    /// How long the server should take.
-    absl::Duration expected;
-    /// It was sent while another attempt of the request was running.
-    bool hedge = false;
-    /// The server's reachability was checked because of this attempt.
-    bool checked = false;
-    std::optional<ExchangeResult> result;
-};
-
-struct RequestSteering::Work
-{
-    Work(const Adapter::HttpRequest &request, SharedCaller state,
-         std::shared_ptr<const Steering::RoutingConfiguration> configuration)
-        : request(request), caller(Adapter::readCaller(request)), state(std::move(state)),
-          configuration(std::move(configuration))
-    { }
-
-    const Adapter::HttpRequest &request;
-    Adapter::CallerRequest caller;
-    SharedCaller state;
-    std::shared_ptr<const Steering::RoutingConfiguration> configuration;
-    const Steering::Route *route = nullptr;
-    Common::ServiceName service;
-    Common::Instant start;
-    /// When the caller gives up.
-    Common::Instant deadline;
-    /// When the caller gets its final response at the latest.
-    Common::Instant limit;
-    std::set<Common::BackendServerName> tried;
-    std::size_t attempts = 0;
-    std::size_t unreachable = 0;
-    /// An attempt at an idempotent request failed after it was sent.
-    bool mayHaveRun = false;
-    nlohmann::ordered_json history = nlohmann::ordered_json::array();
-    std::string outcome;
-};
-
 RequestSteering::RequestSteering(boost::asio::io_context &context, const EntrySettings &settings,
                                  Common::EventLog &log, Telemetry::MetricsRegistry &metrics)
     : context(context), settings(settings), log(log), metrics(metrics), fleetOutcomes(settings.vm),
@@ -362,82 +294,6 @@
     attempt->caller->wake.cancel();
 }
 
-void RequestSteering::noteOutcome(const Attempt &attempt, const ExchangeResult &result)
-{
-    const Common::BackendServerName &server = attempt.exchange->server.name;
-    const Common::Instant now = Common::monotonicNow();
-    switch (result.end) {
-    case AttemptEnd::Answered:
-        this->fleetOutcomes.onAnswered(server, now);
-        return;
-    case AttemptEnd::ServerError:
-    case AttemptEnd::Broken:
-        this->fleetOutcomes.onFailed(server, now);
-        return;
-    case AttemptEnd::Unreachable:
-        this->fleetOutcomes.onFailed(server, now, unreachableWeight);
-        return;
-    case AttemptEnd::NotExecuted:
-        if (result.meaning.load && result.meaning.load->running < result.meaning.load->slots) {
-            this->fleetOutcomes.onFailed(server, now);
-        }
-        return;
-    case AttemptEnd::Misdirected:
-    case AttemptEnd::Abandoned:
-        return;
-    }
-}
-
-void RequestSteering::checkOverdue(Common::Instant now)
-{
-    for (const std::shared_ptr<Attempt> &attempt : this->running) {
-        const Common::BackendServerName &name = attempt->exchange->server.name;
-        const absl::Duration checkAfter = Steering::OverduePolicy::checkAfter(
-                attempt->expected, this->fleetOutcomes.failing(name, now));
-        if (attempt->checked || now - attempt->start < checkAfter) {
-            continue;
-        }
-        attempt->checked = true;
-        const Steering::ServerRecord *server = this->table.find(name);
-        if (server != nullptr && server->lastHeard() < attempt->start + attempt->expected) {
-            boost::asio::co_spawn(this->context, this->checkConnection(name),
-                                  boost::asio::detached);
-        }
-    }
-}
-
-Task RequestSteering::checkConnection(Common::BackendServerName name)
-{
-    Steering::ServerRecord *record = this->table.find(name);
-    if (record == nullptr) {
-        co_return;
-    }
-    const bool reachable = co_await this->backendPool.reach(record->server());
-    const Common::Instant now = Common::monotonicNow();
-    this->log.important("connection_check",
-                        { { "server", name.value() }, { "reachable", reachable } });
-    record = this->table.find(name);
-    if (record == nullptr) {
-        co_return;
-    }
-    if (reachable) {
-        record->onHeard(now);
-        co_return;
-    }
-    record->onUnreachable(now);
-    this->fleetOutcomes.onFailed(name, now, unreachableWeight);
-    this->releaseStranded(name);
-}
-
-void RequestSteering::releaseStranded(const Common::BackendServerName &server)
-{
-    for (const std::shared_ptr<Attempt> &attempt : this->running) {
-        if (attempt->exchange->server.name == server && attempt->exchange->idempotent) {
-            attempt->exchange->interrupt();
-        }
-    }
-}
-
 void RequestSteering::cancelLater(SharedAttempt attempt)
 {
     boost::asio::co_spawn(
@@ -557,52 +413,4 @@
     this->log.write("request", std::move(fields));
 }
 
-void RequestSteering::advance(Common::Instant now)
-{
-    this->backendPool.advance(now);
-    this->checkOverdue(now);
-    for (Steering::ServerRecord *server : this->table.all()) {
-        if (server->needsProbe(now)) {
-            server->onProbeStarted(now);
-            boost::asio::co_spawn(this->context, this->checkHealth(server->server().name),
-                                  boost::asio::detached);
-        }
-    }
-}
-
-Task RequestSteering::checkHealth(Common::BackendServerName name)
-{
-    Steering::ServerRecord *record = this->table.find(name);
-    if (record == nullptr || this->current == nullptr) {
-        co_return;
-    }
-    const Steering::ServiceTerms *terms = this->current->service(record->server().service);
-    auto exchange = std::make_shared<Exchange>();
-    exchange->server = record->server();
-    exchange->request = Adapter::healthRequest(terms == nullptr ? "/" : terms->healthPath,
-                                               record->server().address + ":"
-                                                       + std::to_string(record->server().port));
-    exchange->idempotent = true;
-    exchange->deadline = Common::monotonicNow() + healthTimeout;
-    this->metrics.addToCounter("currantfall_health_checks_total");
-    const ExchangeResult result = co_await this->backendPool.run(exchange);
-    const Common::Instant now = Common::monotonicNow();
-    record = this->table.find(name);
-    if (record == nullptr) {
-        co_return;
-    }
-    // A server that has no slot free for the check is alive.
-    const bool healthy = result.end == AttemptEnd::NotExecuted
-                         || (result.end == AttemptEnd::Answered && result.meaning.success
-                             && result.meaning.server == name);
-    record->onHealth(now, healthy);
-    if (result.meaning.coldFor) {
-        record->setCold(now, *result.meaning.coldFor);
-    }
-    this->log.important("health_check", { { "server", name.value() },
-                                          { "healthy", healthy },
-                                          { "end", toString(result.end) },
-                                          { "detail", result.detail } });
-}
-
 } // namespace Currantfall::Entry
--- a/include/currantfall/Steering/ServerTable.h
+++ b/include/currantfall/Steering/ServerTable.h
@@ -36,6 +36,8 @@
     Abandoned,   ///< This VM ended it; says nothing about the server.
 };
 
+std::string toString(AttemptEnd end);
+
 /// What this VM knows of one backend server.
 class ServerRecord
 {
