Let a test wait until lookups name no lost VM

"Callers of a lost region" failed once (release, beside two other suites) with 0 of 1562 callers answered after 3 s. Cause: the test waited for one of the region's VMs to become suspect; lookups still named the others, so that callers used up their calls on closed ports, and the bound was checked without load. Now it waits for all of them.

--- a/Tests/Deployment/PartitionTest.cpp
+++ b/Tests/Deployment/PartitionTest.cpp
@@ -375,8 +375,11 @@
     for (const std::string &vm : okanagan) {
         deployment.vm(vm).process.reset();
     }
-    waitForState(deployment, "entry-1", "entry-5", "suspect");
-    waitForState(deployment, "entry-9", "entry-5", "suspect");
+    // Lookups name the lost VMs until then.
+    for (const std::string &vm : okanagan) {
+        waitForState(deployment, "entry-1", vm, "suspect");
+        waitForState(deployment, "entry-9", vm, "suspect");
+    }
     Callers callers(deployment, floodThreads, false, { "ok-a", "ok-b" });
     while (callers.completed() < 25 * calls) {
         int inUse = 0;
