Skip servers that never failed when failing ones are looked for

FleetOutcomes::failing() summed the decayed counts of every server of a service for each request; a server that no VM has suspected can't be failing, so the sum is skipped. The doubt about a server's coldness is a function of its own instead of a condition that cold() and leaveOutDoubtful() each spelled out.

--- a/Source/Core/Steering/FleetOutcomes.cpp
+++ b/Source/Core/Steering/FleetOutcomes.cpp
@@ -108,7 +108,9 @@
 bool FleetOutcomes::failing(const Common::BackendServerName &server, Common::Instant now) const
 {
     const auto found = this->servers.find(server);
-    if (found == this->servers.end()) {
+    // Asked for every server of each request, nearly all of which no VM has ever seen failing.
+    if (found == this->servers.end()
+        || found->second.suspectedAt == Common::Instant::fromOrigin(-absl::InfiniteDuration())) {
         return false;
     }
     OutcomeCounts sum;
--- a/Source/Core/Steering/ServerSelector.cpp
+++ b/Source/Core/Steering/ServerSelector.cpp
@@ -167,8 +167,12 @@
 
 bool ServerSelector::cold(const ServerRecord &server, Common::Instant now) const
 {
-    if (server.cold(now)
-        || (this->uninformedSince && now - *this->uninformedSince < longestUninformed)) {
+    return server.cold(now) || this->mayBeCold(server, now);
+}
+
+bool ServerSelector::mayBeCold(const ServerRecord &server, Common::Instant now) const
+{
+    if (this->uninformedSince && now - *this->uninformedSince < longestUninformed) {
         return true;
     }
     const auto returned = this->returnedAt.find(server.server().zone);
@@ -317,7 +321,7 @@
 {
     const auto doubtful = [&](const Candidate &candidate) {
         const ServerRecord &server = *candidate.server;
-        return !server.cold(now) && this->cold(server, now)
+        return !server.cold(now) && this->mayBeCold(server, now)
                && this->coldPermit(server, terms) > now;
     };
     if (!std::all_of(order.begin(), order.end(), doubtful)) {
--- a/include/currantfall/Steering/ServerSelector.h
+++ b/include/currantfall/Steering/ServerSelector.h
@@ -188,6 +188,8 @@
     void consider(const SelectionQuestion &question, const ServiceTerms *terms, Common::Instant now,
                   ServerRecord &server, std::size_t position, Offers &offers) const;
     const std::map<Common::RegionName, double> &weightsOf(const Common::ServiceName &service);
+    /// Whether the server may be cold although its entry does not say so.
+    bool mayBeCold(const ServerRecord &server, Common::Instant now) const;
     /// Whether the server is cold, or may be.
     bool cold(const ServerRecord &server, Common::Instant now) const;
     /// When a cold server may get the next request from this VM.
