--- a/Source/Core/Configuration/Ipv4Network.cpp
+++ b/Source/Core/Configuration/Ipv4Network.cpp
@@ -52,29 +52,48 @@
     return address;
 }
 
+namespace {
+
+struct AddressAndNumber
+{
+    std::uint32_t address;
+    unsigned number;
+};
+
+/// Splits `text` at the first `separator`; the number after it is at most `greatest`.
+std::optional<AddressAndNumber> parseAddressAndNumber(const std::string &text, char separator,
+                                                      unsigned greatest)
+{
+    const std::size_t position = text.find(separator);
+    if (position == std::string::npos) {
+        return std::nullopt;
+    }
+    const auto address = parseIpv4Address(text.substr(0, position));
+    const auto number = parseNumber(text.substr(position + 1), greatest);
+    if (!address || !number) {
+        return std::nullopt;
+    }
+    return AddressAndNumber { *address, *number };
+}
+
+} // namespace
+
 Common::Result<Ipv4Endpoint> Ipv4Endpoint::parse(const std::string &text)
 {
-    const std::size_t colon = text.find(':');
-    const auto address = parseIpv4Address(text.substr(0, colon));
-    const auto port = colon == std::string::npos ? std::nullopt
-                                                 : parseNumber(text.substr(colon + 1), UINT16_MAX);
-    if (!address || !port || *port == 0) {
+    const auto parts = parseAddressAndNumber(text, ':', UINT16_MAX);
+    if (!parts || parts->number == 0) {
         return Common::failure(Common::ErrorCode::InvalidInput, "parse endpoint", {}, text);
     }
-    return Ipv4Endpoint { *address, static_cast<std::uint16_t>(*port) };
+    return Ipv4Endpoint { parts->address, static_cast<std::uint16_t>(parts->number) };
 }
 
 Common::Result<Ipv4Network> Ipv4Network::parse(const std::string &text)
 {
-    const std::size_t slash = text.find('/');
-    const auto address = parseIpv4Address(text.substr(0, slash));
-    const auto length = slash == std::string::npos
-                                ? std::nullopt
-                                : parseNumber(text.substr(slash + 1), addressBits);
-    if (!address || !length || (*address & hostMask(*length)) != 0) {
+    const auto parts = parseAddressAndNumber(text, '/', addressBits);
+    if (!parts || (parts->address & hostMask(parts->number)) != 0) {
         return Common::failure(Common::ErrorCode::InvalidInput, "parse network", {}, text);
     }
-    return Ipv4Network { *address, static_cast<std::uint8_t>(*length) };
+    return Ipv4Network { parts->address, static_cast<std::uint8_t>(parts->number) };
 }
 
 std::uint32_t Ipv4Network::lastAddress() const
