Log the homes, zones and configurations of attempts, and lookups that leave the caller's region

The line of a request named only the configuration with which it arrived, so that a retry under old homes could not be told from a VM that is behind, and lookups left no trace at all. Change: each attempt names its server's zone and the configuration in force when it was sent, the request its homes; a counter of lookups by scope, and a line for lookups that name VMs of other regions.

--- a/Source/Core/Steering/EntryDirectory.cpp
+++ b/Source/Core/Steering/EntryDirectory.cpp
@@ -23,27 +23,42 @@
 
 } // namespace
 
-std::vector<EntryVm> entriesFor(const Common::ZoneName &zone, const Common::RegionName &region,
-                                const std::vector<EntryVm> &vms, std::size_t maxEntries)
+std::string toString(LookupScope scope)
 {
-    std::vector<EntryVm> result
-            = filter(vms, [&zone](const EntryVm &vm) { return vm.zone == zone; });
-    if (result.size() < minEntries) {
-        result = filter(vms, [&region](const EntryVm &vm) { return vm.region == region; });
+    switch (scope) {
+    case LookupScope::Zone:
+        return "zone";
+    case LookupScope::Region:
+        return "region";
+    case LookupScope::AllRegions:
+        return "all-regions";
     }
-    if (result.size() < minEntries) {
-        result = vms;
+    return "unknown";
+}
+
+LookupResult entriesFor(const Common::ZoneName &zone, const Common::RegionName &region,
+                        const std::vector<EntryVm> &vms, std::size_t maxEntries)
+{
+    LookupResult result { LookupScope::Zone,
+                          filter(vms, [&zone](const EntryVm &vm) { return vm.zone == zone; }) };
+    if (result.vms.size() < minEntries) {
+        result = { LookupScope::Region,
+                   filter(vms, [&region](const EntryVm &vm) { return vm.region == region; }) };
+    }
+    if (result.vms.size() < minEntries) {
+        result = { LookupScope::AllRegions, vms };
     }
+    std::vector<EntryVm> &chosen = result.vms;
     const auto larger = [](const EntryVm &left, const EntryVm &right) {
         return left.processorShare > right.processorShare;
     };
-    std::stable_sort(result.begin(), result.end(), larger);
-    while (result.size() > minEntries
-           && result.back().processorShare < result.front().processorShare * minProcessorFraction) {
-        result.pop_back();
+    std::stable_sort(chosen.begin(), chosen.end(), larger);
+    while (chosen.size() > minEntries
+           && chosen.back().processorShare < chosen.front().processorShare * minProcessorFraction) {
+        chosen.pop_back();
     }
-    if (result.size() > maxEntries) {
-        result.resize(maxEntries);
+    if (chosen.size() > maxEntries) {
+        chosen.resize(maxEntries);
     }
     return result;
 }
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -453,7 +453,7 @@
            && this->storeSync->replica(Adapter::serverTable).loaded();
 }
 
-EndpointAnswer EntryDaemon::answerDirectory(const std::string &target) const
+EndpointAnswer EntryDaemon::answerDirectory(const std::string &target)
 {
     const auto query = Adapter::readDirectoryQuestion(target);
     if (!query) {
@@ -470,13 +470,21 @@
                             this->processorShareOf(member->vm) });
         }
     }
-    const auto entries = Steering::entriesFor(query->zone, query->region, vms, maxLookupEntries);
-    if (entries.empty()) {
+    const auto result = Steering::entriesFor(query->zone, query->region, vms, maxLookupEntries);
+    this->metrics.addToCounter("currantfall_lookups_total",
+                               { { "scope", Steering::toString(result.scope) } });
+    if (result.scope == Steering::LookupScope::AllRegions && this->log.admits()) {
+        this->log.write("lookup_outside_region", { { "zone", query->zone.value() },
+                                                   { "region", query->region.value() },
+                                                   { "known_vms", vms.size() },
+                                                   { "named_vms", result.vms.size() } });
+    }
+    if (result.vms.empty()) {
         return { 503, "text/plain", "" };
     }
     std::vector<std::string> addresses;
-    addresses.reserve(entries.size());
-    for (const Steering::EntryVm &vm : entries) {
+    addresses.reserve(result.vms.size());
+    for (const Steering::EntryVm &vm : result.vms) {
         addresses.push_back(vm.address);
     }
     return { 200, "application/json",
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -76,7 +76,7 @@
     double processorShareOf(const Common::VmName &vm) const;
 
     bool ready() const;
-    EndpointAnswer answerDirectory(const std::string &target) const;
+    EndpointAnswer answerDirectory(const std::string &target);
     std::string renderMetrics();
 
     std::string settingsPath;
--- a/Source/Entry/RequestSteering.cpp
+++ b/Source/Entry/RequestSteering.cpp
@@ -253,6 +253,8 @@
 {
     nlohmann::ordered_json entry {
         { "server", attempt.exchange->server.name.value() },
+        { "zone", attempt.exchange->server.zone.value() },
+        { "configuration", attempt.configuration },
         { "position", attempt.position },
         { "warm", attempt.warm },
         { "ms", absl::ToInt64Milliseconds(Common::monotonicNow() - attempt.start) },
@@ -286,6 +288,7 @@
     attempt->warm = choice.cacheHit;
     attempt->position = choice.position;
     attempt->start = now;
+    attempt->configuration = this->currentConfiguration->version();
     attempt->expectedDuration = choice.expected;
     activeRequest.attemptedServers.insert(attempt->exchange->server.name);
     ++activeRequest.attempts;
@@ -436,6 +439,12 @@
     if (activeRequest.callerRequest.deadline) {
         fields["deadline_ms"] = absl::ToInt64Milliseconds(*activeRequest.callerRequest.deadline);
     }
+    if (activeRequest.route != nullptr && !activeRequest.route->allowedRegions.empty()) {
+        auto &homes = fields["homes"] = nlohmann::ordered_json::array();
+        for (const Common::RegionName &region : activeRequest.route->allowedRegions) {
+            homes.push_back(region.value());
+        }
+    }
     fields["configuration"]
             = activeRequest.configuration == nullptr ? 0 : activeRequest.configuration->version();
     fields["servers_age_ms"] = absl::ToInt64Milliseconds(now - this->serversConfirmed);
--- a/Source/Entry/RequestSteeringState.h
+++ b/Source/Entry/RequestSteeringState.h
@@ -17,6 +17,8 @@
     bool warm = false;
     std::size_t position = 0;
     Common::Instant start;
+    /// Version of the configuration that was in force when the attempt was sent.
+    Common::Revision configuration = 0;
     /// Expected time until the server responds.
     absl::Duration expectedDuration;
     /// Sent while another attempt of the same request was running.
--- a/Source/UnitTests/Steering/RoutingTest.cpp
+++ b/Source/UnitTests/Steering/RoutingTest.cpp
@@ -76,7 +76,7 @@
                                      vm("b1", "b", "west"), vm("c1", "c", "east") };
     const auto names = [&vms](const std::string &zone, const std::string &region) {
         std::string result;
-        for (const EntryVm &entry : entriesFor(ZoneName(zone), RegionName(region), vms, 64)) {
+        for (const EntryVm &entry : entriesFor(ZoneName(zone), RegionName(region), vms, 64).vms) {
             result += entry.vm.value() + " ";
         }
         return result;
@@ -92,11 +92,11 @@
 {
     const std::vector<EntryVm> vms { vm("small", "a", "west", 0.1), vm("big1", "a", "west", 0.5),
                                      vm("big2", "a", "west", 0.5), vm("tiny", "a", "west", 0.1) };
-    const auto entries = entriesFor(ZoneName("a"), RegionName("west"), vms, 64);
+    const auto entries = entriesFor(ZoneName("a"), RegionName("west"), vms, 64).vms;
     REQUIRE(entries.size() == 2);
     CHECK(entries[0].vm.value() == "big1");
     CHECK(entries[1].vm.value() == "big2");
     // With a single large VM, a small one is returned as well.
-    const auto two = entriesFor(ZoneName("a"), RegionName("west"), { vms[0], vms[1] }, 64);
+    const auto two = entriesFor(ZoneName("a"), RegionName("west"), { vms[0], vms[1] }, 64).vms;
     CHECK(two.size() == 2);
 }
--- a/include/currantfall/Steering/EntryDirectory.h
+++ b/include/currantfall/Steering/EntryDirectory.h
@@ -19,11 +19,28 @@
     friend bool operator==(const EntryVm &left, const EntryVm &right) = default;
 };
 
+/// Which VMs an answer to a lookup names.
+enum class LookupScope {
+    Zone,       ///< Those of the caller's zone.
+    Region,     ///< Those of the caller's region.
+    AllRegions, ///< All VMs.
+};
+
+std::string toString(LookupScope scope);
+
+struct LookupResult
+{
+    LookupScope scope = LookupScope::Zone;
+    std::vector<EntryVm> vms;
+
+    friend bool operator==(const LookupResult &left, const LookupResult &right) = default;
+};
+
 /// Returns at most `maxEntries` entry VMs for a caller in `zone` of `region`, which picks one of
 /// them at random: those of its zone if there are several, else those of its region, else all. If
 /// the VMs differ in size, only the larger ones are returned: with fewer VMs, each one reuses its
 /// connections to backend servers more often and knows more about the load of the servers.
-std::vector<EntryVm> entriesFor(const Common::ZoneName &zone, const Common::RegionName &region,
-                                const std::vector<EntryVm> &vms, std::size_t maxEntries);
+LookupResult entriesFor(const Common::ZoneName &zone, const Common::RegionName &region,
+                        const std::vector<EntryVm> &vms, std::size_t maxEntries);
 
 } // namespace Currantfall::Steering
