Keep retries and hedges inside the homes that are in force when they are sent

Callers saw: requests ran outside their home region (HOME). Cause: a request kept the route of the configuration with which it arrived. An attempt that was sent after the homes had changed, a retry, a hedge or a request that waited for a cold server, was still checked against the old homes. Evidence: "A retry stays inside the homes that are in force when it is sent" failed before, with "CHECK( requests == 1 ) with expansion: 2 == 1": the second server, outside the new homes, got the retry.

Change: the homes are a value type, HomeRegions; each selection uses those of the route at the arrival and those of the route now, and a server must be in both. If no server is, the request ends as refused, or as unknown if it may have run, and the caller's next request finds the new homes. Result: all 20 tests of Entry and 36 of Steering pass.

--- a/Source/Core/Steering/ServerSelector.cpp
+++ b/Source/Core/Steering/ServerSelector.cpp
@@ -95,19 +95,17 @@
     this->vms = std::move(names);
 }
 
-bool ServerSelector::mayUse(const ServerRecord &server, const Route &route,
+bool ServerSelector::mayUse(const ServerRecord &server, const HomeRegions &homes,
                             Common::Instant now) const
 {
     if (!server.usable(now) || this->evacuatedZones.contains(server.server().zone)) {
         return false;
     }
-    if (route.allowedRegions.empty()) {
+    if (homes.allRegions()) {
         return true;
     }
     const auto region = this->settings.regions.find(server.server().zone);
-    return region != this->settings.regions.end()
-           && std::find(route.allowedRegions.begin(), route.allowedRegions.end(), region->second)
-                      != route.allowedRegions.end();
+    return region != this->settings.regions.end() && homes.contains(region->second);
 }
 
 const std::map<Common::RegionName, double> &
@@ -149,7 +147,7 @@
     std::size_t failing = 0;
     for (ServerRecord *server : this->servers.ofService(request.service)) {
         const BackendServer &entry = server->server();
-        if (request.tried.contains(entry.name) || !this->mayUse(*server, *request.route, now)) {
+        if (request.tried.contains(entry.name) || !this->mayUse(*server, request.homes, now)) {
             continue;
         }
         const auto region = this->settings.regions.find(entry.zone);
--- a/Source/Entry/RequestSteering.cpp
+++ b/Source/Entry/RequestSteering.cpp
@@ -75,15 +75,21 @@
     co_return response;
 }
 
+const Steering::Route *
+RequestSteering::matchRoute(const Steering::RoutingConfiguration &configuration,
+                            const ActiveRequest &activeRequest)
+{
+    const auto host = activeRequest.request["Host"];
+    const auto target = activeRequest.request.target();
+    return configuration.match({ host.data(), host.size() }, { target.data(), target.size() });
+}
+
 boost::asio::awaitable<Adapter::HttpResponse> RequestSteering::steer(ActiveRequest &activeRequest)
 {
     if (activeRequest.configuration == nullptr) {
         co_return this->refuse(activeRequest, "no-configuration", noConfigurationRetryAfter);
     }
-    const std::string target(activeRequest.request.target().data(),
-                             activeRequest.request.target().size());
-    const auto host = activeRequest.request["Host"];
-    activeRequest.route = activeRequest.configuration->match({ host.data(), host.size() }, target);
+    activeRequest.route = matchRoute(*activeRequest.configuration, activeRequest);
     if (activeRequest.route == nullptr) {
         co_return this->fail(activeRequest, Failure::NoRoute, "no-route");
     }
@@ -154,9 +160,22 @@
              activeRequest.callerRequest.id,
              activeRequest.responseDeadline - now,
              now - activeRequest.start,
+             this->homesNow(activeRequest),
              activeRequest.attemptedServers };
 }
 
+Steering::HomeRegions RequestSteering::homesNow(const ActiveRequest &activeRequest) const
+{
+    const auto atArrival = Steering::HomeRegions::fromList(activeRequest.route->allowedRegions);
+    if (activeRequest.configuration == this->currentConfiguration) {
+        return atArrival;
+    }
+    const Steering::Route *route = matchRoute(*this->currentConfiguration, activeRequest);
+    return route == nullptr ? atArrival
+                            : atArrival.intersectedWith(
+                                    Steering::HomeRegions::fromList(route->allowedRegions));
+}
+
 boost::asio::awaitable<RequestSteering::SharedAttempt>
 RequestSteering::awaitDecisiveAttempt(ActiveRequest &activeRequest, SharedAttempt first)
 {
--- a/Source/Entry/RequestSteering.h
+++ b/Source/Entry/RequestSteering.h
@@ -100,6 +100,12 @@
     SharedAttempt startAttempt(ActiveRequest &activeRequest, const Steering::SendTo &choice);
     /// Adds the attempt to the log line of the request.
     static void addToHistory(ActiveRequest &activeRequest, const Attempt &attempt);
+    /// Returns nullptr if no route matches.
+    static const Steering::Route *matchRoute(const Steering::RoutingConfiguration &configuration,
+                                             const ActiveRequest &activeRequest);
+    /// Regions that may handle the request: those of its route when it arrived and those of its
+    /// route now. The configuration may change while a request waits or runs.
+    Steering::HomeRegions homesNow(const ActiveRequest &activeRequest) const;
     Steering::SelectionRequest selectionRequestFor(const ActiveRequest &activeRequest,
                                                    Common::Instant now) const;
     Task runAttempt(SharedAttempt attempt);
--- a/Source/UnitTests/Entry/RequestSteeringTest.cpp
+++ b/Source/UnitTests/Entry/RequestSteeringTest.cpp
@@ -1,4 +1,6 @@
 #include <atomic>
+#include <chrono>
+#include <thread>
 
 #include <catch2/catch.hpp>
 
@@ -154,6 +156,43 @@
     }
 }
 
+// Guards against retries that are sent to servers outside the homes of the route (HOME) because the
+// configuration changed while the first attempt was running.
+TEST_CASE("A retry stays inside the homes that are in force when it is sent")
+{
+    std::atomic<bool> westFirst { false };
+    std::atomic<int> requests { 0 };
+    std::atomic<bool> configurationChanged { false };
+    const auto breakAfterChange = [&](bool west) {
+        return [&, west](ScriptedConnection &connection) {
+            if (connection.readRequest().empty()) {
+                return;
+            }
+            if (requests++ == 0) {
+                westFirst = west;
+            }
+            while (!configurationChanged) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(1));
+            }
+            connection.reset();
+        };
+    };
+    ScriptedBackend west(breakAfterChange(true));
+    ScriptedBackend east(breakAfterChange(false));
+    SteeringFixture fixture;
+    fixture.addServer("i-1", west.port(), "a");
+    fixture.addServer("i-2", east.port(), "b");
+    const auto response = fixture.startRequest(SteeringFixture::request("/read/1"));
+    fixture.runFor(absl::Milliseconds(100));
+    REQUIRE(requests == 1);
+    fixture.configure(absl::Seconds(5), 3, { Common::RegionName(westFirst ? "west" : "east") });
+    configurationChanged = true;
+    fixture.runFor(absl::Milliseconds(200));
+    CHECK(requests == 1);
+    REQUIRE(*response);
+    CHECK((*response)->result_int() == 502);
+}
+
 // Guards against requests that wait until their deadline for a server that has failed without
 // closing its connections.
 TEST_CASE("An overdue request leaves a server to which no connection can be made")
--- a/Source/UnitTests/Entry/SteeringFixture.cpp
+++ b/Source/UnitTests/Entry/SteeringFixture.cpp
@@ -27,7 +27,8 @@
     settings.zone = Common::ZoneName("a");
     settings.region = Common::RegionName("west");
     settings.address = "127.0.0.1";
-    settings.zones = { { Common::ZoneName("a"), Common::RegionName("west") } };
+    settings.zones = { { Common::ZoneName("a"), Common::RegionName("west") },
+                       { Common::ZoneName("b"), Common::RegionName("east") } };
     settings.callers = { "127.0.0.1", 0 };
     settings.memoryBytes = std::size_t { 64 } * 1024 * 1024;
     settings.maxDescriptors = 1024;
@@ -43,24 +44,27 @@
     this->configure();
 }
 
-void SteeringFixture::addServer(const std::string &name, std::uint16_t port)
+void SteeringFixture::addServer(const std::string &name, std::uint16_t port,
+                                const std::string &zone)
 {
     Steering::BackendServer server;
     server.name = Common::BackendServerName(name);
     server.service = Common::ServiceName(serviceName);
     server.address = "127.0.0.1";
     server.port = port;
-    server.zone = Common::ZoneName("a");
+    server.zone = Common::ZoneName(zone);
     server.slots = 3;
     this->steering.servers().put(server, Common::monotonicNow());
 }
 
-void SteeringFixture::configure(absl::Duration timeout, std::uint32_t maxAttempts)
+void SteeringFixture::configure(absl::Duration timeout, std::uint32_t maxAttempts,
+                                const std::vector<Common::RegionName> &homes)
 {
     std::vector<Steering::Route> routes { route("/read/", true), route("/write/", false) };
     for (Steering::Route &each : routes) {
         each.timeout = timeout;
         each.maxAttempts = maxAttempts;
+        each.allowedRegions = homes;
     }
     const Steering::ServiceSettings terms { Common::ServiceName(serviceName), "/health", 100, 2.0 };
     this->steering.setConfiguration(std::make_shared<const Steering::RoutingConfiguration>(
--- a/Source/UnitTests/Entry/SteeringFixture.h
+++ b/Source/UnitTests/Entry/SteeringFixture.h
@@ -17,11 +17,13 @@
 public:
     SteeringFixture();
 
-    /// Adds a server of the service that listens on `port`.
-    void addServer(const std::string &name, std::uint16_t port);
+    /// Adds a server of the service that listens on `port`. Zone "a" is in region "west", zone "b"
+    /// in region "east".
+    void addServer(const std::string &name, std::uint16_t port, const std::string &zone = "a");
     /// Sets a configuration with an idempotent route (/read/) and one that is not idempotent
-    /// (/write/).
-    void configure(absl::Duration timeout = absl::Seconds(5), std::uint32_t maxAttempts = 3);
+    /// (/write/). Both may be handled in the regions `homes`, or in all if it is empty.
+    void configure(absl::Duration timeout = absl::Seconds(5), std::uint32_t maxAttempts = 3,
+                   const std::vector<Common::RegionName> &homes = {});
 
     static Adapter::HttpRequest request(const std::string &path, const std::string &id = "id-1");
 
--- a/Source/UnitTests/Steering/ServerSelectorTest.cpp
+++ b/Source/UnitTests/Steering/ServerSelectorTest.cpp
@@ -64,6 +64,7 @@
         result.object = object;
         result.requestId = "r";
         result.remaining = absl::Milliseconds(remaining);
+        result.homes = HomeRegions::fromList(this->route.allowedRegions);
         return result;
     }
 
--- a/include/currantfall/Steering/ServerSelector.h
+++ b/include/currantfall/Steering/ServerSelector.h
@@ -11,6 +11,7 @@
 
 #include "currantfall/Common/Time.h"
 #include "currantfall/Steering/FleetOutcomes.h"
+#include "currantfall/Steering/HomeRegions.h"
 #include "currantfall/Steering/LocalityShares.h"
 #include "currantfall/Steering/RoutingConfiguration.h"
 #include "currantfall/Steering/ServerTable.h"
@@ -52,6 +53,8 @@
     absl::Duration remaining = absl::ZeroDuration();
     /// Time since the request arrived.
     absl::Duration waited = absl::ZeroDuration();
+    /// Regions whose servers may handle the request.
+    HomeRegions homes;
     /// Servers that this request was already sent to.
     std::set<Common::BackendServerName> tried;
 };
@@ -145,7 +148,9 @@
     /// All known moves, for a VM that did not receive them.
     std::vector<ObjectMove> moves() const;
 
-    bool mayUse(const ServerRecord &server, const Route &route, Common::Instant now) const;
+    /// Whether the server may get a request with these homes now. A server whose region is unknown
+    /// only gets requests that all regions may handle.
+    bool mayUse(const ServerRecord &server, const HomeRegions &homes, Common::Instant now) const;
 
     /// Mean service time of the service's requests with a cache hit or a cache miss.
     absl::Duration meanServiceTime(const Common::ServiceName &service, const Route &route,
