Name no entry VM outside the homes of the caller's routes in a lookup

Callers saw: bodies of routes with homes reached VMs in regions that are neither a home nor the caller's (HOME). Cause: a lookup named all VMs if fewer than two of the caller's region were known, whatever the homes of the host's routes. A VM that has just started knows itself and a seed; on the grown sites it answers up to 0.4 s with a few VMs of any region. On the 10-VM sites two VMs of a region that restart in turn have the same effect.

Change: the lookup's host name selects the homes that all of its homed routes share; when zone and region have too few VMs, only those of the caller's region and of these homes are named, even if that is one or none. A VM without a configuration doesn't know the homes and answers 503, as it does for requests; callers ask the next directory. Result: "Lookups name no VM outside the homes of the caller's routes and its region" passes; the choice before, which remains for hosts without homes, gave "a1 c1 d1 d2" where "a1" is allowed.

--- a/Source/Core/Steering/EntryDirectory.cpp
+++ b/Source/Core/Steering/EntryDirectory.cpp
@@ -30,6 +30,8 @@
         return "zone";
     case LookupScope::Region:
         return "region";
+    case LookupScope::Homes:
+        return "homes";
     case LookupScope::AllRegions:
         return "all-regions";
     }
@@ -37,7 +39,8 @@
 }
 
 LookupResult entriesFor(const Common::ZoneName &zone, const Common::RegionName &region,
-                        const std::vector<EntryVm> &vms, std::size_t maxEntries)
+                        const HomeRegions &homes, const std::vector<EntryVm> &vms,
+                        std::size_t maxEntries)
 {
     LookupResult result { LookupScope::Zone,
                           filter(vms, [&zone](const EntryVm &vm) { return vm.zone == zone; }) };
@@ -46,7 +49,11 @@
                    filter(vms, [&region](const EntryVm &vm) { return vm.region == region; }) };
     }
     if (result.vms.size() < minEntries) {
-        result = { LookupScope::AllRegions, vms };
+        const auto mayHoldBody = [&](const EntryVm &vm) {
+            return vm.region == region || homes.contains(vm.region);
+        };
+        result = { homes.allRegions() ? LookupScope::AllRegions : LookupScope::Homes,
+                   filter(vms, mayHoldBody) };
     }
     std::vector<EntryVm> &chosen = result.vms;
     const auto larger = [](const EntryVm &left, const EntryVm &right) {
--- a/Source/Core/Steering/RoutingConfiguration.cpp
+++ b/Source/Core/Steering/RoutingConfiguration.cpp
@@ -58,4 +58,17 @@
     return nullptr;
 }
 
+HomeRegions RoutingConfiguration::homesOf(std::string_view host) const
+{
+    HomeRegions homes;
+    const auto routes = this->routesByHost.find(hostKey(host));
+    if (routes == this->routesByHost.end()) {
+        return homes;
+    }
+    for (const auto &[prefix, route] : routes->second) {
+        homes = homes.intersectedWith(HomeRegions::fromList(route.allowedRegions));
+    }
+    return homes;
+}
+
 } // namespace Currantfall::Steering
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -459,6 +459,11 @@
     if (!query) {
         return { 404, "text/plain", "" };
     }
+    const auto &configuration = this->steering.configuration();
+    if (configuration == nullptr) {
+        // The homes of the caller's routes are unknown.
+        return { 503, "text/plain", "" };
+    }
     const std::string port = ":" + std::to_string(this->settings.callers.port);
     std::vector<Steering::EntryVm> vms;
     for (const auto &member : this->cluster->members().members()) {
@@ -470,10 +475,13 @@
                             this->processorShareOf(member->vm) });
         }
     }
-    const auto result = Steering::entriesFor(query->zone, query->region, vms, maxLookupEntries);
+    const auto result = Steering::entriesFor(
+            query->zone, query->region, configuration->homesOf(query->host), vms, maxLookupEntries);
     this->metrics.addToCounter("currantfall_lookups_total",
                                { { "scope", Steering::toString(result.scope) } });
-    if (result.scope == Steering::LookupScope::AllRegions && this->log.admits()) {
+    const bool outside = result.scope == Steering::LookupScope::AllRegions
+                         || result.scope == Steering::LookupScope::Homes;
+    if (outside && this->log.admits()) {
         this->log.write("lookup_outside_region", { { "zone", query->zone.value() },
                                                    { "region", query->region.value() },
                                                    { "known_vms", vms.size() },
--- a/Source/UnitTests/Steering/RoutingTest.cpp
+++ b/Source/UnitTests/Steering/RoutingTest.cpp
@@ -76,7 +76,8 @@
                                      vm("b1", "b", "west"), vm("c1", "c", "east") };
     const auto names = [&vms](const std::string &zone, const std::string &region) {
         std::string result;
-        for (const EntryVm &entry : entriesFor(ZoneName(zone), RegionName(region), vms, 64).vms) {
+        for (const EntryVm &entry :
+             entriesFor(ZoneName(zone), RegionName(region), {}, vms, 64).vms) {
             result += entry.vm.value() + " ";
         }
         return result;
@@ -87,16 +88,58 @@
     CHECK(names("unknown", "unknown") == "a1 a2 b1 c1 ");
 }
 
+// Guards against bodies that are sent to VMs outside the homes of their route (HOME) because the
+// lookup named these VMs: few VMs of the caller's region are known during restarts.
+TEST_CASE("Lookups name no VM outside the homes of the caller's routes and its region")
+{
+    const std::vector<EntryVm> vms { vm("a1", "a", "west"), vm("c1", "c", "east"),
+                                     vm("d1", "d", "south"), vm("d2", "d", "south") };
+    const auto named
+            = [&vms](const std::string &zone, const std::string &region, const HomeRegions &homes) {
+                  std::string result;
+                  const auto found = entriesFor(ZoneName(zone), RegionName(region), homes, vms, 64);
+                  for (const EntryVm &entry : found.vms) {
+                      result += entry.vm.value() + " ";
+                  }
+                  return result + toString(found.scope);
+              };
+    const auto west = HomeRegions::fromList({ RegionName("west") });
+    const auto east = HomeRegions::fromList({ RegionName("east") });
+    CHECK(named("a", "west", {}) == "a1 c1 d1 d2 all-regions");
+    CHECK(named("a", "west", west) == "a1 homes");
+    CHECK(named("a", "west", east) == "a1 c1 homes");
+    CHECK(named("a", "west", west.intersectedWith(east)) == "a1 homes");
+    CHECK(named("d", "south", west) == "d1 d2 zone");
+    CHECK(named("e", "north", west) == "a1 homes");
+    CHECK(named("e", "north", west.intersectedWith(east)) == "homes");
+}
+
+TEST_CASE("The homes of a host are those of all of its routes")
+{
+    const auto homed = [](const std::string &prefix, const std::vector<RegionName> &homes) {
+        Route result = route(prefix, "slotview");
+        result.allowedRegions = homes;
+        return result;
+    };
+    const RoutingConfiguration routes(1, {},
+                                      { homed("/a/", {}),
+                                        homed("/b/", { RegionName("west"), RegionName("east") }),
+                                        homed("/c/", { RegionName("east"), RegionName("south") }) },
+                                      {});
+    CHECK(routes.homesOf("BOOKINGS.example:80") == HomeRegions::fromList({ RegionName("east") }));
+    CHECK(routes.homesOf("other.example").allRegions());
+}
+
 // Guards against small VMs that get as many callers as large ones.
 TEST_CASE("Callers get the large VMs of a zone")
 {
     const std::vector<EntryVm> vms { vm("small", "a", "west", 0.1), vm("big1", "a", "west", 0.5),
                                      vm("big2", "a", "west", 0.5), vm("tiny", "a", "west", 0.1) };
-    const auto entries = entriesFor(ZoneName("a"), RegionName("west"), vms, 64).vms;
+    const auto entries = entriesFor(ZoneName("a"), RegionName("west"), {}, vms, 64).vms;
     REQUIRE(entries.size() == 2);
     CHECK(entries[0].vm.value() == "big1");
     CHECK(entries[1].vm.value() == "big2");
     // With a single large VM, a small one is returned as well.
-    const auto two = entriesFor(ZoneName("a"), RegionName("west"), { vms[0], vms[1] }, 64).vms;
+    const auto two = entriesFor(ZoneName("a"), RegionName("west"), {}, { vms[0], vms[1] }, 64).vms;
     CHECK(two.size() == 2);
 }
--- a/include/currantfall/Steering/EntryDirectory.h
+++ b/include/currantfall/Steering/EntryDirectory.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "currantfall/Common/Names.h"
+#include "currantfall/Steering/HomeRegions.h"
 
 namespace Currantfall::Steering {
 
@@ -23,6 +24,7 @@
 enum class LookupScope {
     Zone,       ///< Those of the caller's zone.
     Region,     ///< Those of the caller's region.
+    Homes,      ///< Those of the caller's region and of the homes.
     AllRegions, ///< All VMs.
 };
 
@@ -37,10 +39,13 @@
 };
 
 /// Returns at most `maxEntries` entry VMs for a caller in `zone` of `region`, which picks one of
-/// them at random: those of its zone if there are several, else those of its region, else all. If
-/// the VMs differ in size, only the larger ones are returned: with fewer VMs, each one reuses its
-/// connections to backend servers more often and knows more about the load of the servers.
+/// them at random: those of its zone if there are several, else those of its region, else all that
+/// may hold the bodies of its requests. `homes` are the homes of the routes that it asks for; no VM
+/// outside them and its own region is named. If the VMs differ in size, only the larger ones are
+/// returned: with fewer VMs, each one reuses its connections to backend servers more often and
+/// knows more about the load of the servers.
 LookupResult entriesFor(const Common::ZoneName &zone, const Common::RegionName &region,
-                        const std::vector<EntryVm> &vms, std::size_t maxEntries);
+                        const HomeRegions &homes, const std::vector<EntryVm> &vms,
+                        std::size_t maxEntries);
 
 } // namespace Currantfall::Steering
--- a/include/currantfall/Steering/RoutingConfiguration.h
+++ b/include/currantfall/Steering/RoutingConfiguration.h
@@ -10,6 +10,7 @@
 #include <absl/time/time.h>
 
 #include "currantfall/Common/Names.h"
+#include "currantfall/Steering/HomeRegions.h"
 
 namespace Currantfall::Steering {
 
@@ -80,6 +81,9 @@
     /// Returns the route of `host` with the longest prefix of `path`, or nullptr if none matches.
     /// `host` may contain a port and is compared case-insensitively.
     const Route *match(std::string_view host, std::string_view path) const;
+    /// Regions that are homes of all routes of `host` that have homes. `host` is compared as in
+    /// match().
+    HomeRegions homesOf(std::string_view host) const;
     std::size_t routeCount() const { return this->routeTotal; }
 
     friend bool operator==(const RoutingConfiguration &left, const RoutingConfiguration &right)
