Refuse JSON of other processes that is nested too deeply

Seen by callers: none yet. A list of VMs with one deeply nested entry ended the process that read it.

Cause: parseVmList() quotes a malformed entry in its error, and the library writes and copies values recursively. Parsing and destroying them is not recursive.

parseJson() refuses more than 32 levels before it parses; numberIn() converts a number only if it is within the range of its field. All parsers of the daemons and the tool use them. The load generator and the stand-ins read each other only and are left as they are.

--- a/Source/Core/Platform/EnvironmentRow.cpp
+++ b/Source/Core/Platform/EnvironmentRow.cpp
@@ -6,6 +6,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "currantfall/Common/Json.h"
+
 namespace Currantfall::Platform {
 
 namespace {
@@ -67,10 +69,10 @@
     requireMembers(value, "a drain", { "kind", "name", "operator", "operation", "started_ms" });
     auto target = DrainTarget::parse(text(value, "kind"), text(value, "name"));
     require(target.has_value(), "the kind and name of a drain target");
-    const json &started = value["started_ms"];
-    require(started.is_number_integer() && started >= 0, "'started_ms' to be a whole number");
+    const auto started = Common::numberIn<std::int64_t>(value["started_ms"], 0);
+    require(started.has_value(), "'started_ms' to be a whole number");
     return { *std::move(target), text(value, "operator"), filledText(value, "operation"),
-             absl::FromUnixMillis(started.get<std::int64_t>()) };
+             absl::FromUnixMillis(*started) };
 }
 
 HistoryEntry historyOf(const json &value)
--- a/Source/Core/Platform/PlatformClient.cpp
+++ b/Source/Core/Platform/PlatformClient.cpp
@@ -7,6 +7,7 @@
 
 #include <httplib.h>
 
+#include "currantfall/Common/Json.h"
 #include "currantfall/Platform/HostPort.h"
 
 namespace Currantfall::Platform {
@@ -209,7 +210,7 @@
 
 Common::Result<std::vector<ListedVm>> parseVmList(const std::string &body, const std::string &peer)
 {
-    const auto json = nlohmann::json::parse(body, nullptr, false);
+    const auto json = Common::parseJson(body);
     if (!json.is_object() || !json.contains("vms") || !json["vms"].is_array()) {
         return Common::failure(ErrorCode::InvalidInput, "list VMs", peer,
                                "expected an object with the array 'vms'");
@@ -266,7 +267,7 @@
     return exchange.run(makeRequest("GET", rowPath(table, key)))
             .and_then([&](const httplib::Response &response) -> Common::Result<VersionedRow> {
                 const auto version = rowVersion(response);
-                auto value = nlohmann::json::parse(response.body, nullptr, false);
+                auto value = Common::parseJson(response.body);
                 if (!version || value.is_discarded()) {
                     return Common::failure(ErrorCode::InvalidInput, step, this->peer,
                                            "expected a JSON body and an ETag");
--- a/Source/Daemon/SteeringMessages.cpp
+++ b/Source/Daemon/SteeringMessages.cpp
@@ -1,6 +1,6 @@
 #include <utility>
 
-#include <nlohmann/json.hpp>
+#include "currantfall/Common/Json.h"
 
 #include "Steering.h"
 #include "WireConversion.h"
@@ -147,7 +147,7 @@
 void Steering::handleConfiguration(const Execution::VmRun &from, Wire::BodyUnion &body)
 {
     if (const auto *notice = body.AsRevisionNotice()) {
-        const auto json = nlohmann::json::parse(notice->row, nullptr, false);
+        const auto json = Common::parseJson(notice->row);
         auto row = Platform::EnvironmentRow::fromJson(json);
         if (!row) {
             this->context.log.warn(row.error().toString(), from.vm.value());
--- a/Source/Tool/LookupCommand.cpp
+++ b/Source/Tool/LookupCommand.cpp
@@ -1,5 +1,7 @@
 #include <algorithm>
 
+#include "currantfall/Common/Json.h"
+
 #include "Commands.h"
 #include "Daemons.h"
 
@@ -16,9 +18,13 @@
     std::string text;
     try {
         for (const nlohmann::json &entry : response.at("entries")) {
+            const auto port = Common::numberIn<std::uint16_t>(entry.at("port"), 1);
+            if (!port) {
+                return std::nullopt;
+            }
             text += entry.at("vm").get<std::string>() + " " + entry.at("zone").get<std::string>()
-                    + " " + entry.at("address").get<std::string>() + ":"
-                    + std::to_string(entry.at("port").get<int>()) + "\n";
+                    + " " + entry.at("address").get<std::string>() + ":" + std::to_string(*port)
+                    + "\n";
         }
     } catch (const nlohmann::json::exception &) {
         return std::nullopt;
@@ -60,7 +66,7 @@
             failure = body.error();
             continue;
         }
-        const auto response = nlohmann::json::parse(*body, nullptr, false);
+        const auto response = Common::parseJson(*body);
         if (const auto text = describe(response)) {
             return output.show(*text, response);
         }
--- a/Source/Tool/VmStatus.cpp
+++ b/Source/Tool/VmStatus.cpp
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include <nlohmann/json.hpp>
+#include "currantfall/Common/Json.h"
 
 namespace Currantfall::Tool {
 
@@ -41,7 +41,7 @@
 Common::Result<VmStatus> VmStatus::fromText(const std::string &text, const std::string &peer)
 {
     try {
-        return parse(json::parse(text));
+        return parse(Common::parseJson(text));
     } catch (const json::exception &error) {
         return Common::failure(Common::ErrorCode::InvalidInput, "read status", peer, error.what());
     }
--- a/Source/UnitTests/Platform/EnvironmentRowTest.cpp
+++ b/Source/UnitTests/Platform/EnvironmentRowTest.cpp
@@ -73,6 +73,8 @@
         { "drains not an array", [](json &row) { row["drains"] = json::object(); } },
         { "unknown drain kind", [](json &row) { row["drains"][0]["kind"] = "rack"; } },
         { "drain time as text", [](json &row) { row["drains"][0]["started_ms"] = "now"; } },
+        { "drain time too large",
+          [](json &row) { row["drains"][0]["started_ms"] = 18446744073709551615ULL; } },
         { "drain target twice", [](json &row) { row["drains"].push_back(row["drains"][0]); } },
     };
     for (const auto &[name, damage] : faults) {
@@ -110,6 +112,14 @@
     REQUIRE_FALSE(parseVmList("[]", "test"));
 }
 
+// Guards against a stack overflow while a malformed entry is quoted in a message.
+TEST_CASE("A VM list with a deeply nested entry is refused")
+{
+    const std::string brackets(1'000'000, '[');
+    const std::string nested = brackets + std::string(brackets.size(), ']');
+    REQUIRE_FALSE(parseVmList("{\"vms\":[" + nested + "]}", "test"));
+}
+
 TEST_CASE("Addresses that are not IP:PORT are refused")
 {
     REQUIRE(HostPort::parse("127.0.0.1:80") == HostPort { "127.0.0.1", 80 });
