Refuse rows with numbers, names or addresses out of range

What callers would see: an entry of another writer with "slots": counted as a server with 3 slots, one with an infinite cold time was relayed to all peers at each read, one with the address 0.0.0.0 sent requests to the VM itself, and a key with a line break put headers of its own into the request that named it. A VM row with port_base 72536 counted as 7000, and a processor share of 1e300 was taken as it is. "Deadline-Ms: 1e300" did not fit into the timers.

Cause: numbers were converted without a check of their range; nan and inf in headers were numbers.

--- a/Source/Entry/CallerListener.cpp
+++ b/Source/Entry/CallerListener.cpp
@@ -1,6 +1,7 @@
 #include "CallerListener.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include <boost/beast/http.hpp>
@@ -149,7 +150,8 @@
         buffer.commit(received);
     }
     http::request_parser<http::string_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+    parser.header_limit(static_cast<std::uint32_t>(
+            std::min<std::size_t>(limits.headerBytes, std::numeric_limits<std::uint32_t>::max())));
     parser.body_limit(limits.bodyBytes);
     stream.expires_after(toChrono(limits.headerTimeout));
     co_await http::async_read_header(stream, buffer, parser, awaitInto(error));
--- a/Source/Entry/EntrySettings.cpp
+++ b/Source/Entry/EntrySettings.cpp
@@ -5,7 +5,9 @@
 #include <optional>
 #include <sstream>
 
-#include <nlohmann/json.hpp>
+#include "currantfall/Common/Json.h"
+
+#include "VmRow.h"
 
 namespace Currantfall::Entry {
 
@@ -80,7 +82,7 @@
 
 Common::Result<EntrySettings> EntrySettings::parse(const std::string &text)
 {
-    const json document = json::parse(text, nullptr, false);
+    const json document = Common::parseJson(text);
     if (!document.is_object()) {
         return Common::failure(ErrorCode::InvalidInput, "read settings", {}, "not a JSON object");
     }
@@ -102,7 +104,8 @@
     settings.memoryBytes
             = static_cast<std::size_t>(reader.number("/memory_mb", 16, 1e6) * bytesPerMebibyte);
     settings.maxDescriptors = static_cast<std::size_t>(reader.number("/max_descriptors", 256, 1e7));
-    settings.processorShare = reader.number("/processor_share", 0.001, 1024);
+    settings.processorShare
+            = reader.number("/processor_share", minProcessorShare, maxProcessorShare);
     settings.shutdownGrace = absl::Seconds(reader.number("/shutdown_grace_s", 0.5, 600));
     settings.lookupTtlMax = absl::Seconds(reader.number("/lookup_ttl_max_s", 0.1, 600));
     settings.retries.ratio = reader.number("/retries/ratio", 0, 10);
--- a/Source/Entry/VmRow.cpp
+++ b/Source/Entry/VmRow.cpp
@@ -1,11 +1,18 @@
 #include "VmRow.h"
 
-#include <nlohmann/json.hpp>
+#include "currantfall/Common/Json.h"
 
 namespace Currantfall::Entry {
 
 const std::string vmTable = "entry-vms";
 
+namespace {
+
+// The highest port of a VM is its admin port, portBase + 9.
+constexpr std::uint16_t maxPortBase = 65535 - 9;
+
+} // namespace
+
 std::string writeVmRow(const RegisteredVm &registered)
 {
     const Membership::ListedVm &vm = registered.vm;
@@ -20,12 +27,19 @@
 
 Common::Result<RegisteredVm> readVmRow(const std::string &name, const std::string &value)
 {
-    const auto row = nlohmann::json::parse(value, nullptr, false);
+    const auto row = Common::parseJson(value);
     const auto isText
             = [&row](const char *field) { return row.contains(field) && row[field].is_string(); };
-    if (!row.is_object() || !isText("zone") || !isText("region") || !isText("address")
-        || !row.contains("port_base") || !row["port_base"].is_number_unsigned()
-        || !row.contains("processor_share") || !row["processor_share"].is_number()) {
+    const auto portBase
+            = row.contains("port_base")
+                      ? Common::numberIn<std::uint16_t>(row["port_base"], 1, maxPortBase)
+                      : std::nullopt;
+    const auto processorShare
+            = row.contains("processor_share") ? Common::numberIn<double>(
+                      row["processor_share"], minProcessorShare, maxProcessorShare)
+                                              : std::nullopt;
+    if (!row.is_object() || !isText("zone") || !isText("region") || !isText("address") || !portBase
+        || !processorShare) {
         return Common::failure(Common::ErrorCode::InvalidInput, "read VM row", name,
                                "a field is missing or malformed");
     }
@@ -35,8 +49,8 @@
     vm.zone = Common::ZoneName(row["zone"].get<std::string>());
     vm.region = Common::RegionName(row["region"].get<std::string>());
     vm.address = row["address"].get<std::string>();
-    vm.portBase = row["port_base"].get<std::uint16_t>();
-    registered.processorShare = row["processor_share"].get<double>();
+    vm.portBase = *portBase;
+    registered.processorShare = *processorShare;
     return registered;
 }
 
--- a/Source/Entry/VmRow.h
+++ b/Source/Entry/VmRow.h
@@ -11,6 +11,11 @@
 /// name.
 extern const std::string vmTable;
 
+/// Bounds of a VM's processor capacity in cores, in settings and rows. The directory compares VMs
+/// by it, so that a row out of bounds could take the callers of all other VMs.
+constexpr double minProcessorShare = 0.001;
+constexpr double maxProcessorShare = 1024;
+
 /// Registration of an entry VM.
 struct RegisteredVm
 {
@@ -21,7 +26,7 @@
 };
 
 std::string writeVmRow(const RegisteredVm &vm);
-/// Fails with InvalidInput if a field is missing or malformed.
+/// Fails with InvalidInput if a field is missing, malformed or out of range.
 Common::Result<RegisteredVm> readVmRow(const std::string &name, const std::string &value);
 
 } // namespace Currantfall::Entry
--- a/Source/UnitTests/Adapter/HttpMessagesTest.cpp
+++ b/Source/UnitTests/Adapter/HttpMessagesTest.cpp
@@ -101,6 +101,31 @@
     CHECK(Adapter::readBackend(health).coldFor == absl::Milliseconds(700));
 }
 
+// Guards against numbers of another process that overflow when they are converted or added up.
+TEST_CASE("Headers with numbers out of range are ignored")
+{
+    for (const char *load :
+         { "nan,0,3", "1,inf,3", "4294967297,0,3", "1e30,0,3", "3000000,0,3", "-1,0,3" }) {
+        INFO(load);
+        Adapter::HttpResponse odd = response(200);
+        odd.set("Server-Load", load);
+        CHECK_FALSE(Adapter::readBackend(odd).load);
+    }
+    for (const char *cold : { "nan", "inf", "1e300", "1e12" }) {
+        INFO(cold);
+        Adapter::HttpResponse odd = response(200);
+        odd.set("Cold-Ms", cold);
+        CHECK_FALSE(Adapter::readBackend(odd).coldFor);
+    }
+    Adapter::HttpRequest patient = request();
+    patient.set("Deadline-Ms", "1e300");
+    CHECK(Adapter::readCaller(patient).deadline == absl::Hours(24));
+    for (const char *deadline : { "nan", "inf" }) {
+        patient.set("Deadline-Ms", deadline);
+        CHECK_FALSE(Adapter::readCaller(patient).deadline);
+    }
+}
+
 TEST_CASE("A response is returned without hop-by-hop headers")
 {
     Adapter::HttpResponse good = response(203);
--- a/Source/UnitTests/Adapter/RowsTest.cpp
+++ b/Source/UnitTests/Adapter/RowsTest.cpp
@@ -53,6 +53,8 @@
     const auto [from, to] = GENERATE(table<std::string, std::string>(
             { { "\"service\":\"huvo11a\",", "" },
               { "\"service\":\"huvo11a\"", "\"service\":7" },
+              { "huvo11a", std::string(201, 's') },
+              { "\"zone\":\"a\"", "\"zone\":\"" + std::string(64 * 1024, 'z') + "\"" },
               { "\"ready\"", "\"resting\"" },
               { "10.128.0.9:8080", "10.128.0.9" },
               { "10.128.0.9:8080", "somewhere:80" },
@@ -60,6 +62,23 @@
               { "\"slots\":3", "\"slots\":0" },
               { "\"slots\":3", "\"slots\":\"3\"" },
               { "\"slots\":3", "\"slots\":-3" },
+              { "\"slots\":3", "\"slots\":4294967299" },
+              { "\"slots\":3", "\"slots\":18446744073709551615" },
+              { "\"slots\":3", "\"slots\":1e30" },
+              { "\"slots\":3", "\"slots\":65536" },
+              { "\"slots\":3", "\"slots\":NaN" },
+              { "10.128.0.9:8080", "10.128.0.9:0" },
+              { "10.128.0.9:8080", "10.128.0.9:-1" },
+              { "10.128.0.9:8080", "10.128.0.9:73616" },
+              { "10.128.0.9:8080", "0.0.0.0:8080" },
+              { "10.128.0.9:8080", "224.0.0.1:8080" },
+              { "10.128.0.9:8080", "255.255.255.255:8080" },
+              { "\"cold_remaining_ms\":1500", "\"cold_remaining_ms\":1e300" },
+              { "\"cold_remaining_ms\":1500", "\"cold_remaining_ms\":1e999" },
+              { "\"born\":1700000000123", "\"born\":18446744073709551615" },
+              { "\"born\":1700000000123", "\"born\":-1" },
+              { "\"seq\":4", "\"seq\":" + std::string(64 * 1024, '[') },
+              { "\"seq\":4", "\"seq\":" + std::string(100, '[') + std::string(100, ']') },
               { "\"cold_remaining_ms\":1500", "\"cold_remaining_ms\":null" },
               { "\"born\":1700000000123", "\"born\":\"x\"" },
               { "{", "" },
@@ -70,6 +89,30 @@
     CHECK(server.error().peer() == "i-1");
 }
 
+// Guards against names that end the header in which they are sent and start another request.
+TEST_CASE("A server whose name can't be sent in a header is refused")
+{
+    for (const std::string &name :
+         { std::string(), std::string("i-1\r\nX-Other: 1"), std::string("i-1\n"),
+           std::string("i\0001", 3), std::string(" i-1"), std::string("i-1 ") }) {
+        CHECK_FALSE(Adapter::readServer(name, goodServer));
+    }
+    CHECK(Adapter::readServer(std::string(200, 'x'), goodServer));
+}
+
+// Guards against messages as long as the row.
+TEST_CASE("Messages about a row quote only the start of its texts")
+{
+    const std::string state(64 * 1024, 's');
+    const auto server = Adapter::readServer("i-1", with(goodServer, "ready", state));
+    REQUIRE_FALSE(server);
+    CHECK(server.error().detail().size() < 200);
+    const auto configuration
+            = Adapter::readConfiguration(with(goodConfiguration, "\"r12\"", "\"" + state + "\""));
+    REQUIRE_FALSE(configuration);
+    CHECK(configuration.error().detail().size() < 200);
+}
+
 TEST_CASE("A configuration is decoded")
 {
     const auto configuration = Adapter::readConfiguration(goodConfiguration);
@@ -94,6 +137,24 @@
     CHECK(configuration->service(Common::ServiceName("s1"))->coldRequestsPerSecond == 1.9);
 }
 
+// Guards against numbers of a configuration that are cut to their field, and against times that do
+// not fit into the timers of connections.
+TEST_CASE("Numbers of a configuration that are out of range do not wrap around")
+{
+    const auto attempts = Adapter::readConfiguration(
+            with(goodConfiguration, "\"max_attempts\":2", "\"max_attempts\":4294967297"));
+    REQUIRE(attempts);
+    CHECK(attempts->match("h.example", "/a/1")->maxAttempts == 1);
+    const auto connections = Adapter::readConfiguration(
+            with(goodConfiguration, "\"max_conns\":360", "\"max_conns\":4294967300"));
+    REQUIRE(connections);
+    CHECK(connections->service(Common::ServiceName("s1"))->maxConnections == 0);
+    const auto idle = Adapter::readConfiguration(
+            with(goodConfiguration, "\"idle_timeout_ms\":15000", "\"idle_timeout_ms\":1e300"));
+    REQUIRE(idle);
+    CHECK(idle->limits().idleTimeout == absl::Hours(24));
+}
+
 // Guards against kinds that are not known and would be repeated.
 TEST_CASE("Only safe routes may be repeated")
 {
