Keep the list of servers readable when one row is odd

What callers would see: no VM follows the list of servers any more, as long as one key or value in it holds a lone surrogate, a byte that is not UTF-8 or a number that does not fit. A server whose row is no longer base64 stays in use.

Cause: one such text makes the whole answer of the store invalid JSON. A row whose value could not be decoded was left out, so that the value before it stayed in force. A page without a readable row counted as the end of the table, or skipped the changes on it.

A page without a readable key is a failed read. currantfall_store_rows_unreadable_total counts such rows.

--- a/Source/Entry/StoreSync.cpp
+++ b/Source/Entry/StoreSync.cpp
@@ -146,6 +146,10 @@
         return;
     }
     state.needsFullRead = false;
+    if (result->unreadableRows > 0) {
+        this->metrics.addToCounter("currantfall_store_rows_unreadable_total",
+                                   { { "table", state.table.name } }, result->unreadableRows);
+    }
     this->apply(state, *result, std::nullopt, now);
 }
 
--- a/Source/Entry/StoreWorker.cpp
+++ b/Source/Entry/StoreWorker.cpp
@@ -48,9 +48,15 @@
             update.to = firstPage ? page->version : update.to;
             firstPage = false;
             update.rows.insert(update.rows.end(), page->rows.begin(), page->rows.end());
-            if (!page->hasMore || page->rows.empty()) {
+            update.unreadableRows += page->unreadable;
+            if (!page->hasMore) {
                 return update;
             }
+            if (page->rows.empty()) {
+                // Without a key to continue from, the other rows would count as removed.
+                return Common::failure(ErrorCode::InvalidInput, "read store", this->peer,
+                                       "a page without a readable key");
+            }
             // The smallest key after the last one.
             firstKey = page->rows.back().key + '\0';
         }
@@ -73,9 +79,13 @@
             update.confirmedAt = Common::monotonicNow() - absl::Milliseconds(100);
         }
         // If the store has more changes, this update ends at the version of its last row.
-        update.to
-                = page->hasMore && !page->rows.empty() ? page->rows.back().version : page->version;
+        if (page->hasMore && page->rows.empty()) {
+            return Common::failure(ErrorCode::Expired, "read store", this->peer,
+                                   "a page of changes without a readable key");
+        }
+        update.to = page->hasMore ? page->rows.back().version : page->version;
         update.rows = page->rows;
+        update.unreadableRows = page->unreadable;
         return update;
     }
 
--- a/include/currantfall/Steering/TableReplica.h
+++ b/include/currantfall/Steering/TableReplica.h
@@ -37,6 +37,8 @@
     /// The table was at `to` at this time or later.
     Common::Instant confirmedAt;
     std::vector<RowChange> rows;
+    /// Number of rows read from the store that could not be decoded.
+    std::size_t unreadableRows = 0;
 
     friend bool operator==(const TableUpdate &left, const TableUpdate &right) = default;
 };
