Tell peers of odd server rows, and bound what is logged of them

What callers would see: requests at a server whose entry turned odd, from VMs that had read the entry while it was good. Each odd row was logged at each change, with texts as long as the row.

Cause: a VM relayed an odd row or a deletion only if it knew the server itself. If it read the good and the odd version at once, a peer that had read the good one in between went on with it, at a version that looked current.

Odd rows and deletions are always relayed, without the value, which may be large and names no server. The code moved from EntryDaemon to ServerRows, where tests reach it.

--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -84,6 +84,7 @@
     : settingsPath(std::move(settingsPath)), settings(std::move(settings)),
       log(this->settings.vm.value(), {}), signals(this->context, SIGTERM, SIGINT, SIGHUP),
       steering(this->context, this->settings, this->log, this->metrics),
+      serverRows(this->steering, this->log, this->metrics),
       settingsModifiedAt(modificationTime(this->settingsPath))
 { }
 
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -19,6 +19,7 @@
 #include "ObjectMoveSync.h"
 #include "OutcomeSync.h"
 #include "RequestSteering.h"
+#include "ServerRows.h"
 #include "StoreSync.h"
 
 namespace Currantfall::Entry {
@@ -66,9 +67,10 @@
     /// Applies changed rows of a table; returns those that peers need to know.
     std::vector<Steering::RowChange>
     onTableChanges(const std::string &table, const std::vector<Steering::RowChange> &changes);
-    std::vector<Steering::RowChange> onServerRows(const std::vector<Steering::RowChange> &changes);
     void onOperatorRows(const std::vector<Steering::RowChange> &changes);
     void onVmRows();
+    /// Counts and logs each version of a row that names no VM once.
+    void noteIgnoredVmRow(const Steering::RowChange &row, const Common::Error &reason);
     void onMembersChanged();
     /// Applies the configuration in the row if it is valid and newer than the current one.
     void applyConfiguration(const Steering::RowChange &row);
@@ -87,6 +89,7 @@
     Common::TimerService timers;
     boost::asio::signal_set signals;
     RequestSteering steering;
+    ServerRows serverRows;
     std::unique_ptr<Cluster> cluster;
     std::unique_ptr<ObjectMoveSync> objectMoveSync;
     std::unique_ptr<OutcomeSync> outcomeSync;
@@ -94,6 +97,8 @@
     std::unique_ptr<StoreWorker> storeWriter;
     /// Registered processor share of each VM.
     std::map<Common::VmName, double> processorShares;
+    /// Versions of the VM rows that were noted as ignored.
+    std::map<std::string, Steering::StoreVersion> ignoredVmRows;
     bool registered = false;
     bool registering = false;
     std::unique_ptr<CallerListener> callerListener;
--- a/Source/Entry/EntryDaemonRows.cpp
+++ b/Source/Entry/EntryDaemonRows.cpp
@@ -9,20 +9,12 @@
 
 namespace Currantfall::Entry {
 
-namespace {
-
-// A row in which only the cold time changed, by no more than this, is neither applied nor relayed
-// to peers.
-constexpr absl::Duration coldTimeTolerance = absl::Milliseconds(500);
-
-} // namespace
-
 std::vector<Steering::RowChange>
 EntryDaemon::onTableChanges(const std::string &table,
                             const std::vector<Steering::RowChange> &changes)
 {
     if (table == Adapter::serverTable) {
-        return this->onServerRows(changes);
+        return this->serverRows.apply(changes);
     }
     if (table == Adapter::operatorTable) {
         this->onOperatorRows(changes);
@@ -32,55 +24,6 @@
     return changes;
 }
 
-std::vector<Steering::RowChange>
-EntryDaemon::onServerRows(const std::vector<Steering::RowChange> &changes)
-{
-    std::vector<Steering::RowChange> changesForPeers;
-    Steering::ServerTable &servers = this->steering.servers();
-    for (const Steering::RowChange &row : changes) {
-        const Common::BackendServerName name(row.key);
-        auto server = row.deleted ? tl::unexpected(
-                              Common::Error(make_error_code(Common::ErrorCode::NotFound),
-                                            "read backend server", row.key, "deleted"))
-                                  : Adapter::readServer(row.key, row.value);
-        Steering::ServerRecord *known = servers.find(name);
-        if (!server) {
-            if (known != nullptr) {
-                servers.remove(name);
-                this->steering.pool().closeIdle(name);
-                this->steering.outcomes().forget(name);
-                this->log.important("server_removed", Common::errorFields(server.error()));
-                changesForPeers.push_back(row);
-            } else if (!row.deleted && this->log.admits()) {
-                this->log.write("server_ignored", Common::errorFields(server.error()));
-            }
-            continue;
-        }
-        if (known != nullptr) {
-            Steering::BackendServer before = known->server();
-            before.coldFor = server->coldFor;
-            const absl::Duration coldChange = row.readAt + server->coldFor - known->coldUntil();
-            const bool coldChanged = server->coldFor > absl::ZeroDuration()
-                                     && absl::AbsDuration(coldChange) > coldTimeTolerance;
-            if (before == *server && !coldChanged) {
-                continue;
-            }
-            if (before.startTime != server->startTime) {
-                this->steering.outcomes().forget(name);
-            }
-        }
-        servers.put(*server, row.readAt);
-        changesForPeers.push_back(row);
-        this->log.important("server", { { "server", row.key },
-                                        { "service", server->service.value() },
-                                        { "zone", server->zone.value() },
-                                        { "draining", server->draining },
-                                        { "cold_ms", absl::ToInt64Milliseconds(server->coldFor) },
-                                        { "version", row.version } });
-    }
-    return changesForPeers;
-}
-
 void EntryDaemon::onOperatorRows(const std::vector<Steering::RowChange> &changes)
 {
     for (const Steering::RowChange &row : changes) {
@@ -126,17 +69,34 @@
 
 void EntryDaemon::onVmRows()
 {
+    const auto &rows = this->storeSync->replica(vmTable).rows();
+    std::erase_if(this->ignoredVmRows,
+                  [&rows](const auto &ignored) { return !rows.contains(ignored.first); });
     std::vector<Membership::ListedVm> vms;
-    for (const auto &[name, row] : this->storeSync->replica(vmTable).rows()) {
+    for (const auto &[name, row] : rows) {
         auto vm = readVmRow(name, row.value);
         if (vm) {
             this->processorShares[vm->vm.vm] = vm->processorShare;
             vms.push_back(std::move(vm->vm));
         } else {
-            this->log.important("vm_row_ignored", Common::errorFields(vm.error()));
+            this->noteIgnoredVmRow(row, vm.error());
         }
     }
     this->cluster->setListedVms(std::move(vms), Common::monotonicNow());
 }
 
+void EntryDaemon::noteIgnoredVmRow(const Steering::RowChange &row, const Common::Error &reason)
+{
+    // All rows are read at each change of one of them.
+    Steering::StoreVersion &noted = this->ignoredVmRows[row.key];
+    if (noted == row.version) {
+        return;
+    }
+    noted = row.version;
+    this->metrics.addToCounter("currantfall_store_rows_ignored_total", { { "table", vmTable } });
+    if (this->log.admits()) {
+        this->log.write("vm_row_ignored", Common::errorFields(reason));
+    }
+}
+
 } // namespace Currantfall::Entry
