Limit the slots of one server by those of its service

What callers would see: one entry with 65535 slots gets the requests of all servers of its service.

Cause: requests are distributed by slots, and nothing compared them. A server counts with at most eight times the lower median of its service's slots now. A fixed limit would be wrong for large servers; a number that several servers share is taken as it is.

--- a/Source/Core/Steering/ServerSelector.cpp
+++ b/Source/Core/Steering/ServerSelector.cpp
@@ -122,7 +122,7 @@
         const auto region = this->settings.regions.find(server->server().zone);
         if (region != this->settings.regions.end() && !server->server().draining
             && !this->evacuatedZones.contains(server->server().zone)) {
-            slots[region->second] += server->server().slots;
+            slots[region->second] += server->plausibleSlots();
         }
     }
     std::map<Common::RegionName, double> zones;
@@ -157,7 +157,7 @@
                                                                   : weights.find(region->second);
         const double local = found == weights.end() ? 0.0 : found->second;
         const double weight = (1.0 - localityFraction + localityFraction * local)
-                              * std::max<std::uint32_t>(entry.slots, 1);
+                              * std::max<std::uint32_t>(server->plausibleSlots(), 1);
         // Weighted rendezvous hashing: the server with the lowest score is the first of the order.
         result.push_back({ server, -std::log(unitHash(key, entry.name.value())) / weight,
                            this->outcomes.failing(entry.name, now) });
@@ -260,7 +260,7 @@
             = this->meanServiceTime(request.service, *request.route, true);
     const absl::Duration cacheMissTime
             = this->meanServiceTime(request.service, *request.route, false);
-    const double slots = std::max<std::uint32_t>(server.server().slots, 1);
+    const double slots = std::max<std::uint32_t>(server.plausibleSlots(), 1);
     const double load = server.load(now);
     // The first server of the order is expected to have the object in its cache: if this VM has not
     // sent it there, other VMs have.
--- a/Source/Core/Steering/ServerTable.cpp
+++ b/Source/Core/Steering/ServerTable.cpp
@@ -24,6 +24,9 @@
 constexpr double failureRateSmoothing = 0.25;
 // A health check that has no result after this time is repeated.
 constexpr absl::Duration probeTimeout = absl::Seconds(1);
+// A server counts with at most this multiple of the median of its service's slots. Requests are
+// distributed by slots, so that a single wrong entry could otherwise attract all of them.
+constexpr std::uint32_t maxSlotsPerMedian = 8;
 
 Admission::CircuitBreaker::Settings breakerSettings()
 {
@@ -58,8 +61,8 @@
 }
 
 ServerRecord::ServerRecord(BackendServer server, Common::Instant readAt)
-    : current(std::move(server)), coldEnd(readAt + this->current.coldFor), reportedAt(readAt),
-      breaker(breakerSettings())
+    : current(std::move(server)), slotsInUse(this->current.slots),
+      coldEnd(readAt + this->current.coldFor), reportedAt(readAt), breaker(breakerSettings())
 { }
 
 void ServerRecord::update(const BackendServer &server, Common::Instant readAt)
@@ -165,7 +168,7 @@
             failed = 1.0;
         } else if (latest == nullptr) {
             // A server that refuses a request without a load report is assumed to be full.
-            this->report = { this->current.slots, this->current.slots, this->current.slots };
+            this->report = { this->slotsInUse, this->slotsInUse, this->slotsInUse };
             this->reportedAt = now;
             this->inFlightAtReport = this->inFlight;
             this->hasReport = true;
@@ -230,10 +233,11 @@
         this->rebuild();
         return;
     }
-    const bool sameService = found->second.server().service == server.service;
+    const bool sameWeights = found->second.server().service == server.service
+                             && found->second.server().slots == server.slots;
     found->second.update(server, readAt);
     ++this->generationCount;
-    if (!sameService) {
+    if (!sameWeights) {
         this->rebuild();
     }
 }
@@ -275,6 +279,26 @@
     for (auto &[name, record] : this->records) {
         this->byService[record.server().service].push_back(&record);
     }
+    for (const auto &[service, servers] : this->byService) {
+        limitSlots(servers);
+    }
+}
+
+void ServerTable::limitSlots(const std::vector<ServerRecord *> &servers)
+{
+    std::vector<std::uint32_t> slots;
+    slots.reserve(servers.size());
+    for (const ServerRecord *server : servers) {
+        slots.push_back(server->server().slots);
+    }
+    // The lower one of two, so that one wrong entry of two does not set the median.
+    const auto median = slots.begin() + static_cast<std::ptrdiff_t>((slots.size() - 1) / 2);
+    std::nth_element(slots.begin(), median, slots.end());
+    for (ServerRecord *server : servers) {
+        const std::uint64_t limit = std::uint64_t { *median } * maxSlotsPerMedian;
+        server->setPlausibleSlots(
+                static_cast<std::uint32_t>(std::min<std::uint64_t>(server->server().slots, limit)));
+    }
 }
 
 } // namespace Currantfall::Steering
--- a/Source/UnitTests/Steering/ServerSelectorTest.cpp
+++ b/Source/UnitTests/Steering/ServerSelectorTest.cpp
@@ -241,6 +241,33 @@
     CHECK(peer.send("hot", 5000)->server().name == target->server().name);
 }
 
+// Guards against one wrong entry that attracts all requests of a service.
+TEST_CASE("A server that claims far more slots than the others does not get all requests")
+{
+    Deployment deployment;
+    BackendServer claiming = server(0, "a");
+    claiming.slots = 65535;
+    deployment.servers.put(claiming, at(0));
+    int claimed = 0;
+    for (int object = 0; object < 400; ++object) {
+        const Selection selection = deployment.selector.select(
+                deployment.selectionRequest(std::to_string(object)), &deployment.terms, at(0));
+        const auto *choice = std::get_if<SendTo>(&selection);
+        REQUIRE(choice != nullptr);
+        claimed += choice->server->server().name == claiming.name ? 1 : 0;
+    }
+    // It counts with 8 of 13 shares, and with more of them where locality prefers its region.
+    CHECK(claimed < 320);
+    CHECK(claimed > 100);
+    // A number of slots that several servers share is taken as it is.
+    for (int number = 1; number < 4; ++number) {
+        BackendServer large = server(number, "a");
+        large.slots = 65535;
+        deployment.servers.put(large, at(0));
+    }
+    CHECK(deployment.servers.find(claiming.name)->plausibleSlots() == 65535);
+}
+
 // Guards against requests to evacuated zones, or to regions that the route does not allow.
 TEST_CASE("Evacuated zones and regions that a route does not allow get no requests")
 {
--- a/include/currantfall/Steering/ServerTable.h
+++ b/include/currantfall/Steering/ServerTable.h
@@ -48,6 +48,9 @@
     void update(const BackendServer &server, Common::Instant readAt);
 
     const BackendServer &server() const { return this->current; }
+    /// The server's slots, limited to a multiple of what most servers of its service have.
+    std::uint32_t plausibleSlots() const { return this->slotsInUse; }
+    void setPlausibleSlots(std::uint32_t slots) { this->slotsInUse = slots; }
     Common::Instant coldUntil() const { return this->coldEnd; }
     bool cold(Common::Instant now) const { return now < this->coldEnd; }
     /// Marks the server as cold for `remaining`, as reported by its health response or its store
@@ -89,6 +92,7 @@
 
 private:
     BackendServer current;
+    std::uint32_t slotsInUse;
     Common::Instant coldEnd;
     std::uint32_t inFlight = 0;
     LoadReport report;
@@ -127,6 +131,8 @@
 
 private:
     void rebuild();
+    /// Limits the slots of each server of a service.
+    static void limitSlots(const std::vector<ServerRecord *> &servers);
 
     std::map<Common::BackendServerName, ServerRecord> records;
     std::map<Common::ServiceName, std::vector<ServerRecord *>> byService;
