Pass on the deletion of a row that the replica never had

What callers would see: requests at a server that has left, from VMs that read its row before the VM that relays changes read the row and its deletion at once.

Cause: the replica dropped deletions of unknown rows, so that its update claimed to be complete without them.

Not covered: a complete read of the store lists no deletions, and peers get the changes to the reader's own copy only.

--- a/Source/Core/Steering/TableReplica.cpp
+++ b/Source/Core/Steering/TableReplica.cpp
@@ -37,9 +37,11 @@
         keysInUpdate.insert(row.key);
         const auto found = this->current.find(row.key);
         if (row.deleted) {
-            if (found != this->current.end() && found->second.version < row.version) {
+            // Also if the row is not known here: another replica may have seen it in between.
+            if (found == this->current.end() ? !this->deletedSince(row)
+                                             : found->second.version < row.version) {
                 outcome.changes.push_back(row);
-                this->current.erase(found);
+                this->current.erase(row.key);
                 this->recordDeletion(row);
             }
             continue;
--- a/Source/UnitTests/Steering/TableReplicaTest.cpp
+++ b/Source/UnitTests/Steering/TableReplicaTest.cpp
@@ -57,6 +57,25 @@
     CHECK(replica.apply(changes(21, 30, { row("a", 25) })).changes.size() == 1);
 }
 
+// Guards against a row that stays in the replica of a VM that read it, because the VM that relays
+// changes learned of the row and its deletion at once.
+TEST_CASE("The deletion of a row that the replica never had is passed on")
+{
+    TableReplica reader;
+    reader.apply(complete(10, { row("a", 9) }));
+    TableReplica other = reader;
+    CHECK(other.apply(changes(10, 12, { row("b", 12) })).changes.size() == 1);
+    const auto outcome = reader.apply(changes(10, 15, { row("b", 15, true) }));
+    REQUIRE(outcome.changes.size() == 1);
+    CHECK(other.apply(changes(10, 15, outcome.changes)).changes.size() == 1);
+    CHECK(other.rows() == reader.rows());
+    TableReplica behind;
+    behind.apply(complete(12, { row("a", 9), row("b", 12) }));
+    behind.apply(reader.changesSince(12));
+    CHECK(behind.rows() == reader.rows());
+    CHECK(reader.apply(changes(10, 16, { row("b", 15, true) })).changes.empty());
+}
+
 // Guards against VMs endlessly sending each other rows at the same version, which can happen after
 // a restart of all VMs.
 TEST_CASE("An update at the current version only renews its confirmation time")
