Take a refusal as proof only if no earlier request can have caused it

What callers would see: 503, "not run, try again", for a request that runs, or that runs at a second server as well, after a server wrote an earlier refusal once more on a kept connection.

Cause: responses were compared by id only, and not at all without one. So an earlier refusal was taken by a request with the same id, by a request without an id, and by a health check.

A connection carries at most 256 requests, because their ids are remembered. Successes without an id need a signature too.

The test "A connection with unexpected bytes is not used again" sent three requests with one id and expected one connection. Callers give each attempt an id of its own, and the test does so now.

--- a/Source/Entry/BackendPool.cpp
+++ b/Source/Entry/BackendPool.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <functional>
 #include <utility>
 
 #include <boost/beast/core/bind_handler.hpp>
@@ -29,6 +30,8 @@
 constexpr std::size_t maxIdleConnectionsPerServer = 8;
 constexpr std::uint64_t maxResponseBodyBytes = 64ULL * 1024 * 1024;
 constexpr std::uint32_t maxResponseHeaderBytes = 64 * 1024;
+// Bounds the memory for the ids of a connection's requests.
+constexpr std::size_t maxRequestsPerConnection = 256;
 // Bodies up to this size fit into the socket buffers, so the request is written completely before
 // the response is read.
 constexpr std::size_t maxBodyBytesBeforeRead = std::size_t { 8 } * 1024;
@@ -59,6 +62,39 @@
     return result;
 }
 
+/// Whether the response to the exchange can be told from late responses to the earlier requests of
+/// the connection.
+bool canAttributeResponses(const BackendConnection &connection, const Exchange &exchange)
+{
+    if (exchange.requestId.empty()) {
+        return exchange.healthCheck && !connection.sentWithoutId;
+    }
+    return std::find(connection.sentIds.begin(), connection.sentIds.end(),
+                     std::hash<std::string>()(exchange.requestId))
+           == connection.sentIds.end();
+}
+
+void noteSent(BackendConnection &connection, const Exchange &exchange)
+{
+    if (exchange.requestId.empty()) {
+        connection.sentWithoutId = true;
+    } else {
+        connection.sentIds.push_back(std::hash<std::string>()(exchange.requestId));
+    }
+}
+
+bool belongsTo(const Exchange &exchange, const Adapter::BackendResponse &response)
+{
+    return !response.severalRequestIds && response.requestId == exchange.requestId;
+}
+
+/// Whether the connection can carry another request after this exchange.
+bool mayReuseAfter(const Exchange &exchange, const BackendConnection &connection)
+{
+    return (exchange.healthCheck || !exchange.requestId.empty())
+           && connection.sentIds.size() < maxRequestsPerConnection;
+}
+
 /// Writes a request concurrently with reading its response. Sets `written` on success.
 Task writeRequest(SharedConnection connection, std::shared_ptr<Adapter::HttpRequest> request,
                   std::shared_ptr<bool> written)
@@ -98,13 +134,17 @@
     const Common::Instant now = Common::monotonicNow();
     const double fraction
             = exchange.idempotent ? keepAliveFraction : nonIdempotentKeepAliveFraction;
-    while (!found->second.empty()) {
-        // Use the connection that became idle last, so that the others time out and are closed.
-        SharedConnection connection = found->second.back();
+    std::vector<SharedConnection> &connections = found->second;
+    // Use the connection that became idle last, so that the others time out and are closed.
+    for (std::size_t index = connections.size(); index > 0; --index) {
+        SharedConnection connection = connections[index - 1];
         if (now - connection->idleSince > connection->keepAliveTimeout * fraction) {
             return nullptr;
         }
-        found->second.pop_back();
+        if (!canAttributeResponses(*connection, exchange)) {
+            continue;
+        }
+        connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(index - 1));
         IoError error;
         // Cancel the wait for a close by the server.
         connection->stream.socket().cancel(error);
@@ -192,7 +232,7 @@
         }
         ExchangeResult result;
         result.parsed = Adapter::readBackend(response);
-        if (!exchange.requestId.empty() && result.parsed.requestId != exchange.requestId) {
+        if (!belongsTo(exchange, result.parsed)) {
             // A late response to an earlier request. The next one may belong to this request.
             reusable = false;
             if (bodyEndsAtClose || !response.keep_alive()) {
@@ -204,7 +244,8 @@
             continue;
         }
         reusable = reusable && *written && !bodyEndsAtClose && response.keep_alive()
-                   && connection->buffer.size() == 0 && !exchange.cancelled;
+                   && connection->buffer.size() == 0 && !exchange.cancelled
+                   && mayReuseAfter(exchange, *connection);
         if (reusable) {
             this->addIdle(exchange.server.name, connection, keepAliveTimeoutOf(response));
         } else {
@@ -214,7 +255,7 @@
             result.end = AttemptEnd::Misdirected;
         } else if (result.parsed.notExecuted) {
             result.end = AttemptEnd::NotExecuted;
-        } else if (result.parsed.success && !result.parsed.genuine && !exchange.requestId.empty()) {
+        } else if (result.parsed.success && !result.parsed.genuine && !exchange.healthCheck) {
             result.end = AttemptEnd::Broken;
             result.detail = "response without signature or with an encoded body";
         } else {
@@ -245,6 +286,7 @@
         co_return result;
     }
     connection->stream.expires_after(toChrono(remaining));
+    noteSent(*connection, exchange);
     auto written = std::make_shared<bool>(false);
     if (exchange.request.body().size() > maxBodyBytesBeforeRead) {
         // The server may respond before it has read the whole body.
--- a/Source/Entry/BackendPool.h
+++ b/Source/Entry/BackendPool.h
@@ -23,6 +23,11 @@
 
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
+    /// Hashes of the ids of all requests that were sent on this connection. A response can be
+    /// attributed to a request only if no earlier one had the same id.
+    std::vector<std::size_t> sentIds;
+    /// A request without an id was sent on this connection.
+    bool sentWithoutId = false;
     /// How long the server keeps the connection open without a request.
     absl::Duration keepAliveTimeout = absl::ZeroDuration();
     Common::Instant idleSince;
@@ -36,7 +41,10 @@
 {
     Adapter::HttpRequest request;
     Steering::BackendServer server;
+    /// Empty if the caller sent none, and in health checks.
     std::string requestId;
+    /// A request of this VM that no caller waits for.
+    bool healthCheck = false;
     /// Idempotent requests may use connections that have been idle for longer, as they can be
     /// repeated if the server has closed the connection.
     bool idempotent = false;
--- a/Source/Entry/RequestSteeringServers.cpp
+++ b/Source/Entry/RequestSteeringServers.cpp
@@ -119,6 +119,7 @@
     exchange->request = Adapter::healthRequest(terms == nullptr ? "/" : terms->healthPath,
                                                record->server().address + ":"
                                                        + std::to_string(record->server().port));
+    exchange->healthCheck = true;
     exchange->idempotent = true;
     exchange->deadline = Common::monotonicNow() + healthCheckTimeout;
     this->metrics.addToCounter("currantfall_health_checks_total");
--- a/Source/UnitTests/Entry/RequestSteeringTest.cpp
+++ b/Source/UnitTests/Entry/RequestSteeringTest.cpp
@@ -221,6 +221,43 @@
     }
 }
 
+// Guards against "not run, try again" for a request that is running, and against running it at a
+// second server, because a server writes an earlier refusal once more.
+TEST_CASE("A refusal of an earlier request does not end a later one")
+{
+    const std::string id = GENERATE("id-1", "id-2", "");
+    INFO(id);
+    std::atomic<int> requests { 0 };
+    const auto script = [&requests](ScriptedConnection &connection) {
+        std::string refusal;
+        for (std::string request = connection.readRequest(); !request.empty();
+             request = connection.readRequest()) {
+            if (requests++ == 0) {
+                refusal = responseTo(request, "503 Service Unavailable", "Not-Executed: 1\r\n", "");
+                connection.write(refusal);
+            } else {
+                connection.write(refusal + answerTo(request, "ran"));
+            }
+        }
+    };
+    ScriptedBackend backend(script);
+    SteeringFixture fixture;
+    fixture.addServer("i-1", backend.port());
+    fixture.configure(absl::Seconds(5), 1);
+    auto first = SteeringFixture::request("/write/1", "id-1");
+    auto second = SteeringFixture::request("/write/2", id);
+    if (id.empty()) {
+        first.erase("Request-Id");
+        second.erase("Request-Id");
+    }
+    CHECK(fixture.run(first)->result_int() == 503);
+    const auto response = fixture.run(second);
+    REQUIRE(response);
+    CHECK(response->result_int() == 200);
+    CHECK(response->body() == "ran");
+    CHECK(requests == 2);
+}
+
 TEST_CASE("A server that can't be reached has not run the request")
 {
     std::uint16_t closedPort = 0;
@@ -270,7 +307,9 @@
     SteeringFixture fixture;
     fixture.addServer("i-1", backend.port());
     for (int request = 0; request < 3; ++request) {
-        const auto response = fixture.run(SteeringFixture::request("/read/1"));
+        // Responses to requests with the same id could not be told apart on one connection.
+        const auto response
+                = fixture.run(SteeringFixture::request("/read/1", "id-" + std::to_string(request)));
         REQUIRE(response);
         CHECK(response->result_int() == 200);
         fixture.runFor(absl::Milliseconds(20));
