Own interface: attribute refusals, and bound answers

What callers would see: not-run for an attempt that ran, after a server repeated a refusal that names no attempt; a VM whose memory is used up by an answer without end.

Cause: an answer without Currantfall-Attempt was taken for the attempt in progress, also a refusal on a connection that had carried others. The body was read without a limit, and each read of the socket had the whole remaining time again.

A refusal without the header is proof only for the first request on a connection; an answer that names two attempts is unusable; bodies end at 16 MiB and at the request's deadline. Heads without end are still bounded by the deadline only, when the attempt is cancelled.

--- a/Source/Daemon/BackendConnection.cpp
+++ b/Source/Daemon/BackendConnection.cpp
@@ -21,6 +21,9 @@
 // The backend server gets its deadline with the request; the connection waits a little longer, so
 // that an answer sent at the deadline still arrives.
 constexpr absl::Duration answerGrace = absl::Milliseconds(50);
+// As large as the largest body of a request. An answer goes to the VM of its caller in one frame of
+// at most 20 MiB.
+constexpr std::size_t maxAnswerBytes = std::size_t { 16 } * 1024 * 1024;
 constexpr int statusNoContent = 204;
 constexpr int statusNotModified = 304;
 
@@ -77,10 +80,32 @@
     return result;
 }
 
+/// What the answer says of the attempt to which it belongs.
+enum class Attribution {
+    Missing,
+    This,
+    Other, ///< Another attempt, or several.
+};
+
+Attribution attributionOf(const httplib::Response &response, const std::string &attempt)
+{
+    const std::size_t count = response.get_header_value_count("Currantfall-Attempt");
+    if (count == 0) {
+        return Attribution::Missing;
+    }
+    const bool same = response.get_header_value("Currantfall-Attempt") == attempt;
+    return count == 1 && same ? Attribution::This : Attribution::Other;
+}
+
+bool isShed(const httplib::Response &response)
+{
+    return response.get_header_value("Currantfall-Shed") == "not-run";
+}
+
 BackendResult answeredResult(httplib::Response &response)
 {
     BackendResult result;
-    if (response.get_header_value("Currantfall-Shed") == "not-run") {
+    if (isShed(response)) {
         result.verdict = ServerVerdict::Shed;
         result.answer
                 = Common::notRun(Reason::BackendServerShed, "the backend server shed the request");
@@ -163,6 +188,7 @@
         ::close(this->socket);
     }
     this->socket = descriptor < 0 ? -1 : ::fcntl(descriptor, F_DUPFD_CLOEXEC, 0);
+    ++this->socketsUsed;
 }
 
 BackendResult BackendConnection::exchange(const std::string &attempt, const Request &request,
@@ -171,20 +197,37 @@
     this->client.set_read_timeout(absl::ToChronoMicroseconds(remaining + answerGrace));
     this->client.set_write_timeout(absl::ToChronoMicroseconds(remaining + answerGrace));
     httplib::Request out = makeRequest(attempt, request, remaining);
+    std::string body;
+    // Without these limits a server could send bytes until the memory of this VM is used up.
+    out.content_receiver = [&](const char *data, std::size_t size, std::uint64_t, std::uint64_t) {
+        if (body.size() + size > maxAnswerBytes
+            || Common::monotonicNow() > request.deadline + answerGrace) {
+            return false;
+        }
+        body.append(data, size);
+        return true;
+    };
     httplib::Response response;
     auto error = httplib::Error::Success;
+    const std::uint64_t socketsBefore = this->socketCount();
     if (!this->client.send(out, response, error)) {
         return failedResult(error, this->address, this->wasCancelled(attempt));
     }
+    response.body = std::move(body);
+    const bool firstOnSocket = this->socketCount() != socketsBefore;
     if (!hasVerifiableEnd(out, response)) {
         return unusableResult(this->address
                               + ": the answer has neither a length nor chunked encoding");
     }
     // A connection that got out of step delivers the answer to another request.
-    if (response.has_header("Currantfall-Attempt")
-        && response.get_header_value("Currantfall-Attempt") != attempt) {
+    const Attribution attribution = attributionOf(response, attempt);
+    if (attribution == Attribution::Other) {
         return unusableResult(this->address + ": the answer belongs to another attempt");
     }
+    // A refusal of an earlier attempt that comes once more would say "not run" of one that runs.
+    if (isShed(response) && attribution == Attribution::Missing && !firstOnSocket) {
+        return unusableResult(this->address + ": the refusal may belong to an earlier attempt");
+    }
     return answeredResult(response);
 }
 
@@ -197,6 +240,12 @@
     this->client.Post("/_control/cancel?attempt=" + attempt);
 }
 
+std::uint64_t BackendConnection::socketCount() const
+{
+    const Common::MutexLock lock(&this->mutex);
+    return this->socketsUsed;
+}
+
 bool BackendConnection::wasCancelled(const std::string &attempt) const
 {
     const Common::MutexLock lock(&this->mutex);
--- a/Source/Daemon/BackendConnection.h
+++ b/Source/Daemon/BackendConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -53,6 +54,8 @@
     void requestCancellation(const std::string &attempt);
     void replaceSocket(int descriptor);
     bool wasCancelled(const std::string &attempt) const;
+    /// Changes when a new socket is used.
+    std::uint64_t socketCount() const;
 
     std::string address;
     httplib::Client client;
@@ -62,6 +65,7 @@
     // Duplicate of the connection's socket. The library's stop() would wait for a connect that is
     // in progress, and the library may close its own descriptor at any time.
     int socket = -1;
+    std::uint64_t socketsUsed = 0;
 };
 
 } // namespace Currantfall::Daemon
