Bound the memory and time of responses without end

What callers would see: an entry VM that ends, with all its requests, because a server announces a body of bytes and sends the first of them at once; VMs over their memory limit because some servers send bodies without end; requests that wait until their deadline while a server sends interim or foreign responses.

Cause: Boost.Beast 1.74 forgets that the body limit was violated if it parses the head and the first bytes of the body in one step, and reserves the announced length (std::bad_alloc, which nobody catches). The limit was 64 MiB for each response, whatever the memory. Chunk headers and trailers had no limit, skipped responses had none in number.

The head is parsed in a step of its own. ResponseMemory limits one body to a tenth of the process's memory and all of them to a fifth, until the caller has got the response; when it is used up, the largest body that is still being read is given up. 16 responses are skipped, with 64 KiB of body; what can't be parsed yet is limited to 128 KiB; a health check reads 16 KiB. A copy of long request bodies is no longer made, and the other one is freed when it has been written.

--- a/Source/Entry/BackendPool.cpp
+++ b/Source/Entry/BackendPool.cpp
@@ -28,8 +28,15 @@
 // connection.
 constexpr double nonIdempotentKeepAliveFraction = 0.5;
 constexpr std::size_t maxIdleConnectionsPerServer = 8;
-constexpr std::uint64_t maxResponseBodyBytes = 64ULL * 1024 * 1024;
 constexpr std::uint32_t maxResponseHeaderBytes = 64 * 1024;
+// What a health check needs is in the status and the headers.
+constexpr std::uint64_t maxHealthBodyBytes = std::uint64_t { 16 } * 1024;
+// Interim responses and late responses to earlier requests that are skipped before the response to
+// a request. A connection has at most one late response for each earlier request, and few servers
+// send any; without a limit a server could send them until the deadline.
+constexpr int maxSkippedResponses = 16;
+// Larger bodies of skipped responses cost more than a new connection.
+constexpr std::uint64_t maxSkippedBodyBytes = std::uint64_t { 64 } * 1024;
 // Bounds the memory for the ids of a connection's requests.
 constexpr std::size_t maxRequestsPerConnection = 256;
 // Bodies up to this size fit into the socket buffers, so the request is written completely before
@@ -96,12 +103,22 @@
 }
 
 /// Writes a request concurrently with reading its response. Sets `written` on success.
-Task writeRequest(SharedConnection connection, std::shared_ptr<Adapter::HttpRequest> request,
+Task writeRequest(SharedConnection connection, std::shared_ptr<Exchange> exchange,
                   std::shared_ptr<bool> written)
 {
     IoError error;
-    co_await http::async_write(connection->stream, *request, awaitInto(error));
+    co_await http::async_write(connection->stream, exchange->request, awaitInto(error));
     *written = !error;
+    // The server may take long to respond; meanwhile the copy of the body is not needed.
+    std::string().swap(exchange->request.body());
+}
+
+ExchangeResult brokenResult(const std::string &detail)
+{
+    ExchangeResult result;
+    result.end = AttemptEnd::Broken;
+    result.detail = detail;
+    return result;
 }
 
 } // namespace
@@ -121,8 +138,9 @@
     }
 }
 
-BackendPool::BackendPool(boost::asio::io_context &context, Telemetry::MetricsRegistry &metrics)
-    : context(context), metrics(metrics)
+BackendPool::BackendPool(boost::asio::io_context &context, Telemetry::MetricsRegistry &metrics,
+                         std::size_t processBytes)
+    : context(context), metrics(metrics), memory(processBytes)
 { }
 
 SharedConnection BackendPool::takeIdle(const Exchange &exchange)
@@ -207,23 +225,63 @@
             });
 }
 
+boost::asio::awaitable<std::optional<std::string>>
+BackendPool::readOne(const Exchange &exchange, ResponseParser &parser,
+                     ResponseMemory::Reservation &body)
+{
+    const SharedConnection connection = exchange.connection;
+    const std::uint64_t bodyLimit
+            = exchange.healthCheck ? maxHealthBodyBytes : this->memory.maxBodyBytes();
+    parser.body_limit(bodyLimit);
+    parser.header_limit(maxResponseHeaderBytes);
+    if (exchange.request.method() == http::verb::head) {
+        parser.skip(true);
+    }
+    IoError error;
+    std::optional<bool> skipped;
+    while (!error && !parser.is_done()) {
+        // The library forgets a violation of the body limit if it parses the header and the first
+        // bytes of the body in one step, and then allocates memory for the announced length.
+        parser.eager(parser.is_header_done());
+        co_await http::async_read_some(connection->stream, connection->buffer, parser,
+                                       awaitInto(error));
+        const std::uint64_t bodyBytes = parser.get().body().size();
+        if (body.revoked() || !body.growTo(bodyBytes)) {
+            co_return "no memory for the response";
+        }
+        if (!skipped && parser.is_header_done() && !parser.is_done()) {
+            skipped = !belongsTo(exchange, Adapter::readBackend(parser.get()));
+        }
+        if (skipped.value_or(false)
+            && std::max(bodyBytes, parser.content_length_remaining().value_or(0))
+                       > maxSkippedBodyBytes) {
+            co_return "long response to another request";
+        }
+    }
+    if (error) {
+        co_return "read response: " + error.message();
+    }
+    co_return std::nullopt;
+}
+
 boost::asio::awaitable<ExchangeResult> BackendPool::readResponse(Exchange &exchange,
                                                                  std::shared_ptr<bool> written)
 {
     const SharedConnection connection = exchange.connection;
     bool reusable = true;
+    int responses = 0;
     while (true) {
-        http::response_parser<http::string_body> parser;
-        parser.body_limit(maxResponseBodyBytes);
-        parser.header_limit(maxResponseHeaderBytes);
-        if (exchange.request.method() == http::verb::head) {
-            parser.skip(true);
+        ResponseParser parser;
+        const auto body = this->memory.reserve([connection] { closeIgnoringErrors(*connection); });
+        if (const auto failure = co_await this->readOne(exchange, parser, *body)) {
+            this->metrics.addToCounter("currantfall_backend_responses_broken_total");
+            closeIgnoringErrors(*connection);
+            co_return brokenResult(*failure);
         }
-        IoError error;
-        co_await http::async_read(connection->stream, connection->buffer, parser, awaitInto(error));
-        if (error) {
+        if (++responses > maxSkippedResponses + 1) {
+            this->metrics.addToCounter("currantfall_backend_responses_broken_total");
             closeIgnoringErrors(*connection);
-            co_return failedResult(AttemptEnd::Broken, "read response", error);
+            co_return brokenResult("too many responses to other requests");
         }
         const bool bodyEndsAtClose = parser.need_eof();
         Adapter::HttpResponse response = parser.release();
@@ -237,9 +295,7 @@
             reusable = false;
             if (bodyEndsAtClose || !response.keep_alive()) {
                 closeIgnoringErrors(*connection);
-                result.end = AttemptEnd::Broken;
-                result.detail = "response to another request";
-                co_return result;
+                co_return brokenResult("response to another request");
             }
             continue;
         }
@@ -261,13 +317,16 @@
         } else {
             result.end = result.parsed.serverError ? AttemptEnd::ServerError : AttemptEnd::Answered;
         }
+        body->keep();
+        result.memory = body;
         result.response = std::move(response);
         co_return result;
     }
 }
 
-boost::asio::awaitable<ExchangeResult> BackendPool::sendAndReceive(Exchange &exchange)
+boost::asio::awaitable<ExchangeResult> BackendPool::sendAndReceive(std::shared_ptr<Exchange> shared)
 {
+    Exchange &exchange = *shared;
     IoError error;
     exchange.connection = this->takeIdle(exchange);
     if (!exchange.connection) {
@@ -290,8 +349,7 @@
     auto written = std::make_shared<bool>(false);
     if (exchange.request.body().size() > maxBodyBytesBeforeRead) {
         // The server may respond before it has read the whole body.
-        auto request = std::make_shared<Adapter::HttpRequest>(exchange.request);
-        boost::asio::co_spawn(this->context, writeRequest(connection, request, written),
+        boost::asio::co_spawn(this->context, writeRequest(connection, shared, written),
                               boost::asio::detached);
         co_return co_await this->readResponse(exchange, written);
     }
@@ -309,7 +367,7 @@
 
 boost::asio::awaitable<ExchangeResult> BackendPool::run(std::shared_ptr<Exchange> exchange)
 {
-    ExchangeResult result = co_await this->sendAndReceive(*exchange);
+    ExchangeResult result = co_await this->sendAndReceive(exchange);
     if (exchange->cancelled && result.end != AttemptEnd::Answered) {
         result.end = AttemptEnd::Abandoned;
     }
--- a/Source/Entry/BackendPool.h
+++ b/Source/Entry/BackendPool.h
@@ -7,11 +7,14 @@
 #include <string>
 #include <vector>
 
+#include <boost/beast/http/parser.hpp>
+
 #include "currantfall/Common/Time.h"
 #include "currantfall/Steering/ServerTable.h"
 #include "currantfall/Telemetry/MetricsRegistry.h"
 
 #include "Asio.h"
+#include "ResponseMemory.h"
 #include "platform/HttpMessages.h"
 
 namespace Currantfall::Entry {
@@ -21,8 +24,11 @@
 {
     explicit BackendConnection(boost::asio::io_context &context) : stream(context) { }
 
+    /// Bounds the bytes of a response that can't be parsed yet, such as a chunk's header.
+    static constexpr std::size_t maxUnparsedBytes = std::size_t { 128 } * 1024;
+
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer { maxUnparsedBytes };
     /// Hashes of the ids of all requests that were sent on this connection. A response can be
     /// attributed to a request only if no earlier one had the same id.
     std::vector<std::size_t> sentIds;
@@ -66,6 +72,8 @@
     Steering::AttemptEnd end = Steering::AttemptEnd::Unreachable;
     std::optional<Adapter::HttpResponse> response;
     Adapter::BackendResponse parsed;
+    /// Memory of the response's body.
+    ResponseMemory::SharedReservation memory;
     std::string detail;
 };
 
@@ -73,7 +81,9 @@
 class BackendPool
 {
 public:
-    BackendPool(boost::asio::io_context &context, Telemetry::MetricsRegistry &metrics);
+    /// `processBytes` is the memory that the process may use.
+    BackendPool(boost::asio::io_context &context, Telemetry::MetricsRegistry &metrics,
+                std::size_t processBytes);
 
     /// Sends the request and reads the whole response.
     boost::asio::awaitable<ExchangeResult> run(std::shared_ptr<Exchange> exchange);
@@ -87,6 +97,8 @@
     /// Closes connections that have been idle for too long.
     void advance(Common::Instant now);
 
+    ResponseMemory &responseMemory() { return this->memory; }
+
 private:
     SharedConnection takeIdle(const Exchange &exchange);
     boost::asio::awaitable<SharedConnection> connect(Exchange &exchange, IoError &error);
@@ -94,10 +106,15 @@
                  absl::Duration keepAliveTimeout);
     boost::asio::awaitable<ExchangeResult> readResponse(Exchange &exchange,
                                                         std::shared_ptr<bool> written);
-    boost::asio::awaitable<ExchangeResult> sendAndReceive(Exchange &exchange);
+    using ResponseParser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+    /// Reads one response. Returns why the response can't be used, or nothing if it is complete.
+    boost::asio::awaitable<std::optional<std::string>>
+    readOne(const Exchange &exchange, ResponseParser &parser, ResponseMemory::Reservation &body);
+    boost::asio::awaitable<ExchangeResult> sendAndReceive(std::shared_ptr<Exchange> exchange);
 
     boost::asio::io_context &context;
     Telemetry::MetricsRegistry &metrics;
+    ResponseMemory memory;
     std::map<Common::BackendServerName, std::vector<SharedConnection>> idleConnections;
 };
 
--- a/Source/Entry/CallerListener.cpp
+++ b/Source/Entry/CallerListener.cpp
@@ -200,6 +200,8 @@
     }
     // Cancel watchForDisconnect().
     stream.socket().cancel(error);
+    const auto responseMemory
+            = this->steering.pool().responseMemory().reserveComplete(response->body().size());
     const bool keepAlive = request.keep_alive() && !this->keepAliveDisabled;
     const bool keptOpen = co_await this->respond(stream, std::move(*response), keepAlive,
                                                  request.method() == http::verb::head);
--- a/Source/Entry/RequestSteering.cpp
+++ b/Source/Entry/RequestSteering.cpp
@@ -45,7 +45,7 @@
     : context(context), settings(settings), log(log), metrics(metrics), fleetOutcomes(settings.vm),
       serverSelector({ settings.vm, settings.zone, settings.region, settings.zones, settings.cold },
                      this->table, this->fleetOutcomes),
-      backendPool(context, metrics), random(std::random_device()())
+      backendPool(context, metrics, settings.memoryBytes), random(std::random_device()())
 { }
 
 void RequestSteering::setConfiguration(
--- a/Source/UnitTests/Entry/BackendPoolTest.cpp
+++ b/Source/UnitTests/Entry/BackendPoolTest.cpp
@@ -88,6 +88,71 @@
     } };
 };
 
+/// Answers one request with `start`, and with `block` again and again until the caller closes.
+struct EndlessBackend
+{
+    EndlessBackend(std::string start, std::string block)
+        : backend([this, start = std::move(start),
+                   block = std::move(block)](ScriptedConnection &connection) {
+              if (connection.readRequest().empty()) {
+                  return;
+              }
+              connection.write(start);
+              // Ends without the caller as well, so that a missing limit fails the test and not the
+              // machine.
+              while (this->sent < maxSent && !connection.closedWithin(0)) {
+                  connection.write(block);
+                  this->sent += block.size();
+              }
+          })
+    { }
+
+    static constexpr std::size_t maxSent = std::size_t { 160 } * 1024 * 1024;
+
+    std::atomic<std::size_t> sent { 0 };
+    ScriptedBackend backend;
+};
+
+struct EndlessResponse
+{
+    std::string name;
+    std::string start;
+    std::string block;
+};
+
+std::vector<EndlessResponse> endlessResponses()
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nServer-Seal: s\r\n";
+    const std::string block(std::size_t { 64 } * 1024, 'x');
+    const std::string chunk = "10000\r\n" + block + "\r\n";
+    std::string interim;
+    std::string stale;
+    for (int repeat = 0; repeat < 100; ++repeat) {
+        interim += "HTTP/1.1 100 Continue\r\n\r\n";
+        stale += "HTTP/1.1 200 OK\r\nRequest-Id: id-0\r\nServer-Seal: s\r\nContent-Length: "
+                 "2\r\n\r\nno";
+    }
+    const std::string staleStart = "HTTP/1.1 200 OK\r\nRequest-Id: id-0\r\nServer-Seal: s\r\n";
+    return {
+        { "bytes without a line", "", block },
+        { "a header line", "HTTP/1.1 200 OK\r\nX-Long: ", block },
+        { "header fields", "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n" + block + "\r\n" },
+        { "interim responses", "", interim },
+        { "responses to another request", "", stale },
+        { "a body of another response", staleStart + "Transfer-Encoding: chunked\r\n\r\n", chunk },
+        { "a body with a length", ok + "Content-Length: 1000000000000\r\n\r\n", block },
+        { "a body in chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", chunk },
+        { "a body until the connection ends", ok + "\r\n", block },
+        { "a chunk's header", ok + "Transfer-Encoding: chunked\r\n\r\n1;x=", block },
+        { "trailer fields", ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Field: value\r\n" }
+    };
+}
+
+std::size_t memoryLimit(const PoolFixture &fixture)
+{
+    return fixture.steering.settings.memoryBytes / 5;
+}
+
 } // namespace
 
 // Guards against "not run" for a request that runs, because an earlier refusal came once more.
@@ -209,3 +274,99 @@
     CHECK(end != AttemptEnd::NotExecuted);
     CHECK((status != "200 OK" || end == AttemptEnd::Broken));
 }
+
+// Guards against servers whose bytes never end: they must not take the memory of the VM, its time
+// until the deadline, or look like a success.
+TEST_CASE("Bytes without end are no response and end early")
+{
+    const EndlessResponse endless = GENERATE(from_range(endlessResponses()));
+    INFO(endless.name);
+    EndlessBackend server(endless.start, endless.block);
+    PoolFixture fixture;
+    const auto exchange = fixture.exchange(server.backend, "id-1");
+    exchange->deadline = Common::monotonicNow() + absl::Seconds(30);
+    const ExchangeResult result = fixture.run(exchange);
+    INFO(result.detail);
+    CHECK(result.end == AttemptEnd::Broken);
+    CHECK_FALSE(result.response);
+    CHECK(Common::monotonicNow() < exchange->deadline);
+    CHECK(fixture.steering.steering.pool().responseMemory().used() == 0);
+    // The limit of one body, and what the buffers of both sockets hold.
+    CHECK(server.sent
+          < fixture.steering.settings.memoryBytes / 10 + std::size_t { 16 } * 1024 * 1024);
+    // Not kept for another request.
+    CHECK(exchange->connection->stream.socket().is_open() == false);
+}
+
+// Guards against several such servers that together exceed the memory of the VM, or that keep
+// others from answering.
+TEST_CASE("Several responses without end leave room for the responses of other servers")
+{
+    const std::string start = "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nServer-Seal: s\r\n\r\n";
+    const std::string block(std::size_t { 64 } * 1024, 'x');
+    std::vector<std::unique_ptr<EndlessBackend>> servers;
+    PoolFixture fixture;
+    std::size_t ended = 0;
+    for (int server = 0; server < 8; ++server) {
+        servers.push_back(std::make_unique<EndlessBackend>(start, block));
+        const auto exchange = fixture.exchange(servers.back()->backend, "id-1");
+        exchange->server.name = Common::BackendServerName("e-" + std::to_string(server));
+        boost::asio::co_spawn(
+                fixture.steering.context,
+                [](PoolFixture &fixture, std::shared_ptr<Exchange> exchange,
+                   std::size_t &ended) -> Task {
+                    const auto result = co_await fixture.steering.steering.pool().run(exchange);
+                    ended += result.end == AttemptEnd::Broken ? 1 : 0;
+                }(fixture, exchange, ended),
+                boost::asio::detached);
+    }
+    const std::string large(std::size_t { 5 } * 1024 * 1024, 'y');
+    ScriptedBackend good([&large](ScriptedConnection &connection) {
+        connection.write(answerTo(connection.readRequest(), large));
+        connection.closedWithin(5000);
+    });
+    const std::string small(std::size_t { 60 } * 1024, 'z');
+    ScriptedBackend quick([&small](ScriptedConnection &connection) {
+        connection.write(answerTo(connection.readRequest(), small));
+        connection.closedWithin(5000);
+    });
+    std::size_t peak = 0;
+    bool smallAnswered = false;
+    const auto quickExchange = fixture.exchange(quick, "id-2");
+    quickExchange->server.name = Common::BackendServerName("q");
+    boost::asio::co_spawn(
+            fixture.steering.context,
+            [](PoolFixture &fixture, std::shared_ptr<Exchange> exchange, bool &answered) -> Task {
+                const auto result = co_await fixture.steering.steering.pool().run(exchange);
+                answered = result.end == AttemptEnd::Answered;
+            }(fixture, quickExchange, smallAnswered),
+            boost::asio::detached);
+    fixture.steering.context.restart();
+    while (ended < servers.size() && fixture.steering.context.run_one() > 0) {
+        peak = std::max(peak, fixture.steering.steering.pool().responseMemory().used());
+    }
+    CHECK(ended == servers.size());
+    fixture.steering.runFor(absl::Milliseconds(100));
+    CHECK(smallAnswered);
+    CHECK(peak <= memoryLimit(fixture) + small.size());
+    // A large legitimate response passes.
+    const ExchangeResult result = fixture.run(fixture.exchange(good, "id-1"));
+    CHECK(result.end == AttemptEnd::Answered);
+    REQUIRE(result.response);
+    CHECK(result.response->body() == large);
+}
+
+// Guards against health checks that read as much as a response to a caller.
+TEST_CASE("A health check reads a small body only")
+{
+    const std::size_t bodyBytes = GENERATE(std::size_t { 1000 }, std::size_t { 100'000 });
+    ScriptedBackend backend([bodyBytes](ScriptedConnection &connection) {
+        const std::string request = connection.readRequest();
+        connection.write(
+                responseTo(request, "200 OK", "Instance-Id: i-1\r\n", std::string(bodyBytes, 'x')));
+        connection.closedWithin(1000);
+    });
+    PoolFixture fixture;
+    const AttemptEnd end = fixture.run(fixture.healthCheck(backend)).end;
+    CHECK(end == (bodyBytes == 1000 ? AttemptEnd::Answered : AttemptEnd::Broken));
+}
--- a/Source/UnitTests/Entry/RequestSteeringTest.cpp
+++ b/Source/UnitTests/Entry/RequestSteeringTest.cpp
@@ -258,6 +258,36 @@
     CHECK(requests == 2);
 }
 
+// Guards against an announced length for which memory is allocated, which ends the process, and
+// against bodies above the limit.
+TEST_CASE("A response that announces a huge body is not read")
+{
+    const std::string length = GENERATE("1000000000000", "100000000", "18446744073709551615",
+                                        "18446744073709551616", "-1");
+    INFO(length);
+    std::atomic<int> runs { 0 };
+    const auto script = [&](ScriptedConnection &connection) {
+        const std::string request = connection.readRequest();
+        if (request.empty()) {
+            return;
+        }
+        ++runs;
+        connection.write("HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nServer-Seal: s\r\nContent-Length: "
+                         + length + "\r\n\r\nthe first bytes");
+        connection.closedWithin(1000);
+    };
+    ScriptedBackend first(script);
+    ScriptedBackend second(script);
+    SteeringFixture fixture;
+    fixture.addServer("i-1", first.port());
+    fixture.addServer("i-2", second.port());
+    const auto response = fixture.run(SteeringFixture::request("/write/1"));
+    REQUIRE(response);
+    CHECK(response->result_int() == 502);
+    CHECK(runs == 1);
+    fixture.runFor(absl::Milliseconds(20));
+}
+
 TEST_CASE("A server that can't be reached has not run the request")
 {
     std::uint16_t closedPort = 0;
