--- a/Source/Entry/StoreSync.cpp
+++ b/Source/Entry/StoreSync.cpp
@@ -16,6 +16,9 @@
 // later than at the last relayed update.
 constexpr absl::Duration minConfirmationAdvance = absl::Milliseconds(300);
 
+// Interval between log lines about discarded updates of one table.
+constexpr absl::Duration discardLogInterval = absl::Seconds(1);
+
 std::uint32_t toMilliseconds(absl::Duration duration)
 {
     return static_cast<std::uint32_t>(
@@ -146,6 +149,7 @@
         return;
     }
     state.needsFullRead = false;
+    this->noteEra(state, *result);
     this->apply(state, *result, std::nullopt, now);
 }
 
@@ -164,6 +168,49 @@
     this->log.important(reachable ? "dependency_regained" : "dependency_lost", std::move(fields));
 }
 
+void StoreSync::noteEra(State &state, const Steering::TableUpdate &update)
+{
+    if (!update.era || update.era == state.era) {
+        return;
+    }
+    if (state.era) {
+        this->metrics.addToCounter("currantfall_store_era_changes_total",
+                                   { { "table", state.table.name } });
+        this->log.important("store_era_changed", { { "table", state.table.name },
+                                                   { "old_era", *state.era },
+                                                   { "era", *update.era },
+                                                   { "old_version", state.replica.version() },
+                                                   { "version", update.to } });
+    }
+    state.era = update.era;
+}
+
+void StoreSync::noteDiscarded(State &state, const Steering::TableUpdate &update,
+                              const std::optional<Source> &source, Common::Instant now)
+{
+    this->metrics.addToCounter(
+            "currantfall_store_updates_discarded_total",
+            { { "table", state.table.name }, { "source", source ? "peer" : "store" } });
+    // Peers' confirmations that were overtaken on their way are usual.
+    if (source && update.rows.empty()) {
+        return;
+    }
+    ++state.discarded;
+    if (now - state.discardLoggedAt < discardLogInterval) {
+        return;
+    }
+    this->log.important("store_update_discarded",
+                        { { "table", state.table.name },
+                          { "source", source ? source->peer.value() : "" },
+                          { "complete", update.complete },
+                          { "rows", update.rows.size() },
+                          { "version", update.to },
+                          { "own_version", state.replica.version() },
+                          { "count", state.discarded } });
+    state.discardLoggedAt = now;
+    state.discarded = 0;
+}
+
 void StoreSync::apply(State &state, const Steering::TableUpdate &update,
                       const std::optional<Source> &source, Common::Instant now)
 {
@@ -180,6 +227,9 @@
         request.version = versionBefore;
         this->hooks.send(source->peer, toBody(std::move(request)));
     }
+    if (outcome.status == Steering::TableReplica::Status::Stale) {
+        this->noteDiscarded(state, update, source, now);
+    }
     if (outcome.status != Steering::TableReplica::Status::Applied) {
         return;
     }
--- a/Source/Entry/StoreSync.h
+++ b/Source/Entry/StoreSync.h
@@ -70,6 +70,11 @@
         std::unique_ptr<StoreWorker> worker;
         bool needsFullRead = true;
         bool reachable = true;
+        /// Latest era that the store stated.
+        std::optional<Steering::StoreEra> era;
+        /// Discarded updates since the last log line about them.
+        std::uint64_t discarded = 0;
+        Common::Instant discardLoggedAt = Common::Instant::fromOrigin(-absl::InfiniteDuration());
         Common::Instant requestedAt = Common::Instant::fromOrigin(-absl::InfiniteDuration());
         Common::Instant relayedAt = Common::Instant::fromOrigin(-absl::InfiniteDuration());
     };
@@ -91,6 +96,11 @@
     /// confirmation of the version only to peers that are not among its recipients.
     void relay(const State &state, const Steering::TableUpdate &update,
                const std::optional<Source> &source, Common::Instant now) const;
+    /// Logs and counts a change of the store's era.
+    void noteEra(State &state, const Steering::TableUpdate &update);
+    /// Logs and counts an update that was discarded because the replica is newer.
+    void noteDiscarded(State &state, const Steering::TableUpdate &update,
+                       const std::optional<Source> &source, Common::Instant now);
     /// Logs when the store becomes unreachable or reachable again.
     void updateReachability(State &state, const StoreResult &result);
 
--- a/Source/Entry/StoreWorker.cpp
+++ b/Source/Entry/StoreWorker.cpp
@@ -38,8 +38,8 @@
         std::string firstKey;
         bool firstPage = true;
         while (true) {
-            const auto page
-                    = this->read(Adapter::rowsTarget(call.table, firstKey), responseTimeout);
+            const auto page = this->read(Adapter::rowsTarget(call.table, firstKey), responseTimeout,
+                                         update.era);
             if (!page) {
                 return tl::unexpected(page.error());
             }
@@ -63,7 +63,7 @@
         update.confirmedAt = Common::monotonicNow();
         const auto page
                 = this->read(Adapter::changesTarget(call.table, call.after, call.longPollTimeout),
-                             call.longPollTimeout + responseTimeout);
+                             call.longPollTimeout + responseTimeout, update.era);
         if (!page) {
             return tl::unexpected(page.error());
         }
@@ -90,7 +90,9 @@
     }
 
 private:
-    Common::Result<Adapter::RowPage> read(const std::string &target, absl::Duration timeout)
+    /// Reads one page, and the era of the answer into `era`.
+    Common::Result<Adapter::RowPage> read(const std::string &target, absl::Duration timeout,
+                                          std::optional<Steering::StoreEra> &era)
     {
         this->client.set_read_timeout(absl::ToChronoMicroseconds(timeout));
         const Common::Instant start = Common::monotonicNow();
@@ -98,6 +100,7 @@
         if (const auto checked = this->checkResponse(answer, "read store"); !checked) {
             return tl::unexpected(checked.error());
         }
+        era = Adapter::readEra(answer->get_header_value(Adapter::eraHeader));
         return Adapter::readRows(answer->body, start);
     }
 
--- a/Source/UnitTests/Steering/TableReplicaTest.cpp
+++ b/Source/UnitTests/Steering/TableReplicaTest.cpp
@@ -22,13 +22,13 @@
 
 TableUpdate complete(StoreVersion version, std::vector<RowChange> rows, int confirmed = 0)
 {
-    return { 0, version, true, at(confirmed), std::move(rows) };
+    return { 0, version, true, {}, at(confirmed), std::move(rows) };
 }
 
 TableUpdate changes(StoreVersion from, StoreVersion to, std::vector<RowChange> rows,
                     int confirmed = 0)
 {
-    return { from, to, false, at(confirmed), std::move(rows) };
+    return { from, to, false, {}, at(confirmed), std::move(rows) };
 }
 
 } // namespace
--- a/include/currantfall/Steering/TableReplica.h
+++ b/include/currantfall/Steering/TableReplica.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,6 +13,9 @@
 
 /// Version of the platform's store. Increases with every transaction.
 using StoreVersion = std::uint64_t;
+/// Number of times that the store has returned from an older copy of itself. Versions increase only
+/// within one era.
+using StoreEra = std::uint64_t;
 
 /// A row that was written or deleted.
 struct RowChange
@@ -34,6 +38,8 @@
     StoreVersion to = 0;
     /// Whether `rows` contains all rows of the table instead of changes.
     bool complete = false;
+    /// Era that the store stated, if this is one of its answers and states one.
+    std::optional<StoreEra> era;
     /// The table was at `to` at this time or later.
     Common::Instant confirmedAt;
     std::vector<RowChange> rows;
