--- a/Source/Entry/EntryDaemonRows.cpp
+++ b/Source/Entry/EntryDaemonRows.cpp
@@ -41,7 +41,7 @@
         if (const auto zone = Adapter::evacuatedZone(row.key)) {
             this->log.important("evacuation", { { "zone", zone->value() },
                                                 { "in_force", !row.deleted },
-                                                { "version", row.version } });
+                                                { "version", row.position.version() } });
         }
     }
     this->steering.selector().setEvacuatedZones(std::move(evacuated), Common::monotonicNow());
@@ -88,11 +88,11 @@
 void EntryDaemon::noteIgnoredVmRow(const Steering::RowChange &row, const Common::Error &reason)
 {
     // All rows are read at each change of one of them.
-    Steering::StoreVersion &noted = this->ignoredVmRows[row.key];
-    if (noted == row.version) {
+    Steering::StorePosition &noted = this->ignoredVmRows[row.key];
+    if (noted == row.position) {
         return;
     }
-    noted = row.version;
+    noted = row.position;
     this->metrics.addToCounter("currantfall_store_rows_ignored_total", { { "table", vmTable } });
     if (this->log.admits()) {
         this->log.write("vm_row_ignored", Common::errorFields(reason));
--- a/Source/Entry/ServerRows.cpp
+++ b/Source/Entry/ServerRows.cpp
@@ -65,7 +65,7 @@
                                         { "zone", server->zone.value() },
                                         { "draining", server->draining },
                                         { "cold_ms", absl::ToInt64Milliseconds(server->coldFor) },
-                                        { "version", row.version } });
+                                        { "version", row.position.version() } });
     }
     return changesForPeers;
 }
--- a/Source/UnitTests/Entry/ServerRowsTest.cpp
+++ b/Source/UnitTests/Entry/ServerRowsTest.cpp
@@ -19,7 +19,7 @@
 Steering::RowChange row(const std::string &key, const std::string &value,
                         Steering::StoreVersion version)
 {
-    return { key, value, version, false, Common::monotonicNow() };
+    return { key, value, Steering::StorePosition(0, version), false, Common::monotonicNow() };
 }
 
 struct Fixture
@@ -82,7 +82,7 @@
     peer.rows.apply({ row("i-2", entry(), 4) });
     const auto changes = relaying.rows.apply({ row("i-2", odd, 5) });
     REQUIRE(changes.size() == 1);
-    CHECK(changes.front().version == 5);
+    CHECK(changes.front().position.version() == 5);
     CHECK(changes.front().value.empty());
     peer.rows.apply(changes);
     CHECK_FALSE(peer.knows("i-2"));
