Hold what backend servers say about themselves

Servers may announce in a response that they leave, and ask for no requests for some time when they refuse one. ServerNotice interprets the two headers: every missing, repeated, negative, fractional, huge or textual value has a defined meaning. ServerNotices holds the notices for each incarnation of a server and answers whether it may be used, may be used only as a last resort, or not at all. Nothing uses it yet.

--- /dev/null
+++ b/Source/Core/Steering/ServerNotices.cpp
@@ -0,0 +1,184 @@
+#include "currantfall/Steering/ServerNotices.h"
+
+#include <algorithm>
+
+namespace Currantfall::Steering {
+
+namespace {
+
+// Time after a pause in which requests are sent at a limited rate: the server asked for the pause
+// because it was overloaded.
+constexpr absl::Duration returnPeriod = absl::Seconds(1);
+constexpr absl::Duration returnSendInterval = absl::Milliseconds(100);
+// Time for which the notices of a removed server are kept. Entries that expired while the store
+// was unavailable are listed again within seconds of its return.
+constexpr absl::Duration removedRetention = absl::Minutes(10);
+// Maximum number of removed servers with notices. Listed servers are bounded by the store.
+constexpr std::size_t maxRemovedEntries = 1024;
+// Requests in flight at the start of a pause are refused with about the same end.
+constexpr absl::Duration minReportedExtension = absl::Seconds(1);
+
+} // namespace
+
+void ServerNotices::setDrainTime(absl::Duration time)
+{
+    if (time != this->drainTime) {
+        this->drainTime = time;
+        ++this->generationCount;
+    }
+}
+
+NoticeEffect ServerNotices::apply(const ServerIncarnation &server, const ServerNotice &notice,
+                                  Common::Instant now)
+{
+    NoticeEffect effect;
+    if (!notice.leaving() && notice.pause() <= absl::ZeroDuration()) {
+        return effect;
+    }
+    const auto known = this->notices.find(server.name);
+    if (known != this->notices.end() && known->second.startTime > server.startTime) {
+        return effect;
+    }
+    if (known != this->notices.end() && known->second.startTime < server.startTime) {
+        this->notices.erase(known);
+    }
+    Entry &entry = this->notices[server.name];
+    entry.startTime = server.startTime;
+    if (notice.leaving() && !entry.leavingSince) {
+        entry.leavingSince = now;
+        effect.leavingStarted = true;
+    }
+    const Common::Instant pauseEnd = now + notice.pause();
+    if (notice.pause() > absl::ZeroDuration() && pauseEnd > entry.pausedUntil) {
+        effect.pauseStarted = now >= entry.pausedUntil;
+        effect.pauseExtended
+                = !effect.pauseStarted && pauseEnd - entry.pausedUntil > minReportedExtension;
+        entry.pausedUntil = pauseEnd;
+    }
+    ++this->generationCount;
+    return effect;
+}
+
+const ServerNotices::Entry *ServerNotices::find(const ServerIncarnation &server) const
+{
+    const auto found = this->notices.find(server.name);
+    return found == this->notices.end() || found->second.startTime != server.startTime
+                   ? nullptr
+                   : &found->second;
+}
+
+ServerUse ServerNotices::useOf(const Entry &entry, Common::Instant now) const
+{
+    if (now < entry.pausedUntil) {
+        return ServerUse::None;
+    }
+    if (!entry.leavingSince) {
+        return ServerUse::Unrestricted;
+    }
+    return now < *entry.leavingSince + this->drainTime ? ServerUse::LastResort : ServerUse::None;
+}
+
+ServerUse ServerNotices::use(const ServerIncarnation &server, Common::Instant now) const
+{
+    const Entry *entry = this->find(server);
+    return entry == nullptr ? ServerUse::Unrestricted : this->useOf(*entry, now);
+}
+
+Common::Instant ServerNotices::usableFrom(const ServerIncarnation &server,
+                                          Common::Instant now) const
+{
+    const Entry *entry = this->find(server);
+    if (entry == nullptr) {
+        return now;
+    }
+    const Common::Instant returns = std::max(now, entry->pausedUntil);
+    return this->useOf(*entry, returns) == ServerUse::None ? Common::Instant::infinite() : returns;
+}
+
+Common::Instant ServerNotices::nextSendTime(const ServerIncarnation &server,
+                                            Common::Instant lastSent, Common::Instant now) const
+{
+    const Entry *entry = this->find(server);
+    if (entry == nullptr || now >= entry->pausedUntil + returnPeriod) {
+        return now;
+    }
+    return std::max({ now, entry->pausedUntil, lastSent + returnSendInterval });
+}
+
+void ServerNotices::advance(const ServerTable &servers, Common::Instant now)
+{
+    std::size_t removedCount = 0;
+    for (auto each = this->notices.begin(); each != this->notices.end();) {
+        Entry &entry = each->second;
+        const ServerRecord *record = servers.find(each->first);
+        const bool replaced = record != nullptr && record->server().startTime > entry.startTime;
+        if (record != nullptr) {
+            entry.removedAt.reset();
+        } else if (!entry.removedAt) {
+            entry.removedAt = now;
+        }
+        const bool pauseOver = now >= entry.pausedUntil + returnPeriod;
+        const bool expired = pauseOver
+                             && (!entry.leavingSince
+                                 || (entry.removedAt && now - *entry.removedAt > removedRetention));
+        if (replaced || expired) {
+            each = this->notices.erase(each);
+            continue;
+        }
+        removedCount += entry.removedAt ? 1 : 0;
+        ++each;
+    }
+    for (; removedCount > maxRemovedEntries; --removedCount) {
+        this->discardOldestRemoved();
+    }
+}
+
+void ServerNotices::discardOldestRemoved()
+{
+    auto oldest = this->notices.end();
+    for (auto each = this->notices.begin(); each != this->notices.end(); ++each) {
+        if (each->second.removedAt
+            && (oldest == this->notices.end()
+                || *each->second.removedAt < *oldest->second.removedAt)) {
+            oldest = each;
+        }
+    }
+    if (oldest != this->notices.end()) {
+        this->notices.erase(oldest);
+    }
+}
+
+NoticeSummary ServerNotices::summary(Common::Instant now) const
+{
+    NoticeSummary result;
+    for (const auto &[name, entry] : this->notices) {
+        if (entry.removedAt) {
+            continue;
+        }
+        result.leaving += entry.leavingSince ? 1 : 0;
+        if (now < entry.pausedUntil) {
+            ++result.pausing;
+            result.longestPause = std::max(result.longestPause, entry.pausedUntil - now);
+        }
+    }
+    return result;
+}
+
+Common::Instant ServerNotices::nextChange(Common::Instant now) const
+{
+    Common::Instant next = Common::Instant::infinite();
+    const auto consider = [&next, now](Common::Instant time) {
+        if (time > now) {
+            next = std::min(next, time);
+        }
+    };
+    for (const auto &[name, entry] : this->notices) {
+        consider(entry.pausedUntil);
+        if (entry.leavingSince) {
+            consider(*entry.leavingSince + this->drainTime);
+        }
+    }
+    return next;
+}
+
+} // namespace Currantfall::Steering
--- a/Source/Core/Steering/ServerTable.cpp
+++ b/Source/Core/Steering/ServerTable.cpp
@@ -251,6 +251,12 @@
     return found == this->records.end() ? nullptr : &found->second;
 }
 
+const ServerRecord *ServerTable::find(const Common::BackendServerName &name) const
+{
+    const auto found = this->records.find(name);
+    return found == this->records.end() ? nullptr : &found->second;
+}
+
 const std::vector<ServerRecord *> &ServerTable::ofService(const Common::ServiceName &service) const
 {
     static const std::vector<ServerRecord *> none;
--- /dev/null
+++ b/Source/UnitTests/Steering/ServerNoticesTest.cpp
@@ -0,0 +1,270 @@
+#include "currantfall/Steering/ServerNotices.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+using namespace Currantfall::Steering;
+using namespace Currantfall::Common;
+
+namespace {
+
+constexpr absl::Duration drainTime = absl::Seconds(2);
+
+Instant at(int milliseconds)
+{
+    return Instant::fromOrigin(absl::Milliseconds(milliseconds));
+}
+
+ServerNotice leaving()
+{
+    return ServerNotice::read({ "1" }, {}, false);
+}
+
+ServerNotice pause(const std::string &seconds)
+{
+    return ServerNotice::read({}, { seconds }, true);
+}
+
+ServerIncarnation incarnation(const std::string &name, int startTime = 1)
+{
+    return { BackendServerName(name), absl::FromUnixMillis(startTime) };
+}
+
+BackendServer listed(const ServerIncarnation &server)
+{
+    BackendServer result;
+    result.name = server.name;
+    result.service = ServiceName("slotview");
+    result.zone = ZoneName("a");
+    result.startTime = server.startTime;
+    return result;
+}
+
+} // namespace
+
+// Guards against crashes and undefined pauses caused by invalid header values.
+TEST_CASE("Every form of a pause header has a defined meaning")
+{
+    using Values = std::vector<std::string>;
+    const auto [values, expected, malformed] = GENERATE(table<Values, absl::Duration, bool>({
+            { {}, absl::ZeroDuration(), false },
+            { { "3" }, absl::Seconds(3), false },
+            { { "0" }, absl::ZeroDuration(), false },
+            { { "0.25" }, absl::Milliseconds(250), false },
+            { { " 2 " }, absl::Seconds(2), false },
+            { { "2", "5", "1" }, absl::Seconds(5), false },
+            { { "2, 5" }, absl::Seconds(5), false },
+            { { "86400" }, absl::Hours(24), false },
+            { { "99999999999999999999999" }, absl::InfiniteDuration(), false },
+            { { std::string(400, '9') }, absl::InfiniteDuration(), false },
+            { { "0." + std::string(400, '0') + "1" }, absl::ZeroDuration(), false },
+            { { "-1" }, absl::ZeroDuration(), true },
+            { { "" }, absl::ZeroDuration(), true },
+            { { "soon" }, absl::ZeroDuration(), true },
+            { { "1e3" }, absl::ZeroDuration(), true },
+            { { "inf" }, absl::ZeroDuration(), true },
+            { { "nan" }, absl::ZeroDuration(), true },
+            { { "0x10" }, absl::ZeroDuration(), true },
+            { { "4 s" }, absl::ZeroDuration(), true },
+            { { "Fri, 31 Dec 1999 23:59:59 GMT" }, absl::ZeroDuration(), true },
+            { { "soon", "4" }, absl::Seconds(4), true },
+    }));
+    INFO((values.empty() ? std::string("no value") : values.front()));
+    const ServerNotice notice = ServerNotice::read({}, values, true);
+    CHECK(notice.pause() == expected);
+    CHECK(notice.malformed().empty() != malformed);
+    CHECK_FALSE(notice.leaving());
+}
+
+// Guards against pauses that no server asked for: only a 503 response starts one.
+TEST_CASE("A pause header of a response that is not a 503 is ignored")
+{
+    CHECK(ServerNotice::read({}, { "3" }, false) == ServerNotice());
+}
+
+TEST_CASE("Every form of a leaving header has a defined meaning")
+{
+    using Values = std::vector<std::string>;
+    const auto [values, expected, malformed] = GENERATE(table<Values, bool, bool>({
+            { {}, false, false },
+            { { "1" }, true, false },
+            { { "1", "1" }, true, false },
+            { { "0" }, false, false },
+            { { "0", "1" }, true, false },
+            { { "" }, true, true },
+            { { "true" }, true, true },
+    }));
+    const ServerNotice notice = ServerNotice::read(values, {}, false);
+    CHECK(notice.leaving() == expected);
+    CHECK(notice.malformed().empty() != malformed);
+}
+
+// Guards against log lines as long as a server's headers, and against bytes that break the log.
+TEST_CASE("Reported header values are short and printable")
+{
+    const std::string value = "\xff\n" + std::string(10000, 'x');
+    const ServerNotice notice = ServerNotice::read({ value, value }, { value }, true);
+    CHECK(notice.malformed().size() <= 64);
+    CHECK(notice.malformed().find('\n') == std::string::npos);
+    CHECK(notice.malformed().find('\xff') == std::string::npos);
+    CHECK(notice.leaving());
+}
+
+// Guards against requests that reach a server after its drain time.
+TEST_CASE("A leaving server is used as a last resort until its drain time is over")
+{
+    ServerNotices notices(drainTime);
+    const ServerIncarnation server = incarnation("s1");
+    CHECK(notices.use(server, at(0)) == ServerUse::Unrestricted);
+    CHECK(notices.apply(server, leaving(), at(100)).leavingStarted);
+    CHECK(notices.use(server, at(100)) == ServerUse::LastResort);
+    // Later notices do not prolong the drain time.
+    CHECK(notices.apply(server, leaving(), at(1500)) == NoticeEffect());
+    CHECK(notices.use(server, at(2099)) == ServerUse::LastResort);
+    CHECK(notices.use(server, at(2100)) == ServerUse::None);
+    CHECK(notices.usableFrom(server, at(2100)) == Instant::infinite());
+    CHECK(notices.use(incarnation("s2"), at(2100)) == ServerUse::Unrestricted);
+    notices.setDrainTime(absl::Seconds(1));
+    CHECK(notices.use(server, at(1100)) == ServerUse::None);
+}
+
+// Guards against requests during a pause, and against a shorter pause that ends a longer one.
+TEST_CASE("A pausing server is not used until the longest pause ends")
+{
+    ServerNotices notices(drainTime);
+    const ServerIncarnation server = incarnation("s1");
+    CHECK(notices.apply(server, pause("3"), at(100)).pauseStarted);
+    CHECK(notices.apply(server, pause("1"), at(200)) == NoticeEffect());
+    CHECK(notices.use(server, at(3099)) == ServerUse::None);
+    CHECK(notices.usableFrom(server, at(1000)) == at(3100));
+    CHECK(notices.nextChange(at(1000)) == at(3100));
+    CHECK(notices.use(server, at(3100)) == ServerUse::Unrestricted);
+    CHECK(notices.apply(server, ServerNotice(), at(4000)) == NoticeEffect());
+}
+
+// Guards against a pause of hours that is not reported because a short one is in progress, and
+// against a report for each request that was in flight.
+TEST_CASE("A pause is reported at its start and when it becomes longer")
+{
+    ServerNotices notices(drainTime);
+    const ServerIncarnation server = incarnation("s1");
+    CHECK(notices.apply(server, pause("3"), at(0)) == NoticeEffect { false, true, false });
+    CHECK(notices.apply(server, pause("3"), at(50)) == NoticeEffect());
+    CHECK(notices.usableFrom(server, at(100)) == at(3050));
+    CHECK(notices.apply(server, pause("7200"), at(100)) == NoticeEffect { false, false, true });
+    CHECK(notices.usableFrom(server, at(100)) == at(7200100));
+}
+
+// Guards against a server that is used between its pause and its end, because only the later notice
+// counts.
+TEST_CASE("A server that leaves while it pauses is not used any more")
+{
+    ServerNotices notices(drainTime);
+    const ServerIncarnation server = incarnation("s1");
+    notices.apply(server, ServerNotice::read({ "1" }, { "1" }, true), at(0));
+    CHECK(notices.use(server, at(500)) == ServerUse::None);
+    CHECK(notices.usableFrom(server, at(500)) == at(1000));
+    CHECK(notices.use(server, at(1000)) == ServerUse::LastResort);
+    notices.apply(server, pause("5"), at(1500));
+    CHECK(notices.usableFrom(server, at(1500)) == Instant::infinite());
+    CHECK(notices.use(server, at(7000)) == ServerUse::None);
+}
+
+// Guards against a burst at the end of a pause, which would make the server ask for the next one.
+TEST_CASE("The first requests after a pause are sent at a limited rate")
+{
+    ServerNotices notices(drainTime);
+    const ServerIncarnation server = incarnation("s1");
+    CHECK(notices.nextSendTime(server, at(-1), at(0)) == at(0));
+    notices.apply(server, pause("1"), at(0));
+    CHECK(notices.nextSendTime(server, at(0), at(1000)) == at(1000));
+    CHECK(notices.nextSendTime(server, at(1000), at(1010)) > at(1010));
+    int sent = 0;
+    Instant last = at(0);
+    for (int now = 1000; now < 2000; now += 5) {
+        if (notices.nextSendTime(server, last, at(now)) <= at(now)) {
+            last = at(now);
+            ++sent;
+        }
+    }
+    CHECK(sent == 10);
+    CHECK(notices.nextSendTime(server, at(2999), at(3000)) == at(3000));
+}
+
+// Guards against a restarted server that gets no requests because of what its previous run said,
+// and against late responses of that run.
+TEST_CASE("A new incarnation under the same name starts without notices")
+{
+    ServerNotices notices(drainTime);
+    const ServerIncarnation before = incarnation("s1", 1);
+    const ServerIncarnation after = incarnation("s1", 2);
+    notices.apply(before, leaving(), at(0));
+    notices.apply(before, pause("3600"), at(0));
+    CHECK(notices.use(after, at(10)) == ServerUse::Unrestricted);
+    CHECK(notices.nextSendTime(after, at(9), at(10)) == at(10));
+    CHECK(notices.apply(after, pause("1"), at(20)).pauseStarted);
+    CHECK(notices.usableFrom(after, at(20)) == at(1020));
+    CHECK(notices.apply(before, pause("3600"), at(30)) == NoticeEffect());
+    CHECK(notices.usableFrom(after, at(30)) == at(1020));
+    CHECK(notices.use(after, at(1020)) == ServerUse::Unrestricted);
+
+    ServerTable servers;
+    servers.put(listed(incarnation("s1", 3)), at(0));
+    notices.advance(servers, at(40));
+    CHECK(notices.size() == 0);
+}
+
+// Guards against a server that is used again because its entry was missing from the store for some
+// time, and against notices that are never discarded.
+TEST_CASE("Notices outlast a removed entry for a bounded time")
+{
+    ServerNotices notices(drainTime);
+    const ServerIncarnation server = incarnation("s1");
+    ServerTable servers;
+    servers.put(listed(server), at(0));
+    notices.apply(server, leaving(), at(0));
+    notices.advance(servers, at(100));
+    servers.remove(server.name);
+    notices.advance(servers, at(200));
+    CHECK(notices.summary(at(200)).leaving == 0);
+    notices.advance(servers, at(20000));
+    servers.put(listed(server), at(20000));
+    notices.advance(servers, at(20100));
+    CHECK(notices.use(server, at(20100)) == ServerUse::None);
+    CHECK(notices.summary(at(20100)).leaving == 1);
+    servers.remove(server.name);
+    notices.advance(servers, at(21000));
+    notices.advance(servers, at(21000) + absl::Minutes(11));
+    CHECK(notices.size() == 0);
+}
+
+// Guards against memory that grows with the number of servers that ever gave a notice.
+TEST_CASE("The number of notices is bounded")
+{
+    ServerNotices notices(drainTime);
+    ServerTable servers;
+    const ServerIncarnation known = incarnation("known");
+    servers.put(listed(known), at(0));
+    notices.apply(known, leaving(), at(0));
+    for (int number = 0; number < 5000; ++number) {
+        notices.apply(incarnation("s" + std::to_string(number)), leaving(), at(number));
+        notices.advance(servers, at(number));
+    }
+    CHECK(notices.size() <= 1025);
+    CHECK(notices.use(known, at(5000)) == ServerUse::None);
+    CHECK(notices.use(incarnation("s4999"), at(5000)) == ServerUse::LastResort);
+}
+
+// Guards against a pause of hours that shows nowhere.
+TEST_CASE("The summary counts leaving and pausing servers and the longest pause")
+{
+    ServerNotices notices(drainTime);
+    notices.apply(incarnation("s1"), leaving(), at(0));
+    notices.apply(incarnation("s2"), pause("5"), at(0));
+    notices.apply(incarnation("s3"), pause("7200"), at(0));
+    CHECK(notices.summary(at(1000)) == NoticeSummary { 1, 2, absl::Seconds(7199) });
+    CHECK(notices.summary(at(5000)).pausing == 1);
+}
--- a/include/currantfall/Steering/ServerTable.h
+++ b/include/currantfall/Steering/ServerTable.h
@@ -116,6 +116,7 @@
     void remove(const Common::BackendServerName &name);
 
     ServerRecord *find(const Common::BackendServerName &name);
+    const ServerRecord *find(const Common::BackendServerName &name) const;
     /// Servers of the service, including draining ones. Pointers are valid until the next put() or
     /// remove().
     const std::vector<ServerRecord *> &ofService(const Common::ServiceName &service) const;
