Decode the headers by which backend servers speak about themselves

readBackend() returns all values of Server-Leaving and Retry-After as received, and whether the status is 503. What they mean is decided in the library (ServerNotice). callerResponse() can replace a server's Retry-After, which is meant for the entry VM and not for the caller.

--- a/Source/UnitTests/Adapter/HttpMessagesTest.cpp
+++ b/Source/UnitTests/Adapter/HttpMessagesTest.cpp
@@ -101,6 +101,24 @@
     CHECK(Adapter::readBackend(health).coldFor == absl::Milliseconds(700));
 }
 
+// Guards against notices of a server that are lost because a header comes twice.
+TEST_CASE("What a response says of its server is decoded")
+{
+    Adapter::HttpResponse refusal = response(503);
+    refusal.insert("Server-Leaving", "1");
+    refusal.insert("server-leaving", "x");
+    refusal.insert("Retry-After", "2");
+    refusal.insert("retry-after", "0.5");
+    const auto decoded = Adapter::readBackend(refusal);
+    CHECK(decoded.notice.unavailable);
+    CHECK(decoded.notice.leaving == std::vector<std::string> { "1", "x" });
+    CHECK(decoded.notice.retryAfter == std::vector<std::string> { "2", "0.5" });
+    const auto plain = Adapter::readBackend(response(429));
+    CHECK_FALSE(plain.notice.unavailable);
+    CHECK(plain.notice.leaving.empty());
+    CHECK(plain.notice.retryAfter.empty());
+}
+
 TEST_CASE("A response is returned without hop-by-hop headers")
 {
     Adapter::HttpResponse good = response(203);
@@ -114,6 +132,9 @@
     CHECK(returned.count("Connection") == 0);
     CHECK(returned.count("Keep-Alive") == 0);
     CHECK(returned.body() == "bytes");
+    good.set("Retry-After", "3600");
+    CHECK(Adapter::callerResponse(good)["Retry-After"] == "3600");
+    CHECK(Adapter::callerResponse(good, absl::Milliseconds(500))["Retry-After"] == "0.500");
 }
 
 // Guards against statuses that promise more than is known.
