Respect servers that leave or ask for a pause

Callers' requests went on reaching servers that had announced in a response that they leave, and servers that had refused with a 503 and asked for no requests for some time. Callers were told to come back while all servers still paused, and refusals with a pause counted as failures of the server, so that it was ejected.

Cause: the entry VM did not read these headers.

Everything that sends to a server now asks ServerNotices: selection, retries, hedges, moves of objects, health checks, and requests that were waiting for a connection (they end as "withheld" and nothing is sent). A leaving server is the last resort until server_drain_ms is over; without that setting it gets no requests. Region weights count servers without notices only. When all servers pause, callers are refused at once with the time of the first return, spread over half of the pause after it. A retry that could only meet pausing servers does not use the retry budget. Long pauses are always logged; metrics show how many servers pause and for how long.

--- a/Source/Core/Steering/ServerSelector.cpp
+++ b/Source/Core/Steering/ServerSelector.cpp
@@ -41,9 +41,9 @@
 // If the store is unavailable for longer than this, the servers of a returned zone are no longer
 // limited to the cold rate.
 constexpr absl::Duration maxEntryPropagationDelay = absl::Seconds(20);
-// Maximum time that a request waits for the rate limit of a cold server, as a fraction of the
-// target latency.
-constexpr double maxColdWaitPerTarget = 0.5;
+// Maximum time that a request waits for the rate limit of a cold or returning server, as a fraction
+// of the target latency.
+constexpr double maxSendWaitPerTarget = 0.5;
 // Mean number of requests per slot from which a server's objects are moved away, and up to which
 // another server may take one.
 constexpr double minMoveSourceLoad = 0.9;
@@ -71,8 +71,8 @@
 } // namespace
 
 ServerSelector::ServerSelector(SelectorSettings settings, ServerTable &servers,
-                               const FleetOutcomes &outcomes)
-    : settings(std::move(settings)), servers(servers), outcomes(outcomes),
+                               const FleetOutcomes &outcomes, const ServerNotices &notices)
+    : settings(std::move(settings)), servers(servers), outcomes(outcomes), notices(notices),
       vms({ this->settings.vm })
 { }
 
@@ -97,6 +97,13 @@
 
 bool ServerSelector::mayUse(const ServerRecord &server, const Route &route,
                             Common::Instant now) const
+{
+    return this->eligible(server, route, now)
+           && this->notices.use(server.server(), now) != ServerUse::None;
+}
+
+bool ServerSelector::eligible(const ServerRecord &server, const Route &route,
+                              Common::Instant now) const
 {
     if (!server.usable(now) || this->evacuatedZones.contains(server.server().zone)) {
         return false;
@@ -110,18 +117,42 @@
                       != route.allowedRegions.end();
 }
 
+std::optional<absl::Duration> ServerSelector::timeUntilReturn(const SelectionRequest &request,
+                                                              Common::Instant now) const
+{
+    Common::Instant earliest = Common::Instant::infinite();
+    for (const ServerRecord *server : this->servers.ofService(request.service)) {
+        if (!this->eligible(*server, *request.route, now)) {
+            continue;
+        }
+        const Common::Instant usableFrom
+                = this->notices.usableFrom(ServerIncarnation::of(server->server()), now);
+        if (usableFrom > now) {
+            earliest = std::min(earliest, usableFrom);
+        } else if (!request.tried.contains(server->server().name)) {
+            return std::nullopt;
+        }
+    }
+    if (earliest == Common::Instant::infinite()) {
+        return std::nullopt;
+    }
+    return earliest - now;
+}
+
 const std::map<Common::RegionName, double> &
-ServerSelector::regionWeights(const Common::ServiceName &service)
+ServerSelector::regionWeights(const Common::ServiceName &service, Common::Instant now)
 {
     CachedWeights &cached = this->weights[service];
-    if (!cached.weights.empty() && cached.generation == this->servers.generation()) {
+    if (!cached.weights.empty() && cached.generation == this->servers.generation()
+        && cached.noticeGeneration == this->notices.generation() && now < cached.validUntil) {
         return cached.weights;
     }
     std::map<Common::RegionName, double> slots;
     for (const ServerRecord *server : this->servers.ofService(service)) {
         const auto region = this->settings.regions.find(server->server().zone);
         if (region != this->settings.regions.end() && !server->server().draining
-            && !this->evacuatedZones.contains(server->server().zone)) {
+            && !this->evacuatedZones.contains(server->server().zone)
+            && this->notices.use(server->server(), now) == ServerUse::Unrestricted) {
             slots[region->second] += server->server().slots;
         }
     }
@@ -136,20 +167,23 @@
         demands.push_back({ region, count });
     }
     cached.generation = this->servers.generation();
+    cached.noticeGeneration = this->notices.generation();
+    cached.validUntil = this->notices.nextChange(now);
     cached.weights = localityWeights(this->settings.region, capacities, demands);
     return cached.weights;
 }
 
-std::vector<ServerSelector::Candidate> ServerSelector::candidates(const SelectionRequest &request,
-                                                                  Common::Instant now)
+std::vector<ServerSelector::Candidate>
+ServerSelector::candidates(const SelectionRequest &request, ServerUse use, Common::Instant now)
 {
-    const auto &weights = this->regionWeights(request.service);
+    const auto &weights = this->regionWeights(request.service, now);
     const std::string &key = request.object.empty() ? request.requestId : request.object;
     std::vector<Candidate> result;
     std::size_t failing = 0;
     for (ServerRecord *server : this->servers.ofService(request.service)) {
         const BackendServer &entry = server->server();
-        if (request.tried.contains(entry.name) || !this->mayUse(*server, *request.route, now)) {
+        if (request.tried.contains(entry.name) || !this->eligible(*server, *request.route, now)
+            || this->notices.use(entry, now) != use) {
             continue;
         }
         const auto region = this->settings.regions.find(entry.zone);
@@ -248,13 +282,13 @@
                               ServerRecord &server, std::size_t position,
                               Evaluation &evaluation) const
 {
+    Common::Instant sendTime = this->notices.nextSendTime(server.server(), server.lastSent(), now);
     if (this->cold(server, now)) {
-        const Common::Instant coldSendTime = this->nextColdSendTime(server, serviceSettings);
-        if (coldSendTime > now) {
-            evaluation.earliestColdSendTime
-                    = std::min(evaluation.earliestColdSendTime, coldSendTime);
-            return;
-        }
+        sendTime = std::max(sendTime, this->nextColdSendTime(server, serviceSettings));
+    }
+    if (sendTime > now) {
+        evaluation.earliestSendTime = std::min(evaluation.earliestSendTime, sendTime);
+        return;
     }
     const absl::Duration cacheHitTime
             = this->meanServiceTime(request.service, *request.route, true);
@@ -338,6 +372,11 @@
 {
     const auto rateLimited = [&](const Candidate &candidate) {
         const ServerRecord &server = *candidate.server;
+        const Common::Instant returnSendTime
+                = this->notices.nextSendTime(server.server(), server.lastSent(), now);
+        if (returnSendTime > now) {
+            return true;
+        }
         return !server.cold(now) && this->mayBeCold(server, now)
                && this->nextColdSendTime(server, serviceSettings) > now;
     };
@@ -387,13 +426,45 @@
 Selection ServerSelector::select(const SelectionRequest &request,
                                  const ServiceSettings *serviceSettings, Common::Instant now)
 {
-    std::vector<Candidate> order = this->candidates(request, now);
+    const Selection preferred
+            = this->selectAmong(request, ServerUse::Unrestricted, serviceSettings, now);
+    if (std::holds_alternative<SendTo>(preferred) || this->notices.size() == 0) {
+        return preferred;
+    }
+    const Selection lastResort
+            = this->selectAmong(request, ServerUse::LastResort, serviceSettings, now);
+    if (std::holds_alternative<SendTo>(lastResort)) {
+        return lastResort;
+    }
+    const auto noServer = [](const Selection &selection) {
+        const auto *reject = std::get_if<Reject>(&selection);
+        return reject != nullptr && reject->reason == RejectReason::NoServer;
+    };
+    if (!noServer(preferred)) {
+        return preferred;
+    }
+    if (!noServer(lastResort)) {
+        return lastResort;
+    }
+    if (const auto untilReturn = this->timeUntilReturn(request, now)) {
+        return Reject { RejectReason::Pausing, *untilReturn };
+    }
+    return preferred;
+}
+
+Selection ServerSelector::selectAmong(const SelectionRequest &request, ServerUse use,
+                                      const ServiceSettings *serviceSettings, Common::Instant now)
+{
+    std::vector<Candidate> order = this->candidates(request, use, now);
     if (order.empty()) {
         return Reject { RejectReason::NoServer, absl::Seconds(1) };
     }
     this->putMoveTargetFirst(request, order);
     this->excludeRateLimited(order, serviceSettings, now);
-    this->moveObjectFromBusyServer(request, order, now);
+    // Objects are not moved among servers that leave.
+    if (use == ServerUse::Unrestricted) {
+        this->moveObjectFromBusyServer(request, order, now);
+    }
     Evaluation evaluation;
     for (std::size_t position = 0; position < order.size(); ++position) {
         if (position >= serversPerObject && (evaluation.best || !request.object.empty())) {
@@ -405,10 +476,10 @@
     if (evaluation.best) {
         return *evaluation.best;
     }
-    if (evaluation.earliestColdSendTime < Common::Instant::infinite()) {
-        const absl::Duration maxWait = request.route->targetLatency * maxColdWaitPerTarget;
-        if (request.waited + (evaluation.earliestColdSendTime - now) <= maxWait) {
-            return WaitUntil { evaluation.earliestColdSendTime };
+    if (evaluation.earliestSendTime < Common::Instant::infinite()) {
+        const absl::Duration maxWait = request.route->targetLatency * maxSendWaitPerTarget;
+        if (request.waited + (evaluation.earliestSendTime - now) <= maxWait) {
+            return WaitUntil { evaluation.earliestSendTime };
         }
     }
     const absl::Duration cacheHitTime
--- a/Source/Core/Steering/ServerTable.cpp
+++ b/Source/Core/Steering/ServerTable.cpp
@@ -53,6 +53,8 @@
         return "broken";
     case AttemptEnd::Abandoned:
         return "abandoned";
+    case AttemptEnd::Withheld:
+        return "withheld";
     }
     return "unknown";
 }
@@ -121,13 +123,14 @@
     this->recentObjects[object] = now;
 }
 
-void ServerRecord::onEnd(Common::Instant now, AttemptEnd end, const LoadReport *latest)
+void ServerRecord::onEnd(Common::Instant now, AttemptEnd end, const LoadReport *latest,
+                         bool asksForPause)
 {
     if (this->inFlight > 0) {
         --this->inFlight;
     }
-    if (end != AttemptEnd::Unreachable && end != AttemptEnd::Broken
-        && end != AttemptEnd::Abandoned) {
+    if (end != AttemptEnd::Unreachable && end != AttemptEnd::Broken && end != AttemptEnd::Abandoned
+        && end != AttemptEnd::Withheld) {
         this->heardAt = now;
     }
     if (latest != nullptr) {
@@ -145,6 +148,9 @@
         this->inFlightAtReport = this->inFlight;
         this->hasReport = true;
     }
+    if (asksForPause) {
+        return;
+    }
     double failed = 0.0;
     switch (end) {
     case AttemptEnd::Answered:
@@ -175,6 +181,7 @@
         this->misdirected = true;
         return;
     case AttemptEnd::Abandoned:
+    case AttemptEnd::Withheld:
         return;
     }
     this->failures += failureRateSmoothing * (failed - this->failures);
@@ -197,6 +204,11 @@
     }
 }
 
+void ServerRecord::onProbeWithheld()
+{
+    this->breaker.attemptNotMade();
+}
+
 bool ServerRecord::likelyCaches(const std::string &object, Common::Instant now) const
 {
     const auto found = this->recentObjects.find(object);
--- a/Source/Entry/BackendPool.cpp
+++ b/Source/Entry/BackendPool.cpp
@@ -183,7 +183,14 @@
         co_await http::async_read(connection->stream, connection->buffer, parser, awaitInto(error));
         if (error) {
             closeIgnoringErrors(*connection);
-            co_return failedResult(AttemptEnd::Broken, "read response", error);
+            ExchangeResult broken = failedResult(AttemptEnd::Broken, "read response", error);
+            if (parser.is_header_done()) {
+                // What the server says of itself holds although its response is incomplete.
+                const Adapter::BackendResponse parsed = Adapter::readBackend(parser.get());
+                broken.parsed.misdirected = parsed.misdirected;
+                broken.parsed.notice = parsed.notice;
+            }
+            co_return broken;
         }
         const bool bodyEndsAtClose = parser.need_eof();
         Adapter::HttpResponse response = parser.release();
@@ -244,6 +251,13 @@
         result.detail = "cancelled before it was sent";
         co_return result;
     }
+    if (exchange.mayBeSent && !exchange.mayBeSent()) {
+        this->addIdle(exchange.server.name, connection, defaultKeepAlive);
+        ExchangeResult result;
+        result.end = AttemptEnd::Withheld;
+        result.detail = "the server asked for no requests";
+        co_return result;
+    }
     connection->stream.expires_after(toChrono(remaining));
     auto written = std::make_shared<bool>(false);
     if (exchange.request.body().size() > maxBodyBytesBeforeRead) {
--- a/Source/Entry/BackendPool.h
+++ b/Source/Entry/BackendPool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -44,6 +45,9 @@
 
     SharedConnection connection;
     bool cancelled = false;
+    /// Whether the server may still get the request once the connection is established. Always if
+    /// not set.
+    std::function<bool()> mayBeSent;
 
     /// Marks the exchange as cancelled and closes the connection, so that the server stops
     /// executing the request.
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -353,6 +353,8 @@
     this->settings.cold = parsed->cold;
     this->settings.shutdownGrace = parsed->shutdownGrace;
     this->settings.lookupTtlMax = parsed->lookupTtlMax;
+    this->settings.serverDrainTime = parsed->serverDrainTime;
+    this->steering.notices().setDrainTime(parsed->serverDrainTime);
     this->log.important("reload", { { "changed", changed } });
 }
 
@@ -495,6 +497,11 @@
     }
     this->metrics.setGauge("currantfall_requests_in_progress",
                            static_cast<double>(this->steering.requestsInProgress()));
+    const Steering::NoticeSummary notices = this->steering.notices().summary(now);
+    this->metrics.setGauge("currantfall_servers_leaving", static_cast<double>(notices.leaving));
+    this->metrics.setGauge("currantfall_servers_pausing", static_cast<double>(notices.pausing));
+    this->metrics.setGauge("currantfall_longest_server_pause_seconds",
+                           absl::ToDoubleSeconds(notices.longestPause));
     this->metrics.setGauge("currantfall_log_lines_dropped",
                            static_cast<double>(this->log.droppedLines()));
     return this->metrics.toPrometheus();
--- a/Source/Entry/EntrySettings.cpp
+++ b/Source/Entry/EntrySettings.cpp
@@ -105,6 +105,10 @@
     settings.processorShare = reader.number("/processor_share", 0.001, 1024);
     settings.shutdownGrace = absl::Seconds(reader.number("/shutdown_grace_s", 0.5, 600));
     settings.lookupTtlMax = absl::Seconds(reader.number("/lookup_ttl_max_s", 0.1, 600));
+    // Without a known bound, no request is sent to a server that leaves.
+    if (reader.find("/server_drain_ms") != nullptr) {
+        settings.serverDrainTime = absl::Milliseconds(reader.number("/server_drain_ms", 0, 3.6e6));
+    }
     settings.retries.ratio = reader.number("/retries/ratio", 0, 10);
     settings.retries.extra = reader.number("/retries/extra", 0, 1e6);
     settings.retries.window = absl::Seconds(reader.number("/retries/window_s", 0.1, 3600));
--- a/Source/Entry/EntrySettings.h
+++ b/Source/Entry/EntrySettings.h
@@ -40,6 +40,9 @@
     /// Time from SIGTERM until the process is killed with SIGKILL.
     absl::Duration shutdownGrace;
     absl::Duration lookupTtlMax;
+    /// Time for which a backend server may get requests after it has announced that it leaves. Zero
+    /// if the file does not say.
+    absl::Duration serverDrainTime;
     Steering::RetryLimits retries;
     Steering::ColdRateLimit cold;
 
--- a/Source/Entry/RequestSteering.cpp
+++ b/Source/Entry/RequestSteering.cpp
@@ -25,11 +25,18 @@
 // they have a limit of their own.
 constexpr std::size_t maxUnreachableAttempts = 3;
 constexpr absl::Duration noConfigurationRetryAfter = absl::Seconds(1);
+// Callers that were refused because all servers pause come back over this fraction of the pause
+// after its end, but not over less than minReturnSpread.
+constexpr double returnSpreadFraction = 0.5;
+constexpr absl::Duration minReturnSpread = absl::Milliseconds(500);
+// Longest time until a return that callers are told. Other servers may join before a longer pause
+// ends.
+constexpr absl::Duration maxTimeUntilReturn = absl::Seconds(30);
 
 bool provenNotRun(AttemptEnd end)
 {
     return end == AttemptEnd::NotExecuted || end == AttemptEnd::Misdirected
-           || end == AttemptEnd::Unreachable;
+           || end == AttemptEnd::Unreachable || end == AttemptEnd::Withheld;
 }
 
 /// Whether callers take this status as a guarantee that the request has not been executed.
@@ -43,8 +50,9 @@
 RequestSteering::RequestSteering(boost::asio::io_context &context, const EntrySettings &settings,
                                  Common::EventLog &log, Telemetry::MetricsRegistry &metrics)
     : context(context), settings(settings), log(log), metrics(metrics), fleetOutcomes(settings.vm),
+      serverNotices(settings.serverDrainTime),
       serverSelector({ settings.vm, settings.zone, settings.region, settings.zones, settings.cold },
-                     this->table, this->fleetOutcomes),
+                     this->table, this->fleetOutcomes, this->serverNotices),
       backendPool(context, metrics), random(std::random_device()())
 { }
 
@@ -112,6 +120,9 @@
             if (activeRequest.mayHaveRun) {
                 co_return this->fail(activeRequest, Failure::OutcomeUnknown, "no-server-for-retry");
             }
+            if (reject->reason == Steering::RejectReason::Pausing) {
+                co_return this->refusePausing(activeRequest, reject->retryAfter);
+            }
             co_return this->refuse(
                     activeRequest,
                     reject->reason == Steering::RejectReason::NoServer ? "no-server" : "overloaded",
@@ -278,6 +289,7 @@
     exchange->requestId = activeRequest.callerRequest.id;
     exchange->idempotent = activeRequest.route->idempotent;
     exchange->deadline = activeRequest.deadline;
+    this->withholdIfUnwanted(*exchange);
     auto attempt = std::make_shared<Attempt>();
     attempt->exchange = std::move(exchange);
     attempt->caller = activeRequest.callerState;
@@ -301,10 +313,13 @@
     this->runningAttempts.erase(attempt);
     --this->inProgress;
     const Common::Instant now = Common::monotonicNow();
-    this->recordOutcome(*attempt, result);
+    const bool asksForPause = this->recordNotice(attempt->exchange->server, result.parsed);
+    if (!asksForPause) {
+        this->recordOutcome(*attempt, result);
+    }
     if (Steering::ServerRecord *server = this->table.find(attempt->exchange->server.name)) {
         const Steering::LoadReport *load = result.parsed.load ? &*result.parsed.load : nullptr;
-        server->onEnd(now, result.end, load);
+        server->onEnd(now, result.end, load, asksForPause);
         if (result.end == AttemptEnd::Unreachable && !server->usable(now)) {
             this->interruptAttempts(attempt->exchange->server.name);
         }
@@ -340,7 +355,7 @@
     }
     // Nothing was sent, so the attempt counts neither towards the route's maximum number of
     // attempts nor towards the retry budget.
-    if (result.end == AttemptEnd::Unreachable) {
+    if (result.end == AttemptEnd::Unreachable || result.end == AttemptEnd::Withheld) {
         --activeRequest.attempts;
         return ++activeRequest.unreachableAttempts < maxUnreachableAttempts;
     }
@@ -349,9 +364,13 @@
         && result.response->result_int() == 400) {
         return false;
     }
+    const Common::Instant now = Common::monotonicNow();
+    if (this->serverSelector.timeUntilReturn(this->selectionRequestFor(activeRequest, now), now)) {
+        return false;
+    }
     return activeRequest.attempts < activeRequest.route->maxAttempts
            && this->retryAllowance(activeRequest.service)
-                      .tryTake(Common::monotonicNow(), this->serverSelector.vmCount());
+                      .tryTake(now, this->serverSelector.vmCount());
 }
 
 Adapter::HttpResponse RequestSteering::finalResponse(ActiveRequest &activeRequest,
@@ -362,6 +381,9 @@
     if (activeRequest.mayHaveRun && provenNotRun(result.end)) {
         return this->fail(activeRequest, Failure::OutcomeUnknown, toString(result.end));
     }
+    const Common::Instant now = Common::monotonicNow();
+    const auto untilReturn = this->serverSelector.timeUntilReturn(
+            this->selectionRequestFor(activeRequest, now), now);
     switch (result.end) {
     case AttemptEnd::Answered:
     case AttemptEnd::ServerError:
@@ -371,16 +393,25 @@
             return this->fail(activeRequest, Failure::OutcomeUnknown, "status-without-promise");
         }
         activeRequest.outcome = toString(result.end);
+        if (result.parsed.notice.unavailable && !result.parsed.notice.retryAfter.empty()) {
+            // The server means this VM. The caller may be served by another server before.
+            return Adapter::callerResponse(std::move(*result.response),
+                                           untilReturn ? this->retryAfterReturn(*untilReturn)
+                                                       : retryAfter);
+        }
         return Adapter::callerResponse(std::move(*result.response));
     case AttemptEnd::NotExecuted:
         if (result.response && result.response->result_int() == 400) {
             activeRequest.outcome = toString(result.end);
             return Adapter::callerResponse(std::move(*result.response));
         }
-        return this->refuse(activeRequest, "server-full", retryAfter);
+        return untilReturn ? this->refusePausing(activeRequest, *untilReturn)
+                           : this->refuse(activeRequest, "server-full", retryAfter);
     case AttemptEnd::Misdirected:
     case AttemptEnd::Unreachable:
-        return this->refuse(activeRequest, toString(result.end), retryAfter);
+    case AttemptEnd::Withheld:
+        return untilReturn ? this->refusePausing(activeRequest, *untilReturn)
+                           : this->refuse(activeRequest, toString(result.end), retryAfter);
     case AttemptEnd::Broken:
     case AttemptEnd::Abandoned:
         break;
@@ -399,6 +430,23 @@
                                     retryAfter * spread, reason);
 }
 
+absl::Duration RequestSteering::retryAfterReturn(absl::Duration untilReturn)
+{
+    const absl::Duration known = std::min(untilReturn, maxTimeUntilReturn);
+    // Not spread to both sides as in refuse(): callers that come before the return are refused
+    // again.
+    const double spread = std::uniform_real_distribution<double>(0.0, 1.0)(this->random);
+    return known + std::max(known * returnSpreadFraction, minReturnSpread) * spread;
+}
+
+Adapter::HttpResponse RequestSteering::refusePausing(ActiveRequest &activeRequest,
+                                                     absl::Duration untilReturn)
+{
+    activeRequest.outcome = "servers-pausing";
+    return Adapter::failureResponse(Failure::NotRun, activeRequest.callerRequest.id,
+                                    this->retryAfterReturn(untilReturn), activeRequest.outcome);
+}
+
 Adapter::HttpResponse RequestSteering::fail(ActiveRequest &activeRequest, Failure failure,
                                             const std::string &reason)
 {
--- a/Source/Entry/RequestSteering.h
+++ b/Source/Entry/RequestSteering.h
@@ -12,6 +12,7 @@
 #include "currantfall/Common/EventLog.h"
 #include "currantfall/Steering/RetryAllowance.h"
 #include "currantfall/Steering/RoutingConfiguration.h"
+#include "currantfall/Steering/ServerNotices.h"
 #include "currantfall/Steering/ServerSelector.h"
 #include "currantfall/Steering/SplitChooser.h"
 #include "currantfall/Telemetry/MetricsRegistry.h"
@@ -64,6 +65,8 @@
     BackendPool &pool() { return this->backendPool; }
     /// Outcomes of requests at backend servers, recorded by this VM and by the other VMs.
     Steering::FleetOutcomes &outcomes() { return this->fleetOutcomes; }
+    /// What backend servers said about themselves.
+    Steering::ServerNotices &notices() { return this->serverNotices; }
     /// Sets when the list of backend servers was last confirmed. Log lines contain its age.
     void setServersConfirmed(Common::Instant time)
     {
@@ -109,6 +112,11 @@
     Task checkConnection(Common::BackendServerName name);
     /// Records the outcome of the attempt in the outcomes that are shared with the other VMs.
     void recordOutcome(const Attempt &attempt, const ExchangeResult &result);
+    /// Applies what the response says of the server. Returns whether the server asks for a pause.
+    bool recordNotice(const Steering::BackendServer &server,
+                      const Adapter::BackendResponse &response);
+    /// Makes the pool send the request only if the server still takes requests by then.
+    void withholdIfUnwanted(Exchange &exchange);
     /// Interrupts idempotent attempts at a server that has become unreachable, so that their
     /// requests are retried at another server.
     void interruptAttempts(const Common::BackendServerName &server);
@@ -120,6 +128,11 @@
     Adapter::HttpResponse finalResponse(ActiveRequest &activeRequest, ExchangeResult &result);
     Adapter::HttpResponse refuse(ActiveRequest &activeRequest, const std::string &reason,
                                  absl::Duration retryAfter);
+    /// Time after which a caller should retry, if all servers pause and the first one returns after
+    /// `untilReturn`.
+    absl::Duration retryAfterReturn(absl::Duration untilReturn);
+    /// Refuses a request because all servers pause.
+    Adapter::HttpResponse refusePausing(ActiveRequest &activeRequest, absl::Duration untilReturn);
     Adapter::HttpResponse fail(ActiveRequest &activeRequest, Adapter::Failure failure,
                                const std::string &reason);
     void logRequest(const ActiveRequest &activeRequest, unsigned status);
@@ -133,6 +146,7 @@
     std::shared_ptr<const Steering::RoutingConfiguration> currentConfiguration;
     Steering::ServerTable table;
     Steering::FleetOutcomes fleetOutcomes;
+    Steering::ServerNotices serverNotices;
     Steering::ServerSelector serverSelector;
     Steering::SplitChooser splitChooser;
     BackendPool backendPool;
--- a/Source/Entry/RequestSteeringServers.cpp
+++ b/Source/Entry/RequestSteeringServers.cpp
@@ -14,6 +14,8 @@
 // to consider a server failing.
 constexpr double unreachableFailureWeight = 1.25;
 constexpr absl::Duration healthCheckTimeout = absl::Milliseconds(800);
+// Pauses from this length are always logged.
+constexpr absl::Duration longPause = absl::Minutes(1);
 
 } // namespace
 
@@ -39,10 +41,68 @@
         return;
     case AttemptEnd::Misdirected:
     case AttemptEnd::Abandoned:
+    case AttemptEnd::Withheld:
         return;
     }
 }
 
+bool RequestSteering::recordNotice(const Steering::BackendServer &server,
+                                   const Adapter::BackendResponse &response)
+{
+    // Another server at the address speaks for itself.
+    if (response.misdirected) {
+        return false;
+    }
+    const Steering::ServerNotice notice = Steering::ServerNotice::read(
+            response.notice.leaving, response.notice.retryAfter, response.notice.unavailable);
+    if (notice.empty()) {
+        return false;
+    }
+    if (!notice.malformed().empty()) {
+        this->metrics.addToCounter("currantfall_malformed_server_notices_total");
+        if (this->log.admits()) {
+            this->log.write("server_notice_malformed", { { "server", server.name.value() },
+                                                         { "values", notice.malformed() } });
+        }
+    }
+    const Steering::NoticeEffect effect = this->serverNotices.apply(
+            Steering::ServerIncarnation::of(server), notice, Common::monotonicNow());
+    const Telemetry::Labels labels { { "service", server.service.value() } };
+    if (effect.leavingStarted) {
+        this->metrics.addToCounter("currantfall_server_leaving_notices_total", labels);
+        this->log.important("server_leaving", { { "server", server.name.value() },
+                                                { "service", server.service.value() },
+                                                { "zone", server.zone.value() } });
+    }
+    if (effect.pauseStarted) {
+        this->metrics.addToCounter("currantfall_server_pauses_total", labels);
+    }
+    if (effect.pauseStarted || effect.pauseExtended) {
+        const bool isLong = notice.pause() >= longPause;
+        if (isLong || this->log.admits()) {
+            this->log.write("server_pausing",
+                            { { "server", server.name.value() },
+                              { "service", server.service.value() },
+                              { "zone", server.zone.value() },
+                              { "seconds", absl::ToDoubleSeconds(notice.pause()) },
+                              { "long", isLong } });
+        }
+    }
+    return notice.pause() > absl::ZeroDuration();
+}
+
+void RequestSteering::withholdIfUnwanted(Exchange &exchange)
+{
+    exchange.mayBeSent = [this, server = Steering::ServerIncarnation::of(exchange.server)] {
+        const bool wanted = this->serverNotices.use(server, Common::monotonicNow())
+                            != Steering::ServerUse::None;
+        if (!wanted) {
+            this->metrics.addToCounter("currantfall_withheld_requests_total");
+        }
+        return wanted;
+    };
+}
+
 void RequestSteering::checkOverdueAttempts(Common::Instant now)
 {
     for (const std::shared_ptr<Attempt> &attempt : this->runningAttempts) {
@@ -97,8 +157,11 @@
 {
     this->backendPool.advance(now);
     this->checkOverdueAttempts(now);
+    this->serverNotices.advance(this->table, now);
     for (Steering::ServerRecord *server : this->table.all()) {
-        if (server->needsProbe(now)) {
+        const bool wanted = this->serverNotices.use(server->server(), now)
+                            == Steering::ServerUse::Unrestricted;
+        if (wanted && server->needsProbe(now)) {
             server->onProbeStarted(now);
             boost::asio::co_spawn(this->context, this->checkHealth(server->server().name),
                                   boost::asio::detached);
@@ -121,6 +184,7 @@
                                                        + std::to_string(record->server().port));
     exchange->idempotent = true;
     exchange->deadline = Common::monotonicNow() + healthCheckTimeout;
+    this->withholdIfUnwanted(*exchange);
     this->metrics.addToCounter("currantfall_health_checks_total");
     const ExchangeResult result = co_await this->backendPool.run(exchange);
     const Common::Instant now = Common::monotonicNow();
@@ -128,8 +192,15 @@
     if (record == nullptr) {
         co_return;
     }
+    if (result.end == AttemptEnd::Withheld) {
+        record->onProbeWithheld();
+        co_return;
+    }
+    // Any server at the address responds to the check.
+    const bool fromServer = result.parsed.server.empty() || result.parsed.server == name;
+    const bool asksForPause = fromServer && this->recordNotice(exchange->server, result.parsed);
     // A server that rejects the check because it has no free slot is healthy.
-    const bool healthy = result.end == AttemptEnd::NotExecuted
+    const bool healthy = result.end == AttemptEnd::NotExecuted || asksForPause
                          || (result.end == AttemptEnd::Answered && result.parsed.success
                              && result.parsed.server == name);
     record->onHealthCheck(now, healthy);
--- a/Source/UnitTests/Entry/EntrySettingsTest.cpp
+++ b/Source/UnitTests/Entry/EntrySettingsTest.cpp
@@ -19,7 +19,7 @@
                       "directory": "10.1.0.15:8644", "peers": "10.1.0.15:8649"},
         "seeds": ["10.1.0.15:8649"], "store": {"address": "10.200.1.7:8642"},
         "memory_mb": 260, "max_descriptors": 4100, "processor_share": 0.2,
-        "shutdown_grace_s": 6, "lookup_ttl_max_s": 5,
+        "shutdown_grace_s": 6, "lookup_ttl_max_s": 5, "server_drain_ms": 2000,
         "retries": {"ratio": 0.2, "extra": 60, "window_s": 10},
         "cold": {"overage": 1.5, "extra": 5}, "unknown": [1]})");
 }
@@ -36,9 +36,20 @@
     CHECK(settings->seeds.size() == 1);
     CHECK(settings->memoryBytes == std::size_t { 260 } * 1024 * 1024);
     CHECK(settings->shutdownGrace == absl::Seconds(6));
+    CHECK(settings->serverDrainTime == absl::Seconds(2));
     CHECK(settings->metrics.toString() == "10.1.0.15:9464");
 }
 
+// Guards against requests to leaving servers for a time that the platform does not allow.
+TEST_CASE("Without a drain time in the settings, leaving servers get no requests")
+{
+    json document = validSettings();
+    document.erase("server_drain_ms");
+    const auto settings = Entry::EntrySettings::parse(document.dump());
+    REQUIRE(settings);
+    CHECK(settings->serverDrainTime == absl::ZeroDuration());
+}
+
 TEST_CASE("Errors in settings name the field and what is expected")
 {
     const auto [pointer, value, expected] = GENERATE(table<std::string, json, std::string>(
@@ -46,6 +57,8 @@
               { "/listeners/callers", "10.1.0.15", "/listeners/callers: expected IP:PORT" },
               { "/store/address", 7, "/store/address: expected a text that is not empty" },
               { "/memory_mb", 1, "/memory_mb: expected a number from 16 to 1e+06" },
+              { "/server_drain_ms", -1, "/server_drain_ms: expected a number from 0 to 3.6e+06" },
+              { "/server_drain_ms", "2", "/server_drain_ms: expected a number from 0 to 3.6e+06" },
               { "/retries/ratio", "x", "/retries/ratio: expected a number from 0 to 10" },
               { "/zones", json::array(),
                 "/zones: expected an object of zone names and their regions" },
--- a/Source/UnitTests/Entry/SteeringFixture.cpp
+++ b/Source/UnitTests/Entry/SteeringFixture.cpp
@@ -33,6 +33,7 @@
     settings.maxDescriptors = 1024;
     settings.retries = { 0.2, 60.0, absl::Seconds(10) };
     settings.cold = { 1.5, 5.0 };
+    settings.serverDrainTime = absl::Seconds(2);
     return settings;
 }
 
--- a/Source/UnitTests/Steering/ServerSelectorTest.cpp
+++ b/Source/UnitTests/Steering/ServerSelectorTest.cpp
@@ -44,7 +44,7 @@
                        { ZoneName("b"), RegionName("west") },
                        { ZoneName("c"), RegionName("east") } },
                      { 1.5, 5.0 } },
-                   servers, outcomes)
+                   servers, outcomes, notices)
     {
         const std::vector<std::string> zones { "a", "b", "c" };
         for (int number = 0; number < 6; ++number) {
@@ -83,6 +83,7 @@
 
     ServerTable servers;
     FleetOutcomes outcomes { VmName("observer") };
+    ServerNotices notices { absl::Seconds(2) };
     ServerSelector selector;
     Route route;
     ServiceSettings terms;
@@ -381,6 +382,133 @@
     }
 }
 
+// Guards against requests to a server that has said that it leaves although another server could
+// take them, and against refusals while only leaving servers are left.
+TEST_CASE("A leaving server gets only requests that no other server can take")
+{
+    Deployment deployment;
+    const BackendServer leaving = deployment.send("1", 0)->server();
+    const ServerNotice notice = ServerNotice::read({ "1" }, {}, false);
+    deployment.notices.apply(ServerIncarnation::of(leaving), notice, at(0));
+    CHECK(deployment.send("1", 1)->server().name != leaving.name);
+    for (ServerRecord *record : deployment.servers.all()) {
+        if (record->server().name != leaving.name) {
+            record->onUnreachable(at(10));
+        }
+    }
+    ServerRecord *lastResort = deployment.send("1", 20);
+    REQUIRE(lastResort != nullptr);
+    CHECK(lastResort->server().name == leaving.name);
+    CHECK(deployment.send("1", 1999) != nullptr);
+    // The circuit breakers allow health checks by now, but no requests.
+    CHECK(deployment.send("1", 2000) == nullptr);
+}
+
+// Guards against objects that are moved to a server that leaves.
+TEST_CASE("A leaving server takes no objects of a busy server")
+{
+    Deployment deployment;
+    ServerRecord *busy = deployment.send("1", 0);
+    const ServerNotice notice = ServerNotice::read({ "1" }, {}, false);
+    for (ServerRecord *record : deployment.servers.all()) {
+        if (record != busy) {
+            deployment.notices.apply(ServerIncarnation::of(record->server()), notice, at(0));
+        }
+    }
+    for (int now = 0; now <= 1500; now += 100) {
+        report(*busy, now, 2 * slots, 0);
+    }
+    REQUIRE(busy->meanLoad(at(1500)) > 0.9);
+    deployment.send("1", 1500);
+    CHECK(deployment.selector.takeMoves().empty());
+}
+
+// Guards against callers that are told to come back while all servers still want no requests, or
+// long after the first of them takes requests again.
+TEST_CASE("When all servers pause, the request is rejected until the first one returns")
+{
+    Deployment deployment;
+    int seconds = 3;
+    for (ServerRecord *record : deployment.servers.all()) {
+        deployment.notices.apply(ServerIncarnation::of(record->server()),
+                                 ServerNotice::read({}, { std::to_string(seconds++) }, true),
+                                 at(0));
+    }
+    const SelectionRequest request = deployment.selectionRequest("1");
+    const Selection selection = deployment.selector.select(request, &deployment.terms, at(500));
+    const auto *reject = std::get_if<Reject>(&selection);
+    REQUIRE(reject != nullptr);
+    CHECK(reject->reason == RejectReason::Pausing);
+    CHECK(reject->retryAfter == absl::Milliseconds(2500));
+    CHECK(deployment.selector.timeUntilReturn(request, at(500)) == absl::Milliseconds(2500));
+    // The first server returns and gets its requests one after the other.
+    CHECK(deployment.send("1", 3000) != nullptr);
+    CHECK(std::holds_alternative<WaitUntil>(
+            deployment.selector.select(request, &deployment.terms, at(3001))));
+    CHECK_FALSE(deployment.selector.timeUntilReturn(request, at(3001)));
+}
+
+// Guards against requests that wait for a returning server although another one handled their
+// object during the pause.
+TEST_CASE("Requests beyond the rate of a returning server go to the next server")
+{
+    Deployment deployment;
+    ServerRecord *first = deployment.send("1", 0);
+    deployment.notices.apply(ServerIncarnation::of(first->server()),
+                             ServerNotice::read({}, { "1" }, true), at(0));
+    ServerRecord *second = deployment.send("1", 500);
+    REQUIRE(second != nullptr);
+    CHECK(second != first);
+    CHECK(deployment.send("1", 1000) == first);
+    CHECK(deployment.send("1", 1010) == second);
+    CHECK(deployment.send("1", 2100) == first);
+}
+
+// Guards against a region that gets its usual share of requests although its servers pause.
+TEST_CASE("Region weights count only servers without notices")
+{
+    Deployment deployment;
+    const auto inEast = [&deployment](int now) {
+        int count = 0;
+        for (int object = 0; object < 200; ++object) {
+            const Selection selection = deployment.selector.select(
+                    deployment.selectionRequest(std::to_string(object)), &deployment.terms,
+                    at(now));
+            count += std::get<SendTo>(selection).server->server().zone.value() == "c" ? 1 : 0;
+        }
+        return count;
+    };
+    const int before = inEast(0);
+    // Two of the four servers of the own region pause.
+    for (const int number : { 0, 1 }) {
+        deployment.notices.apply(ServerIncarnation::of(server(number, "a")),
+                                 ServerNotice::read({}, { "2" }, true), at(0));
+    }
+    CHECK(inEast(100) > before * 3 / 2);
+    // The weights are as before when the pause is over.
+    CHECK(inEast(4000) == before);
+}
+
+// Guards against a server that is ejected or avoided because it asked for a pause.
+TEST_CASE("A response with a pause does not count as a failure")
+{
+    ServerRecord record(server(0, "a"), at(0));
+    const LoadReport idle { 0, 0, slots };
+    for (const AttemptEnd end : { AttemptEnd::ServerError, AttemptEnd::NotExecuted }) {
+        for (int request = 0; request < 6; ++request) {
+            record.onSent(at(request), "1");
+            record.onEnd(at(request), end, &idle, true);
+        }
+    }
+    CHECK(record.failureRate() == 0.0);
+    CHECK(record.usable(at(10)));
+    CHECK(record.ownRequests() == 0);
+    record.onSent(at(20), "1");
+    record.onEnd(at(20), AttemptEnd::Withheld, nullptr);
+    CHECK(record.failureRate() == 0.0);
+    CHECK(record.ownRequests() == 0);
+}
+
 // Guards against servers that fail a fraction of their requests and still get their full share.
 TEST_CASE("Failed requests raise the failure rate, answered requests lower it")
 {
--- a/include/currantfall/Steering/ServerSelector.h
+++ b/include/currantfall/Steering/ServerSelector.h
@@ -13,6 +13,7 @@
 #include "currantfall/Steering/FleetOutcomes.h"
 #include "currantfall/Steering/LocalityShares.h"
 #include "currantfall/Steering/RoutingConfiguration.h"
+#include "currantfall/Steering/ServerNotices.h"
 #include "currantfall/Steering/ServerTable.h"
 
 namespace Currantfall::Steering {
@@ -59,6 +60,7 @@
 enum class RejectReason {
     NoServer,   ///< No eligible server is known.
     Overloaded, ///< No server can answer within the remaining time.
+    Pausing,    ///< All eligible servers asked for a pause; `retryAfter` is when the first ends.
 };
 
 struct SendTo
@@ -111,8 +113,10 @@
 class ServerSelector
 {
 public:
-    ServerSelector(SelectorSettings settings, ServerTable &servers, const FleetOutcomes &outcomes);
+    ServerSelector(SelectorSettings settings, ServerTable &servers, const FleetOutcomes &outcomes,
+                   const ServerNotices &notices);
 
+    /// Servers that leave are selected only if no other server can take the request now.
     Selection select(const SelectionRequest &request, const ServiceSettings *serviceSettings,
                      Common::Instant now);
 
@@ -147,6 +151,11 @@
 
     bool mayUse(const ServerRecord &server, const Route &route, Common::Instant now) const;
 
+    /// Time until the first pause of an eligible server ends. Nothing if there is no such server,
+    /// or if another server that the request was not sent to may be used.
+    std::optional<absl::Duration> timeUntilReturn(const SelectionRequest &request,
+                                                  Common::Instant now) const;
+
     /// Mean service time of the service's requests with a cache hit or a cache miss.
     absl::Duration meanServiceTime(const Common::ServiceName &service, const Route &route,
                                    bool cacheHit) const;
@@ -168,18 +177,28 @@
     struct CachedWeights
     {
         std::uint64_t generation = 0;
+        std::uint64_t noticeGeneration = 0;
+        /// When a pause or the last use of a leaving server ends.
+        Common::Instant validUntil;
         std::map<Common::RegionName, double> weights;
     };
 
-    /// Eligible servers in the object's order. Servers that fail according to the reports of all
-    /// VMs are ejected, unless too many of them fail.
-    std::vector<Candidate> candidates(const SelectionRequest &request, Common::Instant now);
+    /// Eligible servers of one use in the object's order. Servers that fail according to the
+    /// reports of all VMs are ejected, unless too many of them fail.
+    std::vector<Candidate> candidates(const SelectionRequest &request, ServerUse use,
+                                      Common::Instant now);
+    /// Selects among the servers of one use.
+    Selection selectAmong(const SelectionRequest &request, ServerUse use,
+                          const ServiceSettings *serviceSettings, Common::Instant now);
+    /// Whether the server may handle the route, regardless of its notices.
+    bool eligible(const ServerRecord &server, const Route &route, Common::Instant now) const;
     /// Result of the servers that were evaluated so far.
     struct Evaluation
     {
         std::optional<SendTo> best;
         absl::Duration bestCost;
-        Common::Instant earliestColdSendTime = Common::Instant::infinite();
+        /// Earliest send time of the servers that limit the rate of requests.
+        Common::Instant earliestSendTime = Common::Instant::infinite();
         absl::Duration minFinishTime = absl::InfiniteDuration();
     };
     using ObjectKey = std::pair<Common::ServiceName, std::string>;
@@ -189,14 +208,16 @@
     /// high.
     void moveObjectFromBusyServer(const SelectionRequest &request, std::vector<Candidate> &order,
                                   Common::Instant now);
-    /// Excludes servers that may be cold and have reached their cold rate, unless all have: during
-    /// the evacuation the next server of the order handled their objects.
+    /// Excludes servers that may be cold or return from a pause and have reached their rate, unless
+    /// all have: during the evacuation or the pause the next server of the order handled their
+    /// objects.
     void excludeRateLimited(std::vector<Candidate> &order, const ServiceSettings *serviceSettings,
                             Common::Instant now) const;
     void evaluate(const SelectionRequest &request, const ServiceSettings *serviceSettings,
                   Common::Instant now, ServerRecord &server, std::size_t position,
                   Evaluation &evaluation) const;
-    const std::map<Common::RegionName, double> &regionWeights(const Common::ServiceName &service);
+    const std::map<Common::RegionName, double> &regionWeights(const Common::ServiceName &service,
+                                                              Common::Instant now);
     /// Whether the server may be cold although its entry does not say so.
     bool mayBeCold(const ServerRecord &server, Common::Instant now) const;
     /// Whether the server is cold according to its entry, or may be.
@@ -208,6 +229,7 @@
     SelectorSettings settings;
     ServerTable &servers;
     const FleetOutcomes &outcomes;
+    const ServerNotices &notices;
     std::set<Common::ZoneName> evacuatedZones;
     /// Time at which the evacuation of a zone ended.
     std::map<Common::ZoneName, Common::Instant> returnedAt;
--- a/include/currantfall/Steering/ServerTable.h
+++ b/include/currantfall/Steering/ServerTable.h
@@ -34,6 +34,7 @@
     Unreachable, ///< No connection was made and nothing was sent.
     Broken,      ///< The connection or the response failed after the request was sent.
     Abandoned,   ///< This VM cancelled the attempt. The server is not judged by it.
+    Withheld,    ///< This VM sent nothing: the server asked for no requests while it connected.
 };
 
 std::string toString(AttemptEnd end);
@@ -62,8 +63,12 @@
     std::uint32_t ownRequests() const { return this->inFlight; }
 
     void onSent(Common::Instant now, const std::string &object);
-    void onEnd(Common::Instant now, AttemptEnd end, const LoadReport *report);
+    /// A server that asks for a pause with its response is not judged by the response.
+    void onEnd(Common::Instant now, AttemptEnd end, const LoadReport *report,
+               bool asksForPause = false);
     void onHealthCheck(Common::Instant now, bool healthy);
+    /// The health check was not sent.
+    void onProbeWithheld();
     /// Opens the circuit breaker because no connection can be made. The server gets no requests
     /// until a health check succeeds.
     void onUnreachable(Common::Instant now);
