Check in the soak that servers' notices are respected

Soak servers can announce that they leave without the store knowing, and refuse with Retry-After, on command. A request that was sent more than the drain time after its VM returned an announcement must not reach the server, and at most two requests of a VM may reach a server in a pause that it asked of this VM. Restarts and freezes of the VM excuse both, a fault of the server's link the second. The faults are drawn apart from the others, so that the seeds that failed before keep their faults.

--- a/Tests/Entry/EntryDeployment.cpp
+++ b/Tests/Entry/EntryDeployment.cpp
@@ -213,6 +213,7 @@
              { "processor_share", 1 },
              { "shutdown_grace_s", graceSeconds },
              { "lookup_ttl_max_s", 5 },
+             { "server_drain_ms", 2000 },
              { "retries", { { "ratio", 0.5 }, { "extra", 600 }, { "window_s", 10 } } },
              { "cold", { { "overage", 1.5 }, { "extra", 5 } } } };
 }
--- a/Tests/Entry/ExecutionLedger.h
+++ b/Tests/Entry/ExecutionLedger.h
@@ -1,14 +1,29 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <mutex>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Currantfall::Tests {
 
+using SoakClock = std::chrono::steady_clock;
+
+/// A request that reached a backend server, executed or not.
+struct Arrival
+{
+    std::string request;
+    std::string server;
+    std::string address; ///< Where the server listens.
+    SoakClock::time_point time;
+    /// For how long the server asked for no requests in its response; zero if it did not.
+    std::chrono::milliseconds pause { 0 };
+};
+
 /// What backend servers saw of one request.
 struct Executions
 {
@@ -28,6 +43,18 @@
         entry.services.insert(service);
     }
 
+    void arrive(Arrival arrival)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->allArrivals.push_back(std::move(arrival));
+    }
+
+    std::vector<Arrival> arrivals() const
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->allArrivals;
+    }
+
     void violation(const std::string &text)
     {
         const std::lock_guard lock(this->mutex);
@@ -50,6 +77,7 @@
 private:
     mutable std::mutex mutex;
     std::map<std::string, Executions> entries;
+    std::vector<Arrival> allArrivals;
     std::vector<std::string> found;
 };
 
--- a/Tests/Entry/SoakCallers.cpp
+++ b/Tests/Entry/SoakCallers.cpp
@@ -74,9 +74,11 @@
                                          { "Cookie",
                                            "Affinity-Key=" + std::to_string(number % objects) } };
         const std::string path = "/" + record.route + "/" + record.id + "?own=" + record.id;
-        const auto start = Clock::now();
+        record.started = SoakClock::now();
         const httplib::Result result = this->send(record, path, headers, number);
-        record.took = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - start);
+        record.ended = SoakClock::now();
+        record.took = std::chrono::duration_cast<std::chrono::milliseconds>(record.ended
+                                                                            - record.started);
         if (!result) {
             record.reason = httplib::to_string(result.error());
             return record;
@@ -84,6 +86,9 @@
         record.status = result->status;
         const std::string seal = result->get_header_value("Server-Seal");
         const std::string suffix = "." + record.id;
+        if (result->has_header("Server-Leaving")) {
+            record.leavingServer = result->get_header_value("Instance-Id");
+        }
         record.wholeAnswer
                 = result->status == 200 && result->body == responseBodyOf(record.id)
                   && seal.size() > suffix.size()
--- a/Tests/Entry/SoakCallers.h
+++ b/Tests/Entry/SoakCallers.h
@@ -21,6 +21,10 @@
     int status = 0;    ///< 0: no response.
     std::string reason;
     bool wholeAnswer = false; ///< The body and the signature are those of this request.
+    SoakClock::time_point started;
+    SoakClock::time_point ended;
+    /// The server whose response announced that it leaves; empty if it did not.
+    std::string leavingServer;
     std::chrono::milliseconds took { 0 };
     /// When the caller gives up.
     std::chrono::milliseconds deadline { 0 };
--- a/Tests/Entry/SoakFaults.cpp
+++ b/Tests/Entry/SoakFaults.cpp
@@ -24,6 +24,15 @@
 constexpr int slowWorkMs = 400;
 // A process that is told to end may take this much longer than its settings say, on a busy machine.
 constexpr std::chrono::duration<double> shutdownSlack { 2.0 };
+// A VM that was started or continued acts within this time.
+constexpr milliseconds resumeSlack { 500 };
+// A server that leaves without the store knowing goes on for some time after its drain time.
+constexpr milliseconds leavingOvertime { 1500 };
+// Pauses that servers ask for.
+const std::vector<milliseconds> pauses { milliseconds(1000), milliseconds(1800),
+                                         milliseconds(3000) };
+// Distinguishes the random numbers of notices from those of other faults.
+constexpr std::uint64_t noticeSeed = 0x6e6f74696365;
 
 // Of the time of day of a process that starts again.
 const std::vector<int> clockShiftsMs { 0, -5000, 0, 3000 };
@@ -37,12 +46,26 @@
 
 std::string toString(SoakFaultKind kind)
 {
-    static const std::vector<std::string> names {
-        "kill-vm",       "stop-vm",           "pause-vm",    "reload-vm",     "link-delayed",
-        "link-reset",    "link-one-way",      "link-silent", "link-cut",      "store-misbehaves",
-        "store-forgets", "server-misbehaves", "server-slow", "server-drains", "server-replaced",
-        "configure",     "configure-often",   "evacuate"
-    };
+    static const std::vector<std::string> names { "kill-vm",
+                                                  "stop-vm",
+                                                  "pause-vm",
+                                                  "reload-vm",
+                                                  "link-delayed",
+                                                  "link-reset",
+                                                  "link-one-way",
+                                                  "link-silent",
+                                                  "link-cut",
+                                                  "store-misbehaves",
+                                                  "store-forgets",
+                                                  "server-misbehaves",
+                                                  "server-slow",
+                                                  "server-drains",
+                                                  "server-replaced",
+                                                  "configure",
+                                                  "configure-often",
+                                                  "evacuate",
+                                                  "server-asks-for-pause",
+                                                  "server-leaves" };
     return names.at(static_cast<std::size_t>(kind));
 }
 
@@ -91,6 +114,27 @@
     return faults;
 }
 
+std::vector<SoakFault> noticeFaults(std::uint64_t seed, milliseconds length, milliseconds meanGap)
+{
+    std::mt19937_64 random(seed ^ noticeSeed);
+    std::exponential_distribution<double> gap(1.0 / static_cast<double>(meanGap.count()));
+    std::uniform_int_distribution<long> duration(shortestFault.count(), longestFault.count());
+    std::uniform_int_distribution<unsigned> choice(0, 9999);
+    std::vector<SoakFault> faults;
+    for (milliseconds start(static_cast<long>(gap(random))); start < length;
+         start += milliseconds(static_cast<long>(gap(random)))) {
+        SoakFault fault;
+        fault.kind = choice(random) % 2 == 0 ? SoakFaultKind::ServerAsksForPause
+                                             : SoakFaultKind::ServerLeaves;
+        fault.start = start;
+        fault.duration = milliseconds(duration(random));
+        fault.target = choice(random);
+        fault.variant = choice(random);
+        faults.push_back(fault);
+    }
+    return faults;
+}
+
 SoakFaultDriver::SoakFaultDriver(EntryDeployment &deployment)
     : deployment(deployment), vms(deployment.vms().size()), drains(deployment.servers().size(), 0)
 { }
@@ -127,6 +171,12 @@
     return code;
 }
 
+void SoakFaultDriver::addDisruption(const std::string &subject, milliseconds duration)
+{
+    const auto now = Clock::now();
+    this->seenDisruptions.push_back({ subject, now, now + duration + resumeSlack });
+}
+
 void SoakFaultDriver::after(milliseconds delay, std::function<void()> action)
 {
     this->due.push_back({ Clock::now() + delay, std::move(action) });
@@ -183,6 +233,7 @@
                               + vm.process->errors());
     }
     state.startAt = now + restartDelay;
+    this->addDisruption(vm.relayHost, restartDelay);
 }
 
 void SoakFaultDriver::begin(const SoakFault &fault)
@@ -200,6 +251,8 @@
     case SoakFaultKind::ServerSlow:
     case SoakFaultKind::ServerDrains:
     case SoakFaultKind::ServerReplaced:
+    case SoakFaultKind::ServerAsksForPause:
+    case SoakFaultKind::ServerLeaves:
         this->beginAtServer(fault);
         return;
     case SoakFaultKind::Configure:
@@ -246,6 +299,7 @@
     } else {
         ++state.pauses;
         state.pausedWhileStopping = true;
+        this->addDisruption(vm.relayHost, fault.duration);
         vm.process->pause();
         this->after(fault.duration, [this, index, pid = vm.process->pid()] {
             EntryVm &paused = this->deployment.vms()[index];
@@ -261,6 +315,9 @@
 {
     const auto kind = static_cast<LinkKind>(fault.variant % 4);
     const LinkKey link { kind, fault.target % this->deployment.linkCount(kind) };
+    if (kind == LinkKind::Server) {
+        this->addDisruption(this->deployment.servers()[link.second]->address(), fault.duration);
+    }
     if (fault.kind == SoakFaultKind::LinkReset) {
         this->deployment.setLink(link.first, link.second, { { "reset", true } });
         return;
@@ -314,9 +371,17 @@
         this->after(fault.duration, [&server] { server.setFault(ServerFault::None); });
         return;
     }
+    if (fault.kind == SoakFaultKind::ServerAsksForPause) {
+        server.askForPause(fault.duration, pauses[fault.variant % pauses.size()]);
+        return;
+    }
     if (this->drains[index] > 0) {
         return;
     }
+    if (fault.kind == SoakFaultKind::ServerLeaves) {
+        this->beginLeaving(index);
+        return;
+    }
     ++this->drains[index];
     const std::string service = server.identity().service;
     milliseconds end = drainTime;
@@ -335,4 +400,21 @@
     });
 }
 
+void SoakFaultDriver::beginLeaving(std::size_t index)
+{
+    ++this->drains[index];
+    SoakServer &server = *this->deployment.servers()[index];
+    const std::string service = server.identity().service;
+    server.announceLeaving();
+    const milliseconds end = drainTime + leavingOvertime;
+    this->after(end, [this, index, &server] {
+        this->deployment.unregisterServer(index);
+        server.replace({ "i-gone", "none", server.identity().zone });
+    });
+    this->after(end + reuseDelay, [this, index, service] {
+        this->deployment.replaceServer(index, service);
+        --this->drains[index];
+    });
+}
+
 } // namespace Currantfall::Tests
--- a/Tests/Entry/SoakFaults.h
+++ b/Tests/Entry/SoakFaults.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "EntryDeployment.h"
+#include "NoticeChecks.h"
 
 namespace Currantfall::Tests {
 
@@ -31,7 +32,10 @@
     Configure,
     ConfigureOften,
     Evacuate,
+    ServerAsksForPause,
+    ServerLeaves, ///< The server announces it in its responses only, not in the store.
 };
+/// Kinds that soakFaults() draws.
 inline constexpr int soakFaultKindCount = static_cast<int>(SoakFaultKind::Evacuate) + 1;
 
 std::string toString(SoakFaultKind kind);
@@ -53,6 +57,11 @@
 std::vector<SoakFault> soakFaults(std::uint64_t seed, std::chrono::milliseconds length,
                                   std::chrono::milliseconds meanGap);
 
+/// Times at which servers ask for a pause or leave, for a run of `length`. They are drawn apart
+/// from the other faults, so that the faults of a seed that failed stay as they were.
+std::vector<SoakFault> noticeFaults(std::uint64_t seed, std::chrono::milliseconds length,
+                                    std::chrono::milliseconds meanGap);
+
 /// Brings faults about from outside the entry VMs and checks that none of them ends by itself, and
 /// that each ends in time when it is told to. Belongs to one thread, which must outlive the VMs
 /// that it starts.
@@ -67,6 +76,8 @@
     int restart(EntryVm &vm, int clockShiftMs = 0);
 
     const std::vector<std::string> &violations() const { return this->found; }
+    /// Times in which entry VMs did not run and links of backend servers were impaired.
+    const std::vector<Disruption> &disruptions() const { return this->seenDisruptions; }
     /// What processes that have ended wrote.
     const std::map<std::string, std::string> &logs() const { return this->endedLogs; }
 
@@ -94,6 +105,8 @@
     void beginAtLink(const SoakFault &fault);
     void beginAtStore(const SoakFault &fault);
     void beginAtServer(const SoakFault &fault);
+    void beginLeaving(std::size_t index);
+    void addDisruption(const std::string &subject, std::chrono::milliseconds duration);
     void applyLink(const LinkKey &link);
     void poll();
     void checkVm(std::size_t index);
@@ -106,6 +119,7 @@
     std::vector<int> drains; ///< Drains of each server that have not ended.
     std::list<Due> due;
     std::vector<std::string> found;
+    std::vector<Disruption> seenDisruptions;
     std::map<std::string, std::string> endedLogs;
 };
 
--- a/Tests/Entry/SoakServer.cpp
+++ b/Tests/Entry/SoakServer.cpp
@@ -42,7 +42,7 @@
 
 SoakServer::SoakServer(ExecutionLedger &ledger, Identity identity, const std::string &address,
                        std::uint16_t port)
-    : ledger(ledger), current(std::move(identity)),
+    : ledger(ledger), current(std::move(identity)), listenAddress(address),
       backend([this](ScriptedConnection &connection) { this->serve(connection); }, address, port)
 { }
 
@@ -56,6 +56,26 @@
 {
     const std::lock_guard lock(this->mutex);
     this->current = std::move(identity);
+    this->leaving = false;
+    this->refusesUntil = {};
+}
+
+void SoakServer::askForPause(std::chrono::milliseconds duration, std::chrono::milliseconds pause)
+{
+    const std::lock_guard lock(this->mutex);
+    this->refusesUntil = SoakClock::now() + duration;
+    this->pause = pause;
+}
+
+std::chrono::milliseconds SoakServer::pauseNow() const
+{
+    const std::lock_guard lock(this->mutex);
+    return SoakClock::now() < this->refusesUntil ? this->pause : std::chrono::milliseconds(0);
+}
+
+std::string SoakServer::ownHeaders(const Identity &self) const
+{
+    return "Instance-Id: " + self.id + "\r\n" + (this->leaving ? "Server-Leaving: 1\r\n" : "");
 }
 
 nlohmann::json SoakServer::row(const std::string &address, const std::string &state) const
@@ -80,16 +100,22 @@
 bool SoakServer::answer(ScriptedConnection &connection, const std::string &header,
                         const Identity &self)
 {
-    const std::string instance = "Instance-Id: " + self.id + "\r\n";
+    const std::string instance = this->ownHeaders(self);
+    const std::chrono::milliseconds pauseAsked = this->pauseNow();
+    const std::string pauseHeader
+            = "Retry-After: " + std::to_string(static_cast<double>(pauseAsked.count()) / 1000)
+              + "\r\n";
     if (header.starts_with("GET /health ")) {
-        connection.write(responseTo(header, "200 OK", instance, ""));
+        const bool refuses = this->leaving || pauseAsked.count() > 0;
+        connection.write(responseTo(header, refuses ? "503 Service Unavailable" : "200 OK",
+                                    instance + (pauseAsked.count() > 0 ? pauseHeader : ""), ""));
         return true;
     }
     const ServerFault applied
             = ++this->requests % usualEvery == 0 ? ServerFault::None : this->fault.load();
     const bool early = applied == ServerFault::AnswersEarly;
     const std::string refusal
-            = responseTo(header, "503 Service Unavailable", "Not-Executed: 1\r\n", "");
+            = responseTo(header, "503 Service Unavailable", "Not-Executed: 1\r\n" + instance, "");
     if (early) {
         connection.write(refusal);
     }
@@ -105,6 +131,13 @@
         connection.write(responseTo(request, "421 Misdirected Request", instance, ""));
         return true;
     }
+    this->ledger.arrive({ headerOf(header, "Request-Id"), self.id, this->listenAddress,
+                          SoakClock::now(), pauseAsked });
+    if (pauseAsked.count() > 0) {
+        connection.write(responseTo(header, "503 Service Unavailable",
+                                    "Not-Executed: 1\r\n" + instance + pauseHeader, ""));
+        return true;
+    }
     if (applied == ServerFault::Sheds) {
         connection.write(refusal);
         return true;
@@ -124,7 +157,7 @@
         return;
     }
     const std::string seal = "Server-Seal: " + sealOf(id, self.id) + "\r\nServer-Load: 1,0,"
-                             + std::to_string(slots) + "\r\n";
+                             + std::to_string(slots) + "\r\n" + this->ownHeaders(self);
     const std::string body = responseBodyOf(id);
     const std::string whole = responseTo(request, "200 OK", seal, body);
     const std::string unframed = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\n" + seal
--- a/Tests/Entry/SoakServer.h
+++ b/Tests/Entry/SoakServer.h
@@ -47,8 +47,14 @@
     /// Another server uses the address from now on.
     void replace(Identity identity);
     void setFault(ServerFault wanted) { this->fault = wanted; }
+    /// For `duration`, refuses requests and asks for no requests for `pause`.
+    void askForPause(std::chrono::milliseconds duration, std::chrono::milliseconds pause);
+    /// From now on all responses announce that the server leaves. Ends with replace().
+    void announceLeaving() { this->leaving = true; }
     void setWorkMs(int milliseconds) { this->workMs = milliseconds; }
 
+    /// Host of the server's own listener, behind its link.
+    const std::string &address() const { return this->listenAddress; }
     /// The server's entry in the store. `address` is where entry VMs reach it.
     nlohmann::json row(const std::string &address, const std::string &state) const;
 
@@ -57,6 +63,10 @@
     bool answer(ScriptedConnection &connection, const std::string &header, const Identity &self);
     void run(ScriptedConnection &connection, const std::string &request, const Identity &self,
              ServerFault applied);
+    /// Headers that all responses carry.
+    std::string ownHeaders(const Identity &self) const;
+    /// Time for which the response to a request of now asks for no requests; zero if it does not.
+    std::chrono::milliseconds pauseNow() const;
     void checkUnchanged(const std::string &request);
 
     ExecutionLedger &ledger;
@@ -65,6 +75,10 @@
     std::atomic<ServerFault> fault { ServerFault::None };
     std::atomic<int> workMs { 15 };
     std::atomic<unsigned> requests { 0 };
+    std::atomic<bool> leaving { false };
+    SoakClock::time_point refusesUntil;    ///< Guarded by `mutex`.
+    std::chrono::milliseconds pause { 0 }; ///< Guarded by `mutex`.
+    std::string listenAddress;
     ScriptedBackend backend;
 };
 
--- a/Tests/Entry/SoakTest.cpp
+++ b/Tests/Entry/SoakTest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cstdlib>
 #include <fstream>
@@ -9,6 +10,7 @@
 #include <catch2/catch.hpp>
 
 #include "EntryDeployment.h"
+#include "NoticeChecks.h"
 #include "SoakCallers.h"
 #include "SoakFaults.h"
 #include "Support/RunSupport.h"
@@ -23,6 +25,8 @@
 constexpr milliseconds usualLength { 15'000 };
 constexpr milliseconds usualGap { 250 };
 constexpr std::size_t usualCallers = 12;
+constexpr milliseconds usualNoticeGap { 1500 };
+constexpr milliseconds serverDrainTime { 2000 };
 
 struct SoakSettings
 {
@@ -30,6 +34,8 @@
     milliseconds length { 0 };
     milliseconds meanGap { 0 };
     std::size_t callers = 0;
+    /// Mean time between servers that ask for a pause or leave; none do if zero.
+    milliseconds meanNoticeGap { 0 };
 };
 
 /// Versions of the configuration that a VM's processes have put into force never fall within one
@@ -123,8 +129,12 @@
 
 void soak(const SoakSettings &settings)
 {
-    const std::vector<SoakFault> faults
-            = soakFaults(settings.seed, settings.length, settings.meanGap);
+    std::vector<SoakFault> faults = soakFaults(settings.seed, settings.length, settings.meanGap);
+    if (settings.meanNoticeGap.count() > 0) {
+        const std::vector<SoakFault> notices
+                = noticeFaults(settings.seed, settings.length, settings.meanNoticeGap);
+        faults.insert(faults.end(), notices.begin(), notices.end());
+    }
     std::cout << "seed " << settings.seed << ", " << faults.size() << " faults" << std::endl;
     for (const SoakFault &fault : faults) {
         std::cout << fault.describe() << "\n";
@@ -138,13 +148,18 @@
     deployment.awaitReady();
     requireWell(deployment, settings.callers);
     const SoakVerdict verdict = judge(records, deployment.ledger());
+    const NoticeVerdict notices = judgeNotices(records, deployment.ledger().arrivals(),
+                                               driver.disruptions(), serverDrainTime);
     std::cout << json {
         { "seed", settings.seed },
         { "requests", records.size() },
         { "outcomes", verdict.outcomes },
-        { "violations", verdict.violations.size() + driver.violations().size() }
+        { "violations", verdict.violations.size() + driver.violations().size()
+                                + notices.leaving.size() + notices.pauses.size() }
     }.dump() << std::endl;
     requireNone(verdict.violations);
+    requireNone(notices.leaving);
+    requireNone(notices.pauses);
     requireNone(driver.violations());
     keepLogs(deployment, driver, settings.seed);
 }
@@ -158,6 +173,31 @@
     soak({ 20261204, milliseconds(7000), milliseconds(200), 8 });
 }
 
+// Guards against requests to servers that have said that they leave or want no requests, while
+// nothing else fails.
+TEST_CASE("Servers that leave or ask for a pause get no requests that they do not want")
+{
+    EntryDeployment deployment;
+    SoakFaultDriver driver(deployment);
+    SoakCallers callers(deployment, 8);
+    driver.run(noticeFaults(20261205, milliseconds(9000), milliseconds(600)));
+    const auto records = callers.finish();
+    const SoakVerdict verdict = judge(records, deployment.ledger());
+    const auto arrivals = deployment.ledger().arrivals();
+    INFO(json(verdict.outcomes).dump());
+    requireNone(verdict.violations);
+    const NoticeVerdict notices
+            = judgeNotices(records, arrivals, driver.disruptions(), serverDrainTime);
+    requireNone(notices.leaving);
+    requireNone(notices.pauses);
+    requireNone(driver.violations());
+    // Servers did both.
+    CHECK(std::any_of(records.begin(), records.end(),
+                      [](const SoakRecord &record) { return !record.leavingServer.empty(); }));
+    CHECK(std::any_of(arrivals.begin(), arrivals.end(),
+                      [](const Arrival &arrival) { return arrival.pause.count() > 0; }));
+}
+
 // The long run: seed, length in seconds, mean gap between faults and callers come from environment
 // variables.
 TEST_CASE("Long soak of entry VMs", "[.long]")
@@ -168,7 +208,7 @@
     soak({ numberFromEnvironment("CURRANTFALL_SOAK_SEED", 1),
            milliseconds(seconds * millisecondsPerSecond),
            milliseconds(numberFromEnvironment("CURRANTFALL_SOAK_GAP_MS", usualGap.count())),
-           numberFromEnvironment("CURRANTFALL_SOAK_CALLERS", usualCallers) });
+           numberFromEnvironment("CURRANTFALL_SOAK_CALLERS", usualCallers), usualNoticeGap });
 }
 
 // Seeds of the long soak that failed once, with the cause. They run with its usual length and gap.
