--- a/Source/Core/Steering/ServerTable.cpp
+++ b/Source/Core/Steering/ServerTable.cpp
@@ -56,6 +56,8 @@
         return "broken";
     case AttemptEnd::Abandoned:
         return "abandoned";
+    case AttemptEnd::Withheld:
+        return "withheld";
     }
     return "unknown";
 }
@@ -124,13 +126,14 @@
     this->recentObjects[object] = now;
 }
 
-void ServerRecord::onEnd(Common::Instant now, AttemptEnd end, const LoadReport *latest)
+void ServerRecord::onEnd(Common::Instant now, AttemptEnd end, const LoadReport *latest,
+                         bool asksForPause)
 {
     if (this->inFlight > 0) {
         --this->inFlight;
     }
-    if (end != AttemptEnd::Unreachable && end != AttemptEnd::Broken
-        && end != AttemptEnd::Abandoned) {
+    if (end != AttemptEnd::Unreachable && end != AttemptEnd::Broken && end != AttemptEnd::Abandoned
+        && end != AttemptEnd::Withheld) {
         this->heardAt = now;
     }
     if (latest != nullptr) {
@@ -148,6 +151,9 @@
         this->inFlightAtReport = this->inFlight;
         this->hasReport = true;
     }
+    if (asksForPause) {
+        return;
+    }
     double failed = 0.0;
     switch (end) {
     case AttemptEnd::Answered:
@@ -178,6 +184,7 @@
         this->misdirected = true;
         return;
     case AttemptEnd::Abandoned:
+    case AttemptEnd::Withheld:
         return;
     }
     this->failures += failureRateSmoothing * (failed - this->failures);
@@ -200,6 +207,11 @@
     }
 }
 
+void ServerRecord::onProbeWithheld()
+{
+    this->breaker.attemptNotMade();
+}
+
 bool ServerRecord::likelyCaches(const std::string &object, Common::Instant now) const
 {
     const auto found = this->recentObjects.find(object);
@@ -255,6 +267,12 @@
     return found == this->records.end() ? nullptr : &found->second;
 }
 
+const ServerRecord *ServerTable::find(const Common::BackendServerName &name) const
+{
+    const auto found = this->records.find(name);
+    return found == this->records.end() ? nullptr : &found->second;
+}
+
 const std::vector<ServerRecord *> &ServerTable::ofService(const Common::ServiceName &service) const
 {
     static const std::vector<ServerRecord *> none;
--- a/Source/Entry/BackendPool.cpp
+++ b/Source/Entry/BackendPool.cpp
@@ -276,7 +276,14 @@
         if (const auto failure = co_await this->readOne(exchange, parser, *body)) {
             this->metrics.addToCounter("currantfall_backend_responses_broken_total");
             closeIgnoringErrors(*connection);
-            co_return brokenResult(*failure);
+            ExchangeResult broken = brokenResult(*failure);
+            if (parser.is_header_done()) {
+                // What the server says of itself holds although its response is incomplete.
+                const Adapter::BackendResponse parsed = Adapter::readBackend(parser.get());
+                broken.parsed.misdirected = parsed.misdirected;
+                broken.parsed.notice = parsed.notice;
+            }
+            co_return broken;
         }
         if (++responses > maxSkippedResponses + 1) {
             this->metrics.addToCounter("currantfall_backend_responses_broken_total");
@@ -344,6 +351,13 @@
         result.detail = "cancelled before it was sent";
         co_return result;
     }
+    if (exchange.mayBeSent && !exchange.mayBeSent()) {
+        this->addIdle(exchange.server.name, connection, defaultKeepAlive);
+        ExchangeResult result;
+        result.end = AttemptEnd::Withheld;
+        result.detail = "the server asked for no requests";
+        co_return result;
+    }
     connection->stream.expires_after(toChrono(remaining));
     noteSent(*connection, exchange);
     auto written = std::make_shared<bool>(false);
--- a/Tests/Entry/SoakServer.h
+++ b/Tests/Entry/SoakServer.h
@@ -49,8 +49,14 @@
     void setFault(ServerFault wanted) { this->fault = wanted; }
     /// Number of requests that have arrived.
     unsigned requestCount() const { return this->requests; }
+    /// For `duration`, refuses requests and asks for no requests for `pause`.
+    void askForPause(std::chrono::milliseconds duration, std::chrono::milliseconds pause);
+    /// From now on all responses announce that the server leaves. Ends with replace().
+    void announceLeaving() { this->leaving = true; }
     void setWorkMs(int milliseconds) { this->workMs = milliseconds; }
 
+    /// Host of the server's own listener, behind its link.
+    const std::string &address() const { return this->listenAddress; }
     /// The server's next entry in the store. `address` is where entry VMs reach it.
     nlohmann::json nextRow(const std::string &address, const std::string &state);
 
@@ -59,6 +65,10 @@
     bool answer(ScriptedConnection &connection, const std::string &header, const Identity &self);
     void run(ScriptedConnection &connection, const std::string &request, const Identity &self,
              ServerFault applied);
+    /// Headers that all responses carry.
+    std::string ownHeaders(const Identity &self) const;
+    /// Time for which the response to a request of now asks for no requests; zero if it does not.
+    std::chrono::milliseconds pauseNow() const;
     void checkUnchanged(const std::string &request);
 
     ExecutionLedger &ledger;
@@ -68,6 +78,10 @@
     std::atomic<int> workMs { 15 };
     std::atomic<unsigned> requests { 0 };
     std::atomic<unsigned> rows { 0 };
+    std::atomic<bool> leaving { false };
+    SoakClock::time_point refusesUntil;    ///< Guarded by `mutex`.
+    std::chrono::milliseconds pause { 0 }; ///< Guarded by `mutex`.
+    std::string listenAddress;
     ScriptedBackend backend;
 };
 
