--- a/Source/UnitTests/Adapter/RowsTest.cpp
+++ b/Source/UnitTests/Adapter/RowsTest.cpp
@@ -199,24 +199,22 @@
             R"({"rows":[{"table":"t","part":"","key":"a","value":"aGk=","ver":4},)"
             R"({"key":"b","ver":5,"deleted":true},{"key":"c","value":"%%","ver":6},"x",)"
             R"({"value":"aGk=","ver":7}],"ver":530,"has_more":true,"now_ms":1})",
-            Common::Instant());
-            3, Common::Instant(), &unreadable);
-            REQUIRE(page);
-            CHECK(page->position == Steering::StorePosition(3, 530));
-            CHECK(page->hasMore);
-            REQUIRE(page->rows.size() == 3);
-            CHECK(page->rows[0].value == "hi");
-            CHECK(page->rows[0].position == Steering::StorePosition(3, 4));
-            CHECK(page->rows[1].deleted);
-            CHECK(page->rows[2].key == "c");
-            CHECK(page->rows[2].position == Steering::StorePosition(3, 6));
-            CHECK(page->rows[2].value.empty());
-            CHECK_FALSE(page->rows[2].deleted);
-            CHECK(page->unreadable == 3);
-            for (const char *bad :
-                 { "", "[]", "{\"ver\":1}", "{\"rows\":[]}", "{\"rows\":1,\"ver\":1}" }) {
-                CHECK_FALSE(Adapter::readRows(bad, 3, Common::Instant()));
-            }
+            3, Common::Instant());
+    REQUIRE(page);
+    CHECK(page->position == Steering::StorePosition(3, 530));
+    CHECK(page->hasMore);
+    REQUIRE(page->rows.size() == 3);
+    CHECK(page->rows[0].value == "hi");
+    CHECK(page->rows[0].position == Steering::StorePosition(3, 4));
+    CHECK(page->rows[1].deleted);
+    CHECK(page->rows[2].key == "c");
+    CHECK(page->rows[2].position == Steering::StorePosition(3, 6));
+    CHECK(page->rows[2].value.empty());
+    CHECK_FALSE(page->rows[2].deleted);
+    CHECK(page->unreadable == 3);
+    for (const char *bad : { "", "[]", "{\"ver\":1}", "{\"rows\":[]}", "{\"rows\":1,\"ver\":1}" }) {
+        CHECK_FALSE(Adapter::readRows(bad, 3, Common::Instant()));
+    }
 }
 
 // Guards against one row that makes the whole list unreadable, so that no VM can follow it.
