--- a/include/currantfall/Steering/StorePosition.h
+++ b/include/currantfall/Steering/StorePosition.h
@@ -24,8 +24,8 @@
     constexpr StoreEra era() const { return this->eraNumber; }
     constexpr StoreVersion version() const { return this->versionNumber; }
 
-    friend constexpr auto operator<=>(const StorePosition &left, const StorePosition &right)
-            = default;
+    // NOLINTNEXTLINE(modernize-use-nullptr): see Common::Name.
+    friend auto operator<=>(const StorePosition &left, const StorePosition &right) = default;
 
 private:
     // The order of the members is the order of comparison.
--- a/include/currantfall/Steering/WriterOrder.h
+++ b/include/currantfall/Steering/WriterOrder.h
@@ -20,7 +20,8 @@
     constexpr std::int64_t run() const { return this->runNumber; }
     constexpr std::uint64_t number() const { return this->valueNumber; }
 
-    friend constexpr auto operator<=>(const WriterOrder &left, const WriterOrder &right) = default;
+    // NOLINTNEXTLINE(modernize-use-nullptr): see Common::Name.
+    friend auto operator<=>(const WriterOrder &left, const WriterOrder &right) = default;
 
 private:
     // The order of the members is the order of comparison.
