Tell peers of rows that a restored store lists again, at any position

Cause: "nothing changed for me" was taken for "peers need not be told". A row that is written again with the same value, or with another sequence number only, moved the reader's position but was left out of the relayed update; peers moved to the same position, still held the row of the older era and dropped it when the hold time ended. The drop was recorded like a deletion by the store, so that not even a full read brought the row back. Likewise, what a VM keeps from before the restore reached a peer only if both were at equal positions, and a server whose entry had expired in the lost seconds stayed out for good if it was alive and its row did not change.

Change: TableReplica reports rows that the store lists for the first time in its era (Outcome::listings), and StoreSync relays them beside the changes; drops at the end of the hold time are not recorded as deletions; rows of the older era are applied also from an update whose position is stale, go with incremental answers, and are sent by each VM that enters an era; a deletion of the older era counts for a limited time (deletionHoldTime instead of keepsDeletions).

--- a/Source/Core/Steering/TableReplica.cpp
+++ b/Source/Core/Steering/TableReplica.cpp
@@ -19,6 +19,9 @@
 {
     Outcome outcome;
     if (this->isLoaded && update.to < this->currentPosition) {
+        if (update.to.era() == this->currentPosition.era()) {
+            this->applyRetained(update, outcome.localChanges);
+        }
         return outcome;
     }
     const StoreEra era = update.to.era();
@@ -47,27 +50,35 @@
             if (row.deleted) {
                 this->remove(row, outcome.changes);
             } else {
-                this->put(row, !update.complete, outcome.changes);
+                this->put(row, !update.complete, outcome);
             }
         }
         if (update.complete) {
             this->removeMissing(update, newEra, outcome.changes);
         }
     }
+    this->applyRetained(update, outcome.localChanges);
+    if (this->holding && this->confirmed >= this->holdUntil) {
+        this->endHold(outcome.localChanges);
+    }
+    if (this->holdingDeletions && this->confirmed >= this->deletionHoldUntil) {
+        this->endDeletionHold(outcome.localChanges);
+    }
+    return outcome;
+}
+
+void TableReplica::applyRetained(const TableUpdate &update, Changes &changes)
+{
     for (const RowChange &row : update.rows) {
         if (!this->ofOlderEra(row)) {
             continue;
         }
         if (row.deleted) {
-            this->removeRetained(row, outcome.localChanges);
+            this->removeRetained(row, changes);
         } else {
-            this->putRetained(row, outcome.localChanges);
+            this->putRetained(row, changes);
         }
     }
-    if (this->holding && this->confirmed >= this->holdUntil) {
-        this->endHold(outcome.localChanges);
-    }
-    return outcome;
 }
 
 void TableReplica::startEra(const TableUpdate &update)
@@ -76,9 +87,11 @@
     this->deletionsSince = update.to;
     this->holdUntil = update.confirmedAt + this->settings.holdTime;
     this->holding = true;
+    this->deletionHoldUntil = update.confirmedAt + this->settings.deletionHoldTime;
+    this->holdingDeletions = this->settings.deletionHoldTime > absl::ZeroDuration();
 }
 
-void TableReplica::put(const RowChange &row, bool written, Changes &changes)
+void TableReplica::put(const RowChange &row, bool written, Outcome &outcome)
 {
     const auto found = this->current.find(row.key);
     if (found == this->current.end()) {
@@ -86,14 +99,15 @@
         if (deletion != nullptr && deletion->position >= row.position) {
             return;
         }
-        if (deletion != nullptr && this->ofOlderEra(*deletion) && this->settings.keepsDeletions
+        if (deletion != nullptr && this->ofOlderEra(*deletion) && this->holdingDeletions
             && this->superseded(row, *deletion, written)) {
             this->supersededRows[row.key] = row;
+            outcome.listings.push_back(row);
             return;
         }
         this->supersededRows.erase(row.key);
         this->current.emplace(row.key, row);
-        changes.push_back(row);
+        outcome.changes.push_back(row);
         return;
     }
     RowChange &known = found->second;
@@ -101,6 +115,7 @@
         return;
     }
     if (this->ofOlderEra(known)) {
+        outcome.listings.push_back(row);
         if (row.value == known.value) {
             known.position = row.position;
             this->supersededRows.erase(row.key);
@@ -113,7 +128,7 @@
         this->supersededRows.erase(row.key);
     }
     known = row;
-    changes.push_back(row);
+    outcome.changes.push_back(row);
 }
 
 void TableReplica::remove(const RowChange &deletion, Changes &changes)
@@ -196,7 +211,7 @@
             return;
         }
     } else {
-        if (!this->settings.keepsDeletions || !this->superseded(known, deletion, false)) {
+        if (!this->holdingDeletions || !this->superseded(known, deletion, false)) {
             return;
         }
         this->supersededRows[deletion.key] = known;
@@ -214,7 +229,12 @@
         }
         const auto listed = this->supersededRows.find(row->first);
         if (listed == this->supersededRows.end()) {
-            row = this->drop(row, this->currentPosition, changes);
+            // Not recorded as a deletion of the store: the row may still be listed.
+            RowChange dropped = row->second;
+            dropped.deleted = true;
+            dropped.value.clear();
+            changes.push_back(std::move(dropped));
+            row = this->current.erase(row);
             continue;
         }
         if (!this->superseded(listed->second, row->second, false)) {
@@ -224,10 +244,21 @@
         }
         ++row;
     }
+    this->useListedRows(changes);
+}
+
+void TableReplica::endDeletionHold(Changes &changes)
+{
+    this->holdingDeletions = false;
+    this->useListedRows(changes);
+}
+
+void TableReplica::useListedRows(Changes &changes)
+{
     for (auto listed = this->supersededRows.begin(); listed != this->supersededRows.end();) {
         const RowChange *deletion = this->findDeletion(listed->first);
-        const bool deleted
-                = deletion != nullptr && this->superseded(listed->second, *deletion, false);
+        const bool deleted = this->holdingDeletions && deletion != nullptr
+                             && this->superseded(listed->second, *deletion, false);
         if (deleted || this->current.contains(listed->first)) {
             ++listed;
             continue;
@@ -318,7 +349,6 @@
                 update.rows.back().value.clear();
             }
         }
-        return update;
     }
     const std::vector<RowChange> retained = this->retainedRows();
     update.rows.insert(update.rows.end(), retained.begin(), retained.end());
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -39,6 +39,8 @@
 constexpr absl::Duration settingsCheckInterval = absl::Seconds(1);
 // Servers whose entries a restored store has lost write them again within two seconds.
 constexpr absl::Duration serverHoldTime = absl::Milliseconds(2500);
+// The store removes the entry of a server that is gone after three heartbeats of silence.
+constexpr absl::Duration serverDeletionHoldTime = absl::Seconds(10);
 // An evacuation that a restored store has lost stays in force until the operator has had time to
 // give it again.
 constexpr absl::Duration operatorHoldTime = absl::Seconds(10);
@@ -69,7 +71,7 @@
     servers.terms.interval = absl::Milliseconds(500);
     servers.terms.staleAfter = absl::Milliseconds(1000);
     servers.retention.holdTime = serverHoldTime;
-    servers.retention.keepsDeletions = true;
+    servers.retention.deletionHoldTime = serverDeletionHoldTime;
     servers.retention.order
             = [](const Steering::RowChange &row) { return Adapter::readServerOrder(row.value); };
     StoreSync::Table vms { vmTable, {}, absl::ZeroDuration(), {} };
--- a/Source/Entry/StoreSync.cpp
+++ b/Source/Entry/StoreSync.cpp
@@ -67,6 +67,20 @@
     return update;
 }
 
+/// Adds rows whose keys are not among `rows`.
+void addMissing(std::vector<Steering::RowChange> &rows,
+                const std::vector<Steering::RowChange> &others)
+{
+    for (const Steering::RowChange &other : others) {
+        const bool present = std::any_of(rows.begin(), rows.end(), [&other](const auto &row) {
+            return row.key == other.key;
+        });
+        if (!present) {
+            rows.push_back(other);
+        }
+    }
+}
+
 template<typename Message>
 Wire::BodyUnion toBody(Message message)
 {
@@ -241,6 +255,10 @@
         request.era = before.era();
         this->hooks.send(source->peer, toBody(std::move(request)));
     }
+    if (!outcome.localChanges.empty()
+        && outcome.status != Steering::TableReplica::Status::Applied) {
+        this->hooks.onChanges(state.table.name, outcome.localChanges);
+    }
     if (outcome.status == Steering::TableReplica::Status::Stale) {
         this->noteDiscarded(state, update, source, now);
         return false;
@@ -252,7 +270,8 @@
     if (newEra) {
         this->noteEra(state, before, source);
     }
-    const auto changesForPeers = this->hooks.onChanges(state.table.name, outcome.changes);
+    auto changesForPeers = this->hooks.onChanges(state.table.name, outcome.changes);
+    addMissing(changesForPeers, outcome.listings);
     if (!outcome.localChanges.empty()) {
         this->hooks.onChanges(state.table.name, outcome.localChanges);
     }
@@ -274,6 +293,13 @@
         relayedUpdate.from = relayedUpdate.to;
         relayedUpdate.rows.clear();
     }
+    if (newEra) {
+        // This VM may be the only one that knows these rows.
+        relayedUpdate.rows = state.replica.retainedRows();
+        if (source && !relayedUpdate.rows.empty()) {
+            this->hooks.send(source->peer, toBody(toWire(state.table.name, relayedUpdate, now)));
+        }
+    }
     this->relay(state, relayedUpdate, source, now);
     return true;
 }
--- a/Source/UnitTests/Steering/StoreEraTest.cpp
+++ b/Source/UnitTests/Steering/StoreEraTest.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr int holdMs = 2000;
+constexpr int deletionHoldMs = 8000;
 
 Instant at(int milliseconds)
 {
@@ -52,7 +53,7 @@
 /// Settings of a table like that of the backend servers.
 RetentionSettings serverSettings()
 {
-    return { absl::Milliseconds(holdMs), true, orderOf };
+    return { absl::Milliseconds(holdMs), absl::Milliseconds(deletionHoldMs), orderOf };
 }
 
 StorePosition old(StoreVersion version)
@@ -228,11 +229,11 @@
 }
 
 // Guards against an evacuation that stays out of force although the store lists it. Without
-// `keepsDeletions`, a row that was deleted in the lost seconds is listed again.
+// a hold time of deletions, a row that was deleted in the lost seconds is listed again.
 TEST_CASE("A deleted row returns with the copy in tables that do not keep deletions")
 {
     RetentionSettings settings = serverSettings();
-    settings.keepsDeletions = false;
+    settings.deletionHoldTime = absl::ZeroDuration();
     TableReplica replica = replicaWith({ row("evacuate", old(90), "{}") }, settings);
     replica.apply(changes(old(100), old(110), { deletion("evacuate", old(110)) }));
     CHECK(replica.apply(complete(restored(40), { row("evacuate", restored(30), "{}") }))
@@ -258,6 +259,8 @@
                 { row("a", restored(42), "ready 1.5"), row("b", restored(42), "{}") }, holdMs));
         CHECK(written.changes.empty());
         CHECK(written.localChanges.empty());
+        // Peers that still hold these rows must be told.
+        CHECK(written.listings.size() == 2);
         CHECK(replica.rows().size() == 2);
         CHECK(replica.retainedRows().empty());
     }
@@ -381,3 +384,79 @@
     CHECK(replica.apply(complete({ 0, 40 }, {})).status == Status::Stale);
     CHECK(replica.rows().size() == 1);
 }
+
+// Guards against live servers and evacuations that are dropped by all VMs but the reader (EVAC, and
+// servers without requests), because a row that is written again with the same value changes
+// nothing for the reader.
+TEST_CASE("A replica that is told of rows that are written again keeps them")
+{
+    const std::vector<RowChange> known { row("a", old(90), "ready 1.5"), row("b", old(91), "{}") };
+    TableReplica reader = replicaWith(known);
+    TableReplica other = replicaWith(known);
+    reader.apply(complete(restored(40), {}));
+    other.apply(complete(restored(40), {}));
+    const auto written = reader.apply(
+            changes(restored(40), restored(42),
+                    { row("a", restored(41), "ready 1.6"), row("b", restored(42), "{}") }, 100));
+    auto told = written.changes;
+    for (const RowChange &listing : written.listings) {
+        if (listing.key != "a" || told.empty()) {
+            told.push_back(listing);
+        }
+    }
+    other.apply(changes(restored(40), restored(42), told, 100));
+    other.apply(changes(restored(42), restored(42), {}, holdMs));
+    CHECK(other.rows() == reader.rows());
+    CHECK(other.rows().size() == 2);
+}
+
+// Guards against a row that a full read can't bring back, because it was dropped at the end of the
+// hold time.
+TEST_CASE("A row that was dropped after the hold time returns with the next full read")
+{
+    TableReplica replica = replicaWith({ row("a", old(90), "ready 1.5") });
+    replica.apply(complete(restored(40), {}));
+    replica.apply(changes(restored(40), restored(42), {}, holdMs));
+    CHECK(replica.rows().empty());
+    replica.apply(complete(restored(43), { row("a", restored(41), "ready 1.5") }, holdMs + 1));
+    CHECK(valueOf(replica, "a") == "ready 1.5");
+}
+
+// Guards against a server that gets no requests any more although it is alive and listed, because
+// its entry had expired in the lost seconds and does not change.
+TEST_CASE("A deletion of an older era gives way to a row that stays listed")
+{
+    TableReplica replica = replicaWith({ row("a", old(90), "ready 1.5") });
+    replica.apply(changes(old(100), old(110), { deletion("a", old(110)) }));
+    replica.apply(complete(restored(40), { row("a", restored(30), "ready 1.5") }));
+    replica.apply(changes(restored(40), restored(41), {}, deletionHoldMs - 1));
+    CHECK(replica.rows().empty());
+    const auto end = replica.apply(changes(restored(41), restored(41), {}, deletionHoldMs));
+    CHECK(end.localChanges.size() == 1);
+    CHECK(valueOf(replica, "a") == "ready 1.5");
+}
+
+// Guards against a VM that uses a server that has left, because it is at another position than the
+// peer that knows.
+TEST_CASE("What a peer knows from the older era is taken over at any position of the era")
+{
+    const std::vector<RowChange> copy { row("a", restored(30), "ready 1.4") };
+    TableReplica informed = replicaWith({ row("a", old(90), "draining 1.5") });
+    informed.apply(complete(restored(40), copy));
+    TableReplica started(serverSettings());
+    SECTION("The peer is behind")
+    {
+        started.apply(complete(restored(45), copy));
+        const auto outcome
+                = started.apply(changes(restored(40), restored(40), informed.retainedRows()));
+        CHECK(outcome.status == Status::Stale);
+        CHECK(outcome.localChanges.size() == 1);
+    }
+    SECTION("The peer is ahead")
+    {
+        started.apply(complete(restored(40), copy));
+        informed.apply(changes(restored(40), restored(45), {}));
+        started.apply(informed.changesSince(started.position()));
+    }
+    CHECK(valueOf(started, "a") == "draining 1.5");
+}
--- a/include/currantfall/Steering/TableReplica.h
+++ b/include/currantfall/Steering/TableReplica.h
@@ -54,8 +54,10 @@
     /// that the copy lacks are kept, and for which rows with unknown order are preferred to those
     /// of the copy.
     absl::Duration holdTime = absl::ZeroDuration();
-    /// Whether a row that is known to be deleted stays deleted although the copy lists it.
-    bool keepsDeletions = false;
+    /// Time for which a row that is known to be deleted stays deleted although the copy lists it,
+    /// if its writer does not write it. Covers the time after which the store drops the row of a
+    /// writer that is gone.
+    absl::Duration deletionHoldTime = absl::ZeroDuration();
     /// Reads the order of a row from its key and value. Without it, or without a result, the order
     /// is unknown.
     std::function<std::optional<WriterOrder>(const RowChange &)> order;
@@ -66,8 +68,9 @@
 ///
 /// When the store returns from an older copy, its era increases and the replica follows it, except
 /// for rows about which the replica knows something newer than the copy:
-/// - A row that its writer numbered stays as it is until the writer has written a newer value. The
-///   same applies to a deleted row if `keepsDeletions` is set.
+/// - A row that its writer numbered stays as it is until the writer has written a newer value.
+/// - A deleted row stays deleted until its writer has written a newer value or the hold time of
+///   deletions has passed.
 /// - Rows that the copy lacks, and rows without a known order, stay until they are written again or
 ///   the hold time has passed.
 class TableReplica
@@ -85,10 +88,15 @@
         std::vector<RowChange> changes;
         /// Further such rows that other VMs need not be told: each VM finds them by itself.
         std::vector<RowChange> localChanges;
+        /// Rows that the store lists for the first time in its current era although the replica
+        /// has known them since an older one. They may change nothing here, but a replica that is
+        /// not told of them drops its row when the hold time ends.
+        std::vector<RowChange> listings;
     };
 
     explicit TableReplica(RetentionSettings settings = {}) : settings(std::move(settings)) { }
 
+    /// Rows of an older era in the update are applied whatever its position is in the current era.
     Outcome apply(const TableUpdate &update);
 
     /// False until the first complete update has been applied.
@@ -120,20 +128,27 @@
     std::map<std::string, RowChange> supersededRows;
     Common::Instant holdUntil;
     bool holding = false;
+    Common::Instant deletionHoldUntil;
+    bool holdingDeletions = false;
 
     using Changes = std::vector<RowChange>;
     using RowIterator = std::map<std::string, RowChange>::iterator;
 
     void startEra(const TableUpdate &update);
     /// `written`: the row was written in the current era, and is not a part of the copy.
-    void put(const RowChange &row, bool written, Changes &changes);
+    void put(const RowChange &row, bool written, Outcome &outcome);
     void remove(const RowChange &deletion, Changes &changes);
     void removeMissing(const TableUpdate &update, bool newEra, Changes &changes);
     /// Applies what a peer knows from an older era than the one of this replica.
     void putRetained(const RowChange &row, Changes &changes);
     void removeRetained(const RowChange &deletion, Changes &changes);
+    void applyRetained(const TableUpdate &update, Changes &changes);
     /// Ends the hold time: drops what is kept only until then.
     void endHold(Changes &changes);
+    /// Ends the hold time of deletions: uses the rows that the store still lists.
+    void endDeletionHold(Changes &changes);
+    /// Uses rows that were superseded by deletions that don't count any more.
+    void useListedRows(Changes &changes);
     /// Whether `row`, which the store lists in a newer era, must not replace `known`, which is a
     /// row or a deletion.
     bool superseded(const RowChange &row, const RowChange &known, bool written) const;
