Move dialed links to the peer address that the platform lists

Seen: "A zone cut off from everything" timed out once with ThreadSanitizer, waiting for entry-1 to see entry-3 as suspect. Cause: a VM that hears of a VM of another zone from a neighbour before its first read of the platform's list dials the address that the neighbour named, and kept that link when the list named another address. In the tests that link passes the zone link, so that the cut was incomplete: the members stayed live, and configurations crossed the cut. Removal after 30 s is not the cause: listed members are never removed. Change: the daemon closes a dialed link once the platform lists another address for it, and dials that. The deployment with zone links starts the test only when no such connection is left, and the test requires that none exists after the cut; its waits are unchanged. Links to addresses that only peers named stay as they are.

--- a/Source/Core/Peering/DialPlan.cpp
+++ b/Source/Core/Peering/DialPlan.cpp
@@ -31,6 +31,16 @@
     this->targets = std::move(replaced);
 }
 
+bool DialPlan::isMoved(const PeerAddress &dialed) const
+{
+    const auto found = this->targets.find(dialed.vm);
+    if (found == this->targets.end()) {
+        return false;
+    }
+    const PeerAddress &current = found->second.address;
+    return current.listed && (current.address != dialed.address || current.port != dialed.port);
+}
+
 std::vector<DialPlan::Dial> DialPlan::takeDue(Common::Instant now)
 {
     std::vector<Dial> due;
--- a/Source/Core/Peering/DialPlan.h
+++ b/Source/Core/Peering/DialPlan.h
@@ -31,6 +31,9 @@
 
     bool contains(const Common::VmName &vm) const { return this->targets.contains(vm); }
 
+    /// True if the platform lists another address of the peer than `dialed`.
+    bool isMoved(const PeerAddress &dialed) const;
+
     /// Removes and returns the dials that are due.
     std::vector<Dial> takeDue(Common::Instant now);
 
--- a/Source/Core/Peering/Link.cpp
+++ b/Source/Core/Peering/Link.cpp
@@ -34,7 +34,8 @@
     link->linkPhase = Phase::Connecting;
     link->ownClass = linkClass;
     link->setPeerText(target.vm.value());
-    link->peerIdentity.vm = std::move(target.vm);
+    link->peerIdentity.vm = target.vm;
+    link->target = std::move(target);
     return link;
 }
 
--- a/Source/Core/Peering/Link.h
+++ b/Source/Core/Peering/Link.h
@@ -48,6 +48,8 @@
     /// Peer for errors: the VM name, or the address while the name is unknown.
     const std::string &peerText() const { return this->peerName; }
     const std::shared_ptr<SendQueue> &queue() const { return this->sendQueue; }
+    /// Empty for accepted links.
+    const PeerAddress &dialedAddress() const { return this->target; }
     Common::Instant startedAt() const { return this->started; }
     Common::Instant establishedAt() const { return this->established; }
     Common::Instant lastFrameAt() const { return this->lastFrame; }
@@ -87,6 +89,7 @@
     LinkClass ownClass = LinkClass::Control;
     FileDescriptor descriptor;
     PeerIdentity peerIdentity;
+    PeerAddress target;
     std::string peerName;
     std::shared_ptr<SendQueue> sendQueue;
     FrameReader reader;
--- a/Source/Core/Peering/PeerLoop.cpp
+++ b/Source/Core/Peering/PeerLoop.cpp
@@ -181,6 +181,14 @@
             this->closeLink(id, inTime.error(), now);
             continue;
         }
+        if (link->origin() == Link::Origin::Dialed
+            && this->dialPlan.isMoved(link->dialedAddress())) {
+            this->closeLink(id,
+                            { make_error_code(ErrorCode::Expired), "close link", link->peerText(),
+                              "the platform lists another address" },
+                            now);
+            continue;
+        }
         const bool unwanted = link->phase() == Link::Phase::Up
                               && link->origin() == Link::Origin::Dialed
                               && !this->dialPlan.contains(link->vm());
--- a/Source/Daemon/ClusterFlow.cpp
+++ b/Source/Daemon/ClusterFlow.cpp
@@ -288,7 +288,7 @@
     for (const Membership::Endpoint &endpoint : this->table.peersToConnect()) {
         const Membership::PeerEndpoint at = endpoint.peerEndpoint.value_or(
                 Membership::PeerEndpoint { endpoint.address, peerPortOf(endpoint.portBase) });
-        wanted.push_back({ endpoint.vm, at.address, at.port });
+        wanted.push_back({ endpoint.vm, at.address, at.port, endpoint.peerEndpoint.has_value() });
     }
     if (wanted != this->peers) {
         this->peers = wanted;
--- a/Source/UnitTests/Peering/PeerTransportTest.cpp
+++ b/Source/UnitTests/Peering/PeerTransportTest.cpp
@@ -279,6 +279,31 @@
     waitUntil([&] { return a.bothUp("b", 6); });
 }
 
+// Guards against links that stay on the address that a neighbour named after the platform has
+// listed another one.
+TEST_CASE("A dialed link moves to the address that the platform lists")
+{
+    Vm a(settingsOf(identity("a", 1)));
+    Vm b(settingsOf(identity("b", 5)));
+    const Vm elsewhere(settingsOf(identity("c", 1)));
+    PeerAddress listed = b.address("b");
+    a.transport->setPeers({ listed });
+    waitUntil([&] { return a.bothUp("b", 5); });
+    listed.port = elsewhere.transport->port();
+    listed.listed = true;
+    a.transport->setPeers({ listed });
+    waitUntil([&] {
+        return a.linksUp("b", 5, LinkClass::Control) == 0
+               && a.linksUp("b", 5, LinkClass::Bulk) == 0;
+    });
+    CHECK(a.reason().find("the platform lists another address") != std::string::npos);
+    waitUntil([&] { return a.transport->counters().linksRefused > 0; });
+    CHECK(a.linksUp("b", 5, LinkClass::Control) == 0);
+    listed.port = b.transport->port();
+    a.transport->setPeers({ listed });
+    waitUntil([&] { return a.bothUp("b", 5); });
+}
+
 TEST_CASE("Peers of another environment or name are refused")
 {
     Vm a(settingsOf(identity("a", 1)));
--- a/Tests/Deployment/DeploymentFixture.cpp
+++ b/Tests/Deployment/DeploymentFixture.cpp
@@ -1,6 +1,9 @@
 #include "DeploymentFixture.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
+#include <cstdint>
+#include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -81,6 +84,10 @@
         }
     }
     this->waitAllSlotsOwned();
+    if (options.zoneLinks) {
+        // VMs that hear of each other before they read the platform's list connect directly.
+        waitUntil([this] { return this->directLinks() == 0; });
+    }
 }
 
 DeploymentFixture::~DeploymentFixture()
@@ -157,6 +164,35 @@
     });
 }
 
+std::size_t DeploymentFixture::directLinks() const
+{
+    std::map<std::uint32_t, std::string> zoneOf;
+    for (const EntryVm &vm : this->vms) {
+        zoneOf[inet_addr(vm.address.c_str())] = vm.zone;
+    }
+    const auto zoneAt = [&zoneOf](std::uint32_t address) {
+        const auto found = zoneOf.find(address);
+        return found == zoneOf.end() ? std::string() : found->second;
+    };
+    // Lines: number, local address, remote address, state; the addresses as in_addr.
+    std::ifstream table("/proc/net/tcp");
+    std::size_t links = 0;
+    for (std::string line; std::getline(table, line);) {
+        unsigned local = 0;
+        unsigned remote = 0;
+        unsigned port = 0;
+        unsigned state = 0;
+        constexpr unsigned established = 1;
+        if (std::sscanf(line.c_str(), " %*u: %x:%*x %x:%x %x", &local, &remote, &port, &state) == 4
+            && state == established && port == peerPort) {
+            const std::string from = zoneAt(local);
+            const std::string to = zoneAt(remote);
+            links += !from.empty() && !to.empty() && from != to ? 1 : 0;
+        }
+    }
+    return links;
+}
+
 void DeploymentFixture::setPlatformFaults(const json &faults) const
 {
     httplib::Client client(this->addressOf(0, 9, 9), platformPort);
--- a/Tests/Deployment/DeploymentFixture.h
+++ b/Tests/Deployment/DeploymentFixture.h
@@ -56,6 +56,8 @@
     /// Waits until the VM has a configuration in force.
     void waitReady(const EntryVm &vm) const;
     void waitAllSlotsOwned() const;
+    /// Connections for peers between VMs of different zones that pass no zone link.
+    std::size_t directLinks() const;
 
     const ZoneLinks &links() const { return *this->zoneLinks; }
     std::vector<EntryVm> &allVms() { return this->vms; }
--- a/Tests/Deployment/PartitionTest.cpp
+++ b/Tests/Deployment/PartitionTest.cpp
@@ -71,6 +71,8 @@
     Callers outside(deployment, callerThreads, true, { "lm-b", "ok-a", "is-a" });
     waitForCalls(inside, calls);
     deployment.links().isolate({ "lm-a" }, true);
+    // A link past the relay would make the cut incomplete.
+    REQUIRE(deployment.directLinks() == 0);
     promoteAgain(deployment, 2001);
     promoteAgain(deployment, 2002);
     waitForRevision(deployment, { "entry-3", "entry-5", "entry-9" }, 3);
--- a/include/currantfall/Peering/PeerTransport.h
+++ b/include/currantfall/Peering/PeerTransport.h
@@ -36,6 +36,8 @@
     Common::VmName vm;
     std::string address; ///< IPv4.
     std::uint16_t port = 0;
+    /// The platform lists this address for links; dialed links to other addresses are closed.
+    bool listed = false;
 
     friend auto operator<=>(const PeerAddress &left, const PeerAddress &right) = default;
 };
