--- a/Tests/Entry/SoakFaults.cpp
+++ b/Tests/Entry/SoakFaults.cpp
@@ -118,7 +118,7 @@
 {
     vm.process->terminate();
     const int code = vm.process->wait();
-    this->endedLogs[vm.name] += vm.process->output();
+    this->recordEnd(vm, code);
     if (code != 0) {
         this->found.push_back(vm.name + " ended with code " + std::to_string(code) + ": "
                               + vm.process->errors());
@@ -173,18 +173,41 @@
         return;
     }
     const int code = vm.process->wait();
-    this->endedLogs[vm.name] += vm.process->output();
-    // A signal that comes before the program runs ends it as any other program.
-    const bool started = vm.process->output().find("\"start\"") != std::string::npos;
-    const bool endedAsTold
-            = code == 0 || code == 128 + SIGKILL || (code == 128 + SIGTERM && !started);
-    if (!state.endExpected || (state.stopSince && !endedAsTold)) {
+    this->recordEnd(vm, code);
+    // A signal that comes before the program's first instruction ends it as any other program. It
+    // has written nothing then.
+    constexpr int signalBase = 128;
+    const bool early = state.earlySignals.contains(code - signalBase)
+                       && vm.process->output().empty() && vm.process->errors().empty();
+    const bool endedAsTold = code == 0 || code == signalBase + SIGKILL || early;
+    if ((!state.endExpected && !early) || (state.stopSince && !endedAsTold)) {
         this->found.push_back(vm.name + " ended with code " + std::to_string(code) + ": "
                               + vm.process->errors());
     }
     state.startAt = now + restartDelay;
 }
 
+void SoakFaultDriver::recordEnd(const EntryVm &vm, int code)
+{
+    const std::size_t index = static_cast<std::size_t>(&vm - this->deployment.vms().data());
+    const nlohmann::json end { { "event", "ended" },
+                               { "code", code },
+                               { "early_signals", this->vms[index].earlySignals } };
+    this->endedLogs[vm.name]
+            += vm.process->output() + "\n" + vm.process->errors() + "\n" + end.dump() + "\n";
+}
+
+void SoakFaultDriver::sendHandled(std::size_t index, int signal)
+{
+    ProcessFixture &process = *this->deployment.vms()[index].process;
+    // Once the program blocks or handles a signal it always does, so that the answer can only be
+    // outdated in the direction that does not matter.
+    if (!process.handles(signal)) {
+        this->vms[index].earlySignals.insert(signal);
+    }
+    process.signal(signal);
+}
+
 void SoakFaultDriver::begin(const SoakFault &fault)
 {
     if (isLinkFault(fault.kind)) {
@@ -239,10 +262,10 @@
         state.endExpected = true;
         state.pausedWhileStopping = state.pausedWhileStopping || state.pauses > 0;
         state.stopSince = state.stopSince.value_or(Clock::now());
-        vm.process->terminate();
+        this->sendHandled(index, SIGTERM);
     } else if (fault.kind == SoakFaultKind::ReloadVm) {
         this->deployment.rewriteSettings(vm, fault.variant);
-        vm.process->hangUp();
+        this->sendHandled(index, SIGHUP);
     } else {
         ++state.pauses;
         state.pausedWhileStopping = true;
--- a/Tests/Entry/SoakFaults.h
+++ b/Tests/Entry/SoakFaults.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -67,7 +68,7 @@
     int restart(EntryVm &vm, int clockShiftMs = 0);
 
     const std::vector<std::string> &violations() const { return this->found; }
-    /// What processes that have ended wrote.
+    /// What processes that have ended wrote, each followed by how it ended.
     const std::map<std::string, std::string> &logs() const { return this->endedLogs; }
 
 private:
@@ -81,6 +82,8 @@
         std::optional<Clock::time_point> stopSince;
         std::optional<Clock::time_point> startAt;
         int clockShiftMs = 0; ///< Of the next process.
+        /// Signals that were sent before the program's first instruction blocked them.
+        std::set<int> earlySignals;
     };
     struct Due
     {
@@ -97,6 +100,9 @@
     void applyLink(const LinkKey &link);
     void poll();
     void checkVm(std::size_t index);
+    void recordEnd(const EntryVm &vm, int code);
+    /// Sends a signal that the VM handles; notes whether it came too early for that.
+    void sendHandled(std::size_t index, int signal);
     void after(std::chrono::milliseconds delay, std::function<void()> action);
 
     EntryDeployment &deployment;
--- a/Tests/Entry/SoakTest.cpp
+++ b/Tests/Entry/SoakTest.cpp
@@ -1,5 +1,8 @@
+#include <algorithm>
 #include <arpa/inet.h>
+#include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <netinet/in.h>
@@ -34,8 +37,9 @@
 
 /// Versions of the configuration that a VM's processes have put into force never fall within one
 /// process.
-void requireRisingVersions(const std::string &log)
+bool requireRisingVersions(const std::string &log)
 {
+    bool rising = true;
     std::istringstream lines(log);
     std::uint64_t last = 0;
     for (std::string line; std::getline(lines, line);) {
@@ -43,13 +47,17 @@
         if (!entry.is_object()) {
             continue; // The last line of a process that was killed.
         }
-        if (entry["event"] == "start") {
+        // The error output has lines without an event.
+        const std::string event = entry.value("event", "");
+        if (event == "start") {
             last = 0;
-        } else if (entry["event"] == "configuration") {
+        } else if (event == "configuration") {
             CHECK(entry["version"].get<std::uint64_t>() > last);
+            rising = rising && entry["version"].get<std::uint64_t>() > last;
             last = entry["version"].get<std::uint64_t>();
         }
     }
+    return rising;
 }
 
 /// A caller's connection that sends what the test wants.
@@ -80,8 +88,9 @@
 };
 
 /// Fresh callers while nothing fails are all answered.
-void requireWell(EntryDeployment &deployment, std::size_t threads)
+bool requireWell(EntryDeployment &deployment, std::size_t threads)
 {
+    bool well = true;
     SoakCallers callers(deployment, threads);
     waitUntil([&] { return callers.completed() >= calmCalls; });
     const auto records = callers.finish();
@@ -95,6 +104,7 @@
             UNSCOPED_INFO(record.id + " " + record.route + " " + std::to_string(record.status) + " "
                           + record.reason);
             CHECK(record.status == 200);
+            well = false;
         }
     }
     std::size_t answered = 0;
@@ -102,24 +112,55 @@
         answered += outcome.ends_with(" 200") ? count : 0;
     }
     CHECK(answered * 10 >= records.size() * 9);
+    return well && answered * 10 >= records.size() * 9;
 }
 
-/// Keeps what the VMs wrote, if a directory is named for it.
-void keepLogs(EntryDeployment &deployment, const SoakFaultDriver &driver, std::uint64_t seed)
+std::string logOf(const EntryVm &vm, const SoakFaultDriver &driver)
 {
-    const char *const directory = std::getenv("CURRANTFALL_SOAK_LOGS");
-    for (const EntryVm &vm : deployment.vms()) {
-        const auto ended = driver.logs().find(vm.name);
-        const std::string log
-                = (ended == driver.logs().end() ? "" : ended->second) + vm.process->output();
-        requireRisingVersions(log);
-        if (directory != nullptr) {
-            std::ofstream(std::string(directory) + "/" + std::to_string(seed) + "-" + vm.name
-                          + ".log")
-                    << log;
+    const auto ended = driver.logs().find(vm.name);
+    return (ended == driver.logs().end() ? "" : ended->second) + vm.process->output();
+}
+
+/// Keeps what the VMs wrote if the run fails, or if a directory is named for it.
+class LogKeeper
+{
+public:
+    LogKeeper(EntryDeployment &deployment, const SoakFaultDriver &driver, std::uint64_t seed)
+        : deployment(deployment), driver(driver), seed(seed)
+    { }
+    ~LogKeeper()
+    {
+        const char *const named = std::getenv("CURRANTFALL_SOAK_LOGS");
+        if (this->passed && named == nullptr) {
+            return;
         }
+        std::error_code error;
+        const std::filesystem::path directory
+                = named != nullptr ? std::filesystem::path(named)
+                                   : std::filesystem::temp_directory_path(error)
+                                             / ("currantfall-soak-" + std::to_string(getpid()));
+        std::filesystem::create_directories(directory, error);
+        for (const EntryVm &vm : this->deployment.vms()) {
+            const std::string log = logOf(vm, this->driver) + vm.process->errors();
+            const std::size_t start = log.size() - std::min(log.size(), mostKeptBytes);
+            std::ofstream(directory / (std::to_string(this->seed) + "-" + vm.name + ".log"))
+                    << log.substr(start);
+        }
+        std::cout << "logs of the VMs: " << directory.string() << std::endl;
     }
-}
+    LogKeeper(const LogKeeper &) = delete;
+    LogKeeper &operator=(const LogKeeper &) = delete;
+
+    void setPassed(bool value) { this->passed = value; }
+
+private:
+    static constexpr std::size_t mostKeptBytes = std::size_t { 4 } * 1024 * 1024;
+
+    EntryDeployment &deployment;
+    const SoakFaultDriver &driver;
+    std::uint64_t seed;
+    bool passed = false;
+};
 
 void soak(const SoakSettings &settings)
 {
@@ -132,11 +173,12 @@
     std::cout << std::flush;
     EntryDeployment deployment;
     SoakFaultDriver driver(deployment);
+    LogKeeper keeper(deployment, driver, settings.seed);
     SoakCallers callers(deployment, settings.callers);
     driver.run(faults);
     const auto records = callers.finish();
     deployment.awaitReady();
-    requireWell(deployment, settings.callers);
+    bool passed = requireWell(deployment, settings.callers);
     const SoakVerdict verdict = judge(records, deployment.ledger());
     std::cout << json {
         { "seed", settings.seed },
@@ -144,9 +186,12 @@
         { "outcomes", verdict.outcomes },
         { "violations", verdict.violations.size() + driver.violations().size() }
     }.dump() << std::endl;
+    for (const EntryVm &vm : deployment.vms()) {
+        passed = requireRisingVersions(logOf(vm, driver)) && passed;
+    }
+    keeper.setPassed(passed && verdict.violations.empty() && driver.violations().empty());
     requireNone(verdict.violations);
     requireNone(driver.violations());
-    keepLogs(deployment, driver, settings.seed);
 }
 
 } // namespace
@@ -269,3 +314,60 @@
     }
     CHECK(process.wait() == 0);
 }
+
+// Guards against signals that end a VM after its program has begun to run: the loading of libraries
+// and the start of sanitizers take long on a busy machine.
+TEST_CASE("Signals while a VM starts end it only before its first instruction")
+{
+    constexpr int starts = 60;
+    constexpr int stepMicroseconds = 3000;
+    EntryDeployment deployment;
+    EntryVm &vm = deployment.vms()[0];
+    int handledStarts = 0;
+    for (int start = 0; start < starts; ++start) {
+        const int signal = start % 2 == 0 ? SIGHUP : SIGTERM;
+        if (start == 0) {
+            vm.process->kill();
+            vm.process->wait();
+        }
+        deployment.start(vm);
+        usleep(start * stepMicroseconds);
+        const bool handled = vm.process->handles(signal);
+        vm.process->signal(signal);
+        handledStarts += handled ? 1 : 0;
+        vm.process->terminate();
+        const int code = vm.process->wait();
+        INFO("start " << start << ", code " << code << " " << vm.process->errors());
+        if (handled) {
+            CHECK(code == 0);
+        } else if (code != 0) {
+            CHECK((code == 128 + signal || code == 128 + SIGTERM));
+            CHECK(vm.process->output().empty());
+        }
+    }
+    CHECK(handledStarts > 0);
+}
+
+// Guards against signals that end a VM between its first instruction and main().
+TEST_CASE("A signal during static initialisation waits until the VM handles it")
+{
+    EntryDeployment deployment;
+    EntryVm &vm = deployment.vms()[0];
+    const auto restartWith = [&](int signal) {
+        vm.process->kill();
+        vm.process->wait();
+        vm.process.emplace(
+                CURRANTFALLD_SHIFTED_CLOCK_PATH,
+                std::vector<std::string> { "--entry-settings-from", "CURRANTFALL_SOAK_SETTINGS" },
+                std::vector<std::string> { "CURRANTFALL_SOAK_SETTINGS=" + vm.settingsPath,
+                                           "CURRANTFALL_EARLY_SIGNAL=" + std::to_string(signal) });
+    };
+    restartWith(SIGHUP);
+    waitUntil([&] {
+        return !vm.process->running()
+               || vm.process->output().find("\"reload\"") != std::string::npos;
+    });
+    CHECK(vm.process->running());
+    restartWith(SIGTERM);
+    CHECK(vm.process->wait() == 0);
+}
--- a/Tests/Support/ProcessFixture.cpp
+++ b/Tests/Support/ProcessFixture.cpp
@@ -1,6 +1,9 @@
 #include "Support/ProcessFixture.h"
 
 #include <cerrno>
+#include <cstdint>
+#include <filesystem>
+#include <fstream>
 #include <stdexcept>
 #include <sys/mman.h>
 #include <sys/prctl.h>
@@ -71,6 +74,10 @@
     if (getppid() != parent) {
         _exit(127); // The parent ended before the death signal was set.
     }
+    // Catch handles some signals; its handlers must not run here.
+    for (const int number : { SIGTERM, SIGINT, SIGHUP }) {
+        std::signal(number, SIG_DFL);
+    }
     sigset_t none;
     sigemptyset(&none);
     sigprocmask(SIG_SETMASK, &none, nullptr);
@@ -95,14 +102,20 @@
     const std::vector<char *> argumentPointers = pointersTo(argumentTexts);
     const std::vector<char *> variablePointers = pointersTo(variableTexts);
     const pid_t parent = getpid();
+    // Signals to the child wait until it has reset the handlers.
+    sigset_t all;
+    sigset_t before;
+    sigfillset(&all);
+    pthread_sigmask(SIG_SETMASK, &all, &before);
     this->process = fork();
-    if (this->process < 0) {
-        throwSystemError("fork");
-    }
     if (this->process == 0) {
         becomeProgram(argumentPointers.data(), variablePointers.data(), this->outputFile,
                       this->errorFile, parent);
     }
+    pthread_sigmask(SIG_SETMASK, &before, nullptr);
+    if (this->process < 0) {
+        throwSystemError("fork");
+    }
 }
 
 ProcessFixture::ProcessFixture(ProcessFixture &&other) noexcept
@@ -160,6 +173,28 @@
     return *this->exitCode;
 }
 
+bool ProcessFixture::handles(int signal) const
+{
+    std::error_code error;
+    const std::string files = "/proc/" + std::to_string(this->process);
+    const auto program = std::filesystem::read_symlink(files + "/exe", error);
+    if (error) {
+        return true; // It has ended.
+    }
+    // Between fork and exec the masks are those of this program.
+    if (program == std::filesystem::read_symlink("/proc/self/exe")) {
+        return false;
+    }
+    std::ifstream status(files + "/status");
+    std::uint64_t handled = 0;
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with("SigBlk:") || line.starts_with("SigCgt:")) {
+            handled |= std::stoull(line.substr(line.find('\t')), nullptr, 16);
+        }
+    }
+    return (handled >> static_cast<unsigned>(signal - 1) & 1U) != 0;
+}
+
 std::string ProcessFixture::output() const
 {
     return readAll(this->outputFile);
--- a/Tests/Support/ProcessFixture.h
+++ b/Tests/Support/ProcessFixture.h
@@ -36,17 +36,21 @@
     void pause() { this->signal(SIGSTOP); }
     void resume() { this->signal(SIGCONT); }
 
+    void signal(int number);
+
     bool running();
     /// Waits for the end. Returns the exit code, or 128 plus the number of the fatal signal.
     int wait();
 
+    /// True if the program, at this moment, blocks the signal or has a handler for it, or has
+    /// ended.
+    bool handles(int signal) const;
+
     /// What the program has written so far.
     std::string output() const;
     std::string errors() const;
 
 private:
-    void signal(int number);
-
     pid_t process = -1;
     int outputFile = -1;
     int errorFile = -1;
