Check a selected server again when its connection is established

Callers could see: requests outside the homes (HOME) or in an evacuated zone (EVAC), by up to half a second. Cause: a server was selected before the connection to it was made, and only its own notices were checked again before the request was sent. Change: homes, evacuation, entry and circuit breaker are checked at that moment as well; the request then goes to another server as one that was never sent. A connection that had been idle before is closed, because the server's idle timer isn't restarted.

--- a/Source/Entry/BackendPool.cpp
+++ b/Source/Entry/BackendPool.cpp
@@ -352,10 +352,15 @@
         co_return result;
     }
     if (exchange.mayBeSent && !exchange.mayBeSent()) {
-        this->addIdle(exchange.server.name, connection, defaultKeepAlive);
+        if (connection->reused) {
+            // How long it may stay idle from now on is unknown.
+            closeIgnoringErrors(*connection);
+        } else {
+            this->addIdle(exchange.server.name, connection, defaultKeepAlive);
+        }
         ExchangeResult result;
         result.end = AttemptEnd::Withheld;
-        result.detail = "the server asked for no requests";
+        result.detail = "the server may not get the request any more";
         co_return result;
     }
     connection->stream.expires_after(toChrono(remaining));
--- a/Source/Entry/RequestSteering.cpp
+++ b/Source/Entry/RequestSteering.cpp
@@ -85,10 +85,10 @@
 
 const Steering::Route *
 RequestSteering::matchRoute(const Steering::RoutingConfiguration &configuration,
-                            const ActiveRequest &activeRequest)
+                            const Adapter::HttpRequest &request)
 {
-    const auto host = activeRequest.request["Host"];
-    const auto target = activeRequest.request.target();
+    const auto host = request["Host"];
+    const auto target = request.target();
     return configuration.match({ host.data(), host.size() }, { target.data(), target.size() });
 }
 
@@ -97,7 +97,7 @@
     if (activeRequest.configuration == nullptr) {
         co_return this->refuse(activeRequest, "no-configuration", noConfigurationRetryAfter);
     }
-    activeRequest.route = matchRoute(*activeRequest.configuration, activeRequest);
+    activeRequest.route = matchRoute(*activeRequest.configuration, activeRequest.request);
     if (activeRequest.route == nullptr) {
         co_return this->fail(activeRequest, Failure::NoRoute, "no-route");
     }
@@ -171,17 +171,15 @@
              activeRequest.callerRequest.id,
              activeRequest.responseDeadline - now,
              now - activeRequest.start,
-             this->homesNow(activeRequest),
+             this->homesNow(activeRequest.request,
+                            Steering::HomeRegions::fromList(activeRequest.route->allowedRegions)),
              activeRequest.attemptedServers };
 }
 
-Steering::HomeRegions RequestSteering::homesNow(const ActiveRequest &activeRequest) const
+Steering::HomeRegions RequestSteering::homesNow(const Adapter::HttpRequest &request,
+                                                const Steering::HomeRegions &atArrival) const
 {
-    const auto atArrival = Steering::HomeRegions::fromList(activeRequest.route->allowedRegions);
-    if (activeRequest.configuration == this->currentConfiguration) {
-        return atArrival;
-    }
-    const Steering::Route *route = matchRoute(*this->currentConfiguration, activeRequest);
+    const Steering::Route *route = matchRoute(*this->currentConfiguration, request);
     return route == nullptr ? atArrival
                             : atArrival.intersectedWith(
                                     Steering::HomeRegions::fromList(route->allowedRegions));
@@ -310,7 +308,8 @@
     exchange->requestId = activeRequest.callerRequest.id;
     exchange->idempotent = activeRequest.route->idempotent;
     exchange->deadline = activeRequest.deadline;
-    this->withholdIfUnwanted(*exchange);
+    this->withholdIfNotEligible(
+            *exchange, Steering::HomeRegions::fromList(activeRequest.route->allowedRegions));
     auto attempt = std::make_shared<Attempt>();
     attempt->exchange = std::move(exchange);
     attempt->caller = activeRequest.callerState;
--- a/Source/Entry/RequestSteering.h
+++ b/Source/Entry/RequestSteering.h
@@ -105,10 +105,11 @@
     static void addToHistory(ActiveRequest &activeRequest, const Attempt &attempt);
     /// Returns nullptr if no route matches.
     static const Steering::Route *matchRoute(const Steering::RoutingConfiguration &configuration,
-                                             const ActiveRequest &activeRequest);
+                                             const Adapter::HttpRequest &request);
     /// Regions that may handle the request: those of its route when it arrived and those of its
     /// route now. The configuration may change while a request waits or runs.
-    Steering::HomeRegions homesNow(const ActiveRequest &activeRequest) const;
+    Steering::HomeRegions homesNow(const Adapter::HttpRequest &request,
+                                   const Steering::HomeRegions &atArrival) const;
     Steering::SelectionRequest selectionRequestFor(const ActiveRequest &activeRequest,
                                                    Common::Instant now) const;
     Task runAttempt(SharedAttempt attempt);
@@ -121,8 +122,12 @@
     /// Applies what the response says of the server. Returns whether the server asks for a pause.
     bool recordNotice(const Steering::BackendServer &server,
                       const Adapter::BackendResponse &response);
-    /// Makes the pool send the request only if the server still takes requests by then.
+    /// Makes the pool send a health check only if the server still takes requests by then.
     void withholdIfUnwanted(Exchange &exchange);
+    /// Makes the pool send the request of a caller only if the server may still get it by then.
+    /// Homes, evacuations, entries and notices may change while a connection is established.
+    void withholdIfNotEligible(Exchange &exchange, const Steering::HomeRegions &homesAtArrival);
+    bool wantsRequests(const Steering::ServerIncarnation &server) const;
     /// Interrupts idempotent attempts at a server that has become unreachable, so that their
     /// requests are retried at another server.
     void interruptAttempts(const Common::BackendServerName &server);
--- a/Source/Entry/RequestSteeringServers.cpp
+++ b/Source/Entry/RequestSteeringServers.cpp
@@ -91,15 +91,32 @@
     return notice.pause() > absl::ZeroDuration();
 }
 
+bool RequestSteering::wantsRequests(const Steering::ServerIncarnation &server) const
+{
+    return this->serverNotices.use(server, Common::monotonicNow()) != Steering::ServerUse::None;
+}
+
 void RequestSteering::withholdIfUnwanted(Exchange &exchange)
 {
     exchange.mayBeSent = [this, server = Steering::ServerIncarnation::of(exchange.server)] {
-        const bool wanted = this->serverNotices.use(server, Common::monotonicNow())
-                            != Steering::ServerUse::None;
-        if (!wanted) {
+        return this->wantsRequests(server);
+    };
+}
+
+void RequestSteering::withholdIfNotEligible(Exchange &exchange,
+                                            const Steering::HomeRegions &homesAtArrival)
+{
+    exchange.mayBeSent = [this, &exchange, homesAtArrival,
+                          server = Steering::ServerIncarnation::of(exchange.server)] {
+        const Steering::ServerRecord *record = this->table.find(server.name);
+        const bool eligible = record != nullptr && this->wantsRequests(server)
+                              && this->serverSelector.mayUse(
+                                      *record, this->homesNow(exchange.request, homesAtArrival),
+                                      Common::monotonicNow());
+        if (!eligible) {
             this->metrics.addToCounter("currantfall_withheld_requests_total");
         }
-        return wanted;
+        return eligible;
     };
 }
 
--- a/Source/UnitTests/Entry/RequestSteeringTest.cpp
+++ b/Source/UnitTests/Entry/RequestSteeringTest.cpp
@@ -193,6 +193,34 @@
     CHECK((*response)->result_int() == 502);
 }
 
+// Guards against requests that are sent to a server outside the homes of the route (HOME), or in an
+// evacuated zone (EVAC), because this was decided before the connection was established.
+TEST_CASE("A request is not sent if its server became ineligible while it connected")
+{
+    std::atomic<int> requests { 0 };
+    ScriptedBackend backend([&requests](ScriptedConnection &connection) {
+        requests += connection.readRequest().empty() ? 0 : 1;
+    });
+    SteeringFixture fixture;
+    fixture.addServer("i-1", backend.port(), "a");
+    const bool homesChange = GENERATE(true, false);
+    const auto response = fixture.startRequest(SteeringFixture::request("/write/1"));
+    // Runs after the selection and before the connection is established.
+    boost::asio::post(fixture.context, [&] {
+        if (homesChange) {
+            fixture.configure(absl::Seconds(5), 3, { Common::RegionName("east") });
+        } else {
+            fixture.steering.selector().setEvacuatedZones({ Common::ZoneName("a") },
+                                                          Common::monotonicNow());
+        }
+    });
+    fixture.runFor(absl::Milliseconds(200));
+    REQUIRE(*response);
+    CHECK((*response)->result_int() == 503);
+    CHECK(requests == 0);
+    CHECK(fixture.metrics.counter("currantfall_withheld_requests_total") == 1);
+}
+
 // Guards against requests that wait until their deadline for a server that has failed without
 // closing its connections.
 TEST_CASE("An overdue request leaves a server to which no connection can be made")
