--- a/Source/UnitTests/Adapter/RowsTest.cpp
+++ b/Source/UnitTests/Adapter/RowsTest.cpp
@@ -54,7 +54,7 @@
             { { "\"service\":\"huvo11a\",", "" },
               { "\"service\":\"huvo11a\"", "\"service\":7" },
               { "huvo11a", std::string(201, 's') },
-              { "\"zone\":\"a\"", "\"zone\":\"" + std::string(64 * 1024, 'z') + "\"" },
+              { "\"zone\":\"a\"", "\"zone\":\"" + std::string(65536, 'z') + "\"" },
               { "\"ready\"", "\"resting\"" },
               { "10.128.0.9:8080", "10.128.0.9" },
               { "10.128.0.9:8080", "somewhere:80" },
@@ -77,7 +77,7 @@
               { "\"cold_remaining_ms\":1500", "\"cold_remaining_ms\":1e999" },
               { "\"born\":1700000000123", "\"born\":18446744073709551615" },
               { "\"born\":1700000000123", "\"born\":-1" },
-              { "\"seq\":4", "\"seq\":" + std::string(64 * 1024, '[') },
+              { "\"seq\":4", "\"seq\":" + std::string(65536, '[') },
               { "\"seq\":4", "\"seq\":" + std::string(100, '[') + std::string(100, ']') },
               { "\"cold_remaining_ms\":1500", "\"cold_remaining_ms\":null" },
               { "\"born\":1700000000123", "\"born\":\"x\"" },
@@ -103,7 +103,7 @@
 // Guards against messages as long as the row.
 TEST_CASE("Messages about a row quote only the start of its texts")
 {
-    const std::string state(64 * 1024, 's');
+    const std::string state(65536, 's');
     const auto server = Adapter::readServer("i-1", with(goodServer, "ready", state));
     REQUIRE_FALSE(server);
     CHECK(server.error().detail().size() < 200);
--- a/Source/UnitTests/Common/JsonTest.cpp
+++ b/Source/UnitTests/Common/JsonTest.cpp
@@ -22,7 +22,7 @@
     CHECK(parseJson(nested(maxJsonDepth)).is_array());
     CHECK(parseJson(nested(maxJsonDepth + 1)).is_discarded());
     CHECK(parseJson(nested(1'000'000)).is_discarded());
-    CHECK(parseJson(std::string(64 * 1024, '[')).is_discarded());
+    CHECK(parseJson(std::string(65536, '[')).is_discarded());
     std::string objects;
     for (std::size_t level = 0; level <= maxJsonDepth; ++level) {
         objects += "{\"a\":";
--- a/Source/UnitTests/Entry/ServerRowsTest.cpp
+++ b/Source/UnitTests/Entry/ServerRowsTest.cpp
@@ -41,13 +41,13 @@
 std::vector<std::string> oddValues()
 {
     return { "",
-             std::string(64 * 1024, '['),
+             std::string(65536, '['),
              entry(std::string(30'000, '[') + std::string(30'000, ']')),
              entry("1e999"),
              entry("4294967299"),
              entry("-1"),
              "\xff\xfe{",
-             "{\"service\":\"" + std::string(64 * 1024, 's') + "\"}" };
+             "{\"service\":\"" + std::string(65536, 's') + "\"}" };
 }
 
 } // namespace
--- a/Source/UnitTests/Entry/VmRowTest.cpp
+++ b/Source/UnitTests/Entry/VmRowTest.cpp
@@ -36,7 +36,7 @@
                                                          { "0.5", "-1" },
                                                          { "0.5", "0" },
                                                          { "0.5", "\"1\"" },
-                                                         { "0.5", std::string(64 * 1024, '[') },
+                                                         { "0.5", std::string(65536, '[') },
                                                          { "{", "[" },
                                                          { "\"west\"", "7" } }));
     INFO(to.substr(0, 20));
