Spread the early signals of a test over the time that a start takes

"Signals while a VM starts end it only before its first instruction" failed once, AddressSanitizer, load of 20 to 34, on: CHECK( handledStarts > 0 ), 0 > 0; the other 120 checks passed. Cause: the delays ended at 177 ms, and a start of that build takes longer at such a load until it blocks signals (117 to 180 ms were measured at a lower one), so that no signal came after it. The test, not the product: the check that some starts get so far stays as it is, and the delays now go up to twice the time that one start takes.

--- a/Tests/Entry/SoakTest.cpp
+++ b/Tests/Entry/SoakTest.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <arpa/inet.h>
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -7,6 +8,7 @@
 #include <iostream>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
@@ -359,18 +361,22 @@
 TEST_CASE("Signals while a VM starts end it only before its first instruction")
 {
     constexpr int starts = 60;
-    constexpr int stepMicroseconds = 3000;
     EntryDeployment deployment;
     EntryVm &vm = deployment.vms()[0];
+    vm.process->kill();
+    vm.process->wait();
+    // The signals are spread over twice the time that one start takes in this build.
+    const auto begin = std::chrono::steady_clock::now();
+    deployment.start(vm);
+    waitUntil([&vm] { return vm.process->handles(SIGHUP); });
+    const auto startTime = std::chrono::steady_clock::now() - begin;
+    vm.process->kill();
+    vm.process->wait();
     int handledStarts = 0;
     for (int start = 0; start < starts; ++start) {
         const int signal = start % 2 == 0 ? SIGHUP : SIGTERM;
-        if (start == 0) {
-            vm.process->kill();
-            vm.process->wait();
-        }
         deployment.start(vm);
-        usleep(start * stepMicroseconds);
+        std::this_thread::sleep_for(startTime * 2 * start / starts);
         const bool handled = vm.process->handles(signal);
         vm.process->signal(signal);
         handledStarts += handled ? 1 : 0;
