Give peers the rows that a restored store lists beside those they are told to prefer

Callers could see: a VM that starts after a restore drops a listed server when the hold time ends, and has it again only with the server's next change. Found by review. Cause: a complete update left out rows that the sender holds as superseded, so that the receiver knew only the kept row of the older era, took it for one that the store lacks, and dropped it. Evidence: "A replica that got all rows from a peer keeps those that the store lists" failed before, with CHECK( valueOf(started, "a") == "draining 1.6" ), "" == "draining 1.6".

--- a/Source/Core/Steering/TableReplica.cpp
+++ b/Source/Core/Steering/TableReplica.cpp
@@ -342,6 +342,12 @@
             update.rows.push_back(row);
         }
     }
+    // What the store lists counts again when the hold times end.
+    for (const auto &[key, row] : this->supersededRows) {
+        if (update.complete || row.position > position) {
+            update.rows.push_back(row);
+        }
+    }
     if (!update.complete) {
         for (const RowChange &deletion : this->deletions) {
             if (deletion.position > position) {
--- a/Source/UnitTests/Steering/StoreEraTest.cpp
+++ b/Source/UnitTests/Steering/StoreEraTest.cpp
@@ -460,3 +460,18 @@
     }
     CHECK(valueOf(started, "a") == "draining 1.5");
 }
+
+// Guards against a VM that starts and drops a server at the end of the hold time although the store
+// lists it, because its peer told it only what it prefers to the listed row.
+TEST_CASE("A replica that got all rows from a peer keeps those that the store lists")
+{
+    TableReplica informed = replicaWith({ row("a", old(90), "ready 1.5") });
+    informed.apply(changes(old(100), old(110), { row("a", old(110), "draining 1.6") }));
+    informed.apply(complete(restored(40), { row("a", restored(30), "ready 1.5") }));
+    TableReplica started(serverSettings());
+    started.apply(informed.changesSince({}));
+    CHECK(valueOf(started, "a") == "draining 1.6");
+    started.apply(changes(restored(40), restored(40), {}, holdMs));
+    CHECK(valueOf(started, "a") == "draining 1.6");
+    CHECK(started.listedRow("a") != nullptr);
+}
