Return the store from copies in the long soak

The soak had no restore among its faults, so that no run mixed one with kills, cuts, evacuations and changes. Change: the long soak draws restores from random numbers of their own; what the operator and the servers lost is written again within 1.5 s.

--- a/Tests/Entry/SoakFaults.cpp
+++ b/Tests/Entry/SoakFaults.cpp
@@ -33,6 +33,11 @@
                                          milliseconds(3000) };
 // Distinguishes the random numbers of notices from those of other faults.
 constexpr std::uint64_t noticeSeed = 0x6e6f74696365;
+constexpr std::uint64_t restoreSeed = 0x726573746f7265;
+// For this time the store is away when it returns from a copy.
+constexpr milliseconds restoreTime { 300 };
+// Longest time until the operator and the backend servers have written again what was lost.
+constexpr unsigned longestRewriteMs = 1500;
 
 // Of the time of day of a process that starts again.
 const std::vector<int> clockShiftsMs { 0, -5000, 0, 3000 };
@@ -65,7 +70,8 @@
                                                   "configure-often",
                                                   "evacuate",
                                                   "server-asks-for-pause",
-                                                  "server-leaves" };
+                                                  "server-leaves",
+                                                  "store-restored" };
     return names.at(static_cast<std::size_t>(kind));
 }
 
@@ -135,6 +141,26 @@
     return faults;
 }
 
+std::vector<SoakFault> restoreFaults(std::uint64_t seed, milliseconds length, milliseconds meanGap)
+{
+    std::mt19937_64 random(seed ^ restoreSeed);
+    std::exponential_distribution<double> gap(1.0 / static_cast<double>(meanGap.count()));
+    std::uniform_int_distribution<long> duration(shortestFault.count(), longestFault.count());
+    std::uniform_int_distribution<unsigned> choice(0, 9999);
+    std::vector<SoakFault> faults;
+    for (milliseconds start(static_cast<long>(gap(random))); start < length;
+         start += milliseconds(static_cast<long>(gap(random)))) {
+        SoakFault fault;
+        fault.kind = SoakFaultKind::StoreRestored;
+        fault.start = start;
+        fault.duration = milliseconds(duration(random));
+        fault.target = choice(random);
+        fault.variant = choice(random);
+        faults.push_back(fault);
+    }
+    return faults;
+}
+
 SoakFaultDriver::SoakFaultDriver(EntryDeployment &deployment)
     : deployment(deployment), vms(deployment.vms().size()), drains(deployment.servers().size(), 0)
 { }
@@ -268,6 +294,7 @@
     switch (fault.kind) {
     case SoakFaultKind::StoreMisbehaves:
     case SoakFaultKind::StoreForgets:
+    case SoakFaultKind::StoreRestored:
         this->beginAtStore(fault);
         return;
     case SoakFaultKind::ServerMisbehaves:
@@ -374,12 +401,37 @@
         this->deployment.store().forgetHistory();
         return;
     }
+    if (fault.kind == SoakFaultKind::StoreRestored) {
+        this->beginRestore(fault);
+        return;
+    }
     static const std::vector<StoreFault> variants { StoreFault::Refuses, StoreFault::Silent,
                                                     StoreFault::Slow, StoreFault::LosesAnswers };
     this->deployment.store().setFault(variants[fault.variant % variants.size()]);
     this->after(fault.duration, [this] { this->deployment.store().setFault(StoreFault::None); });
 }
 
+void SoakFaultDriver::beginRestore(const SoakFault &fault)
+{
+    // The stand-in keeps one copy.
+    if (this->restoring) {
+        return;
+    }
+    this->restoring = true;
+    this->deployment.store().saveCopy();
+    this->after(fault.duration, [this, fault] {
+        StoreStandin &store = this->deployment.store();
+        store.setFault(StoreFault::Refuses);
+        const auto lost = store.restoreCopy();
+        this->after(restoreTime, [this] { this->deployment.store().setFault(StoreFault::None); });
+        const milliseconds delay = restoreTime + milliseconds(fault.variant % longestRewriteMs);
+        this->after(delay, [this, lost] {
+            this->deployment.store().writeAgain(lost);
+            this->restoring = false;
+        });
+    });
+}
+
 void SoakFaultDriver::beginAtServer(const SoakFault &fault)
 {
     const std::size_t index = fault.target % this->deployment.servers().size();
--- a/Tests/Entry/SoakFaults.h
+++ b/Tests/Entry/SoakFaults.h
@@ -34,7 +34,8 @@
     ConfigureOften,
     Evacuate,
     ServerAsksForPause,
-    ServerLeaves, ///< The server announces it in its responses only, not in the store.
+    ServerLeaves,  ///< The server announces it in its responses only, not in the store.
+    StoreRestored, ///< The store returns to the copy of the fault's start when the fault ends.
 };
 /// Kinds that soakFaults() draws.
 inline constexpr int soakFaultKindCount = static_cast<int>(SoakFaultKind::Evacuate) + 1;
@@ -63,6 +64,11 @@
 std::vector<SoakFault> noticeFaults(std::uint64_t seed, std::chrono::milliseconds length,
                                     std::chrono::milliseconds meanGap);
 
+/// Times at which the store returns from a copy, for a run of `length`. They are drawn apart as
+/// well.
+std::vector<SoakFault> restoreFaults(std::uint64_t seed, std::chrono::milliseconds length,
+                                     std::chrono::milliseconds meanGap);
+
 /// Brings faults about from outside the entry VMs and checks that none of them ends by itself, and
 /// that each ends in time when it is told to. Belongs to one thread, which must outlive the VMs
 /// that it starts.
@@ -107,6 +113,8 @@
     void beginAtVm(const SoakFault &fault);
     void beginAtLink(const SoakFault &fault);
     void beginAtStore(const SoakFault &fault);
+    /// Saves a copy of the store, to which it returns when the fault ends.
+    void beginRestore(const SoakFault &fault);
     void beginAtServer(const SoakFault &fault);
     void beginLeaving(std::size_t index);
     void addDisruption(const std::string &subject, std::chrono::milliseconds duration);
@@ -122,6 +130,7 @@
     std::vector<VmState> vms;
     /// Faults in force on each link.
     std::map<LinkKey, std::vector<SoakFaultKind>> links;
+    bool restoring = false;  ///< A copy was saved, and what was lost has not been written again.
     std::vector<int> drains; ///< Drains of each server that have not ended.
     std::list<Due> due;
     std::vector<std::string> found;
--- a/Tests/Entry/SoakTest.cpp
+++ b/Tests/Entry/SoakTest.cpp
@@ -30,6 +30,7 @@
 constexpr milliseconds usualGap { 250 };
 constexpr std::size_t usualCallers = 12;
 constexpr milliseconds usualNoticeGap { 1500 };
+constexpr milliseconds usualRestoreGap { 5000 };
 constexpr milliseconds serverDrainTime { 2000 };
 
 struct SoakSettings
@@ -40,6 +41,8 @@
     std::size_t callers = 0;
     /// Mean time between servers that ask for a pause or leave; none do if zero.
     milliseconds meanNoticeGap { 0 };
+    /// Mean time between copies to which the store returns; it returns to none if zero.
+    milliseconds meanRestoreGap { 0 };
 };
 
 /// Versions of the configuration that a VM's processes have put into force never fall within one
@@ -177,6 +180,11 @@
                 = noticeFaults(settings.seed, settings.length, settings.meanNoticeGap);
         faults.insert(faults.end(), notices.begin(), notices.end());
     }
+    if (settings.meanRestoreGap.count() > 0) {
+        const std::vector<SoakFault> restores
+                = restoreFaults(settings.seed, settings.length, settings.meanRestoreGap);
+        faults.insert(faults.end(), restores.begin(), restores.end());
+    }
     std::cout << "seed " << settings.seed << ", " << faults.size() << " faults" << std::endl;
     for (const SoakFault &fault : faults) {
         std::cout << fault.describe() << "\n";
@@ -254,7 +262,8 @@
     soak({ numberFromEnvironment("CURRANTFALL_SOAK_SEED", 1),
            milliseconds(seconds * millisecondsPerSecond),
            milliseconds(numberFromEnvironment("CURRANTFALL_SOAK_GAP_MS", usualGap.count())),
-           numberFromEnvironment("CURRANTFALL_SOAK_CALLERS", usualCallers), usualNoticeGap });
+           numberFromEnvironment("CURRANTFALL_SOAK_CALLERS", usualCallers), usualNoticeGap,
+           usualRestoreGap });
 }
 
 // Seeds of the long soak that failed once, with the cause. They run with its usual length and gap.
--- a/Tests/Entry/StoreStandin.cpp
+++ b/Tests/Entry/StoreStandin.cpp
@@ -148,13 +148,33 @@
     this->copiedVersion = this->version;
 }
 
-void StoreStandin::restoreCopy()
+std::vector<StoreStandin::LostWrite> StoreStandin::restoreCopy()
 {
     const std::lock_guard lock(this->mutex);
+    std::vector<LostWrite> lost;
+    for (const auto &[key, row] : this->rows) {
+        const bool fromOutside = key.first == "op" || key.first == "servers";
+        if (fromOutside && row.version > this->copiedVersion) {
+            lost.push_back({ key.first, key.second,
+                             row.deleted ? std::nullopt : std::optional(row.value) });
+        }
+    }
     this->rows = this->copiedRows;
     this->version = this->copiedVersion;
     ++this->era;
     this->changed.notify_all();
+    return lost;
+}
+
+void StoreStandin::writeAgain(const std::vector<LostWrite> &lost)
+{
+    const std::lock_guard lock(this->mutex);
+    for (const LostWrite &write : lost) {
+        const auto row = this->rows.find({ write.table, write.key });
+        if (row == this->rows.end() || row->second.version <= this->copiedVersion) {
+            this->write(write.table, write.key, write.value);
+        }
+    }
 }
 
 std::optional<std::string> StoreStandin::value(const std::string &table, const std::string &key)
--- a/Tests/Entry/StoreStandin.h
+++ b/Tests/Entry/StoreStandin.h
@@ -44,9 +44,18 @@
 
     /// Keeps a copy of the rows for restoreCopy().
     void saveCopy();
+    /// A write of the operator or of a backend server that a restore has lost.
+    struct LostWrite
+    {
+        std::string table;
+        std::string key;
+        std::optional<std::string> value; ///< Not set if the row was removed.
+    };
     /// Returns to the copy. What was written since is gone, its versions are given out again, and
-    /// the era rises.
-    void restoreCopy();
+    /// the era rises. Returns what the operator and the backend servers have to write again.
+    std::vector<LostWrite> restoreCopy();
+    /// Writes again what was lost, but for rows that were written since the restore.
+    void writeAgain(const std::vector<LostWrite> &lost);
 
     /// The value of a row, or nothing if it does not exist.
     std::optional<std::string> value(const std::string &table, const std::string &key);
