Take only rows that changed in an update for rows that were written in the new era

Callers could see: requests at the address of a server's earlier start, or at a server that has left, from all VMs but the reader. Cause: a reader that reads the whole table once more in an era, because the store's history is gone, tells its peers of all rows that the copy lists as well. Peers took every row of an update with changes for one that its writer had written since the restore, and a written row of another start replaces what is known from the lost seconds. Change: a row counts as written only if it is newer than the position from which the update starts. Evidence: "A row of the copy that comes with later changes does not count as written" failed before, with CHECK( valueOf(other, "a") == expected ), "ready 1.9" == "ready 2.1" and "ready 1.9" == ""

--- a/Source/Core/Steering/TableReplica.cpp
+++ b/Source/Core/Steering/TableReplica.cpp
@@ -50,7 +50,8 @@
             if (row.deleted) {
                 this->remove(row, outcome.changes);
             } else {
-                this->put(row, !update.complete, outcome);
+                // The reader may tell of rows of the copy beside the changes since then.
+                this->put(row, !update.complete && row.position > update.from, outcome);
             }
         }
         if (update.complete) {
--- a/Source/UnitTests/Steering/StoreEraTest.cpp
+++ b/Source/UnitTests/Steering/StoreEraTest.cpp
@@ -475,3 +475,31 @@
     CHECK(valueOf(started, "a") == "draining 1.6");
     CHECK(started.listedRow("a") != nullptr);
 }
+
+// Guards against a server at the address of its earlier start, or a server that has left: a reader
+// that reads the whole table once more tells its peers of the copy's rows beside changes.
+TEST_CASE("A row of the copy that comes with later changes does not count as written")
+{
+    const std::vector<RowChange> copy { row("a", restored(30), "ready 1.9") };
+    TableReplica reader = replicaWith({ row("a", old(90), "ready 2.1") });
+    TableReplica other = replicaWith({ row("a", old(90), "ready 2.1") });
+    std::string expected = "ready 2.1";
+    SECTION("The replica prefers a row") { }
+    SECTION("The replica prefers a deletion")
+    {
+        const TableUpdate left = changes(old(100), old(110), { deletion("a", old(110)) });
+        reader.apply(left);
+        other.apply(left);
+        expected = "";
+    }
+    reader.apply(complete(restored(40), copy));
+    other.apply(complete(restored(40), copy));
+    const auto read = reader.apply(
+            complete(restored(50), { copy.front(), row("b", restored(45), "ready 1.1") }, 100));
+    std::vector<RowChange> told = read.changes;
+    told.insert(told.end(), read.listings.begin(), read.listings.end());
+    other.apply(changes(restored(40), restored(50), told, 100));
+    CHECK(valueOf(reader, "a") == expected);
+    CHECK(valueOf(other, "a") == expected);
+    CHECK(valueOf(other, "b") == "ready 1.1");
+}
