Delete rows that the store lists no more although a peer still holds them from the older era

Callers could see: requests at a server that is gone, from one VM and without an end. Cause: a complete update of a peer contains the rows that the peer keeps from before the restore. They counted as listed by the store, so that a row that the receiver had read in the new era, and that the store deleted since, was not dropped. The receiver then had the position of the update, and no later change names the row. Change: only rows of the update's era count as listed. Evidence: "A row that the store does not list any more is deleted even if a peer still holds it" failed before, with CHECK_FALSE( early.rows().contains("a") ), !true, for a peer that knows an older value and for one with a newer one

--- a/Source/Core/Steering/TableReplica.cpp
+++ b/Source/Core/Steering/TableReplica.cpp
@@ -155,7 +155,10 @@
 {
     std::set<std::string> keys;
     for (const RowChange &row : update.rows) {
-        keys.insert(row.key);
+        // Rows of an older era are not listed by the store.
+        if (!this->ofOlderEra(row)) {
+            keys.insert(row.key);
+        }
     }
     for (auto row = this->current.begin(); row != this->current.end();) {
         // A row that the current era has never listed is kept until the hold time ends.
--- a/Source/UnitTests/Steering/StoreEraTest.cpp
+++ b/Source/UnitTests/Steering/StoreEraTest.cpp
@@ -503,3 +503,19 @@
     CHECK(valueOf(other, "a") == expected);
     CHECK(valueOf(other, "b") == "ready 1.1");
 }
+
+// Guards against a server that a VM uses for good although the store deleted its row, because
+// a peer that read the store later still holds the row of the older era.
+TEST_CASE("A row that the store does not list any more is deleted even if a peer still holds it")
+{
+    const std::string known = GENERATE("ready 1.3", "ready 1.5");
+    TableReplica early(serverSettings());
+    early.apply(complete(restored(40), { row("a", restored(30), "ready 1.4") }));
+    TableReplica late = replicaWith({ row("a", old(90), known) });
+    late.apply(complete(restored(46), {}));
+    const TableUpdate update = late.changesSince(early.position());
+    REQUIRE(update.complete);
+    early.apply(update);
+    early.apply(changes(restored(46), restored(46), {}, deletionHoldMs));
+    CHECK_FALSE(early.rows().contains("a"));
+}
