Remember the order of a deleted row when the store deletes it again

Callers could see: requests at a server that has left (DRAIN), from 2.5 s after a second restore until the store drops the entry, up to 4.5 s with a heartbeat of 1.5 s. Cause: what is known of a deleted row tells for how long it stays deleted although a copy lists it. A deletion in the era between two restores replaced it by one without a value, so that the row counted as one of unknown order. Change: a deletion of a row that is known to be deleted keeps the last known value. Evidence: "A row stays deleted if the store deleted it again between two restores" failed before, with CHECK_FALSE( replica.rows().contains("a") ), !true

--- a/Source/Core/Steering/TableReplica.cpp
+++ b/Source/Core/Steering/TableReplica.cpp
@@ -141,7 +141,10 @@
         // between.
         const RowChange *known = this->findDeletion(deletion.key);
         if (known == nullptr || known->position < deletion.position) {
-            this->recordDeletion(deletion);
+            RowChange recorded = deletion;
+            // The order of the row must last until the store returns from a copy once more.
+            recorded.value = known == nullptr ? deletion.value : known->value;
+            this->recordDeletion(recorded);
             changes.push_back(deletion);
         }
         return;
--- a/Source/UnitTests/Steering/StoreEraTest.cpp
+++ b/Source/UnitTests/Steering/StoreEraTest.cpp
@@ -519,3 +519,19 @@
     early.apply(changes(restored(46), restored(46), {}, deletionHoldMs));
     CHECK_FALSE(early.rows().contains("a"));
 }
+
+// Guards against requests to a server that has left, because the store returns a second time from
+// a copy that lists it.
+TEST_CASE("A row stays deleted if the store deleted it again between two restores")
+{
+    TableReplica replica = replicaWith({ row("a", old(90), "ready 1.5") });
+    replica.apply(changes(old(100), old(110), { deletion("a", old(110)) }));
+    replica.apply(complete(restored(40), { row("a", restored(30), "ready 1.4") }));
+    replica.apply(changes(restored(40), restored(45), { deletion("a", restored(45)) }));
+    const StorePosition again(3, 40);
+    replica.apply(complete(again, { row("a", { 3, 30 }, "ready 1.4") }));
+    replica.apply(changes(again, again, {}, deletionHoldMs - 1));
+    CHECK_FALSE(replica.rows().contains("a"));
+    replica.apply(changes(again, again, {}, deletionHoldMs));
+    CHECK(valueOf(replica, "a") == "ready 1.4");
+}
