Tell peers that a restored store does not list a row any more that was not in use

Callers could see: requests at a server that is gone, from all VMs but the reader and without an end, from 10 s after a restore on. Found by a random test of three replicas. Cause: a reader that reads the whole table once more, and finds that the store has dropped the entry of a server that was known to be gone, changed nothing of its own and told its peers nothing. They moved to its position and used the entry that the copy had listed when the hold time of deletions ended. Change: a full read that lacks such a row counts as its deletion, which peers are told and which is recorded. Evidence: "Peers are told that the store does not list a row any more that was not in use" failed before, with REQUIRE( read.changes.size() == 1 ), 0 == 1

--- a/Source/Core/Steering/TableReplica.cpp
+++ b/Source/Core/Steering/TableReplica.cpp
@@ -173,8 +173,17 @@
             row = this->drop(row, update.to, changes);
         }
     }
-    std::erase_if(this->supersededRows,
-                  [&keys](const auto &entry) { return !keys.contains(entry.first); });
+    std::vector<std::string> unlisted;
+    for (const auto &[key, row] : this->supersededRows) {
+        if (!keys.contains(key)) {
+            unlisted.push_back(key);
+        }
+    }
+    for (const std::string &key : unlisted) {
+        // Changes nothing here if the row was deleted before, but other replicas would use the row
+        // when the hold time ends.
+        this->remove({ key, "", update.to, true, update.confirmedAt }, changes);
+    }
 }
 
 void TableReplica::putRetained(const RowChange &row, Changes &changes)
--- a/Source/UnitTests/Steering/StoreEraTest.cpp
+++ b/Source/UnitTests/Steering/StoreEraTest.cpp
@@ -535,3 +535,31 @@
     replica.apply(changes(again, again, {}, deletionHoldMs));
     CHECK(valueOf(replica, "a") == "ready 1.4");
 }
+
+// Guards against a server that all VMs but the reader use again when the hold time of deletions
+// ends, although the store has deleted its row: the reader found the row missing in a full read.
+TEST_CASE("Peers are told that the store does not list a row any more that was not in use")
+{
+    const auto prepared = [] {
+        TableReplica replica = replicaWith({ row("a", old(90), "ready 1.5") });
+        replica.apply(changes(old(100), old(110), { deletion("a", old(110)) }));
+        replica.apply(complete(restored(40), { row("a", restored(30), "ready 1.4") }));
+        return replica;
+    };
+    TableReplica reader = prepared();
+    TableReplica other = prepared();
+    const auto read = reader.apply(complete(restored(50), {}, 100));
+    REQUIRE(read.changes.size() == 1);
+    CHECK(read.changes.front().deleted);
+    SECTION("With the changes")
+    {
+        other.apply(changes(restored(40), restored(50), read.changes, 100));
+    }
+    SECTION("On request")
+    {
+        other.apply(reader.changesSince(other.position()));
+    }
+    CHECK(other.position() == restored(50));
+    other.apply(changes(restored(50), restored(50), {}, deletionHoldMs));
+    CHECK_FALSE(other.rows().contains("a"));
+}
