Tell peers of rows that the reader knew before it reached their position

Callers could see: a server that gets no requests from VMs other than the reader, until its row changes again. Found by a random test of three replicas. Cause: a full read of several pages has the position of its first page, but later pages contain rows that were written meanwhile. When the reader then read the changes since that position, these rows changed nothing for it, and its peers moved past their position without them. Change: such rows are told to peers like rows that are listed again. Evidence: "Peers are told of a row that was written between two pages of a full read" failed before, with REQUIRE( read.listings.size() == 1 ), 0 == 1

--- a/Source/Core/Steering/TableReplica.cpp
+++ b/Source/Core/Steering/TableReplica.cpp
@@ -38,6 +38,7 @@
     // VMs send them to each other endlessly.
     if (!this->isLoaded || update.to != this->currentPosition) {
         const bool newEra = !this->isLoaded || era != this->currentPosition.era();
+        const StorePosition before = this->currentPosition;
         this->isLoaded = true;
         this->currentPosition = update.to;
         if (newEra) {
@@ -50,6 +51,11 @@
             if (row.deleted) {
                 this->remove(row, outcome.changes);
             } else {
+                if (row.position > before && this->knows(row)) {
+                    // A full read may contain rows that were written after its position. Peers
+                    // learn of them when the position passes them.
+                    outcome.listings.push_back(row);
+                }
                 // The reader may tell of rows of the copy beside the changes since then.
                 this->put(row, !update.complete && row.position > update.from, outcome);
             }
@@ -299,6 +305,12 @@
     return *order <= *knownOrder;
 }
 
+bool TableReplica::knows(const RowChange &row) const
+{
+    const auto found = this->current.find(row.key);
+    return found != this->current.end() && found->second.position >= row.position;
+}
+
 std::optional<WriterOrder> TableReplica::orderOf(const RowChange &row) const
 {
     return this->settings.order ? this->settings.order(row) : std::nullopt;
--- a/Source/UnitTests/Steering/StoreEraTest.cpp
+++ b/Source/UnitTests/Steering/StoreEraTest.cpp
@@ -563,3 +563,18 @@
     other.apply(changes(restored(50), restored(50), {}, deletionHoldMs));
     CHECK_FALSE(other.rows().contains("a"));
 }
+
+// Guards against a server that gets no requests from VMs other than the reader, because the reader
+// knew its row before it reached the row's position.
+TEST_CASE("Peers are told of a row that was written between two pages of a full read")
+{
+    TableReplica reader(serverSettings());
+    reader.apply(complete(old(100), { row("a", old(101), "ready 1.1") }));
+    TableReplica other(serverSettings());
+    other.apply(complete(old(100), {}));
+    const auto read
+            = reader.apply(changes(old(100), old(101), { row("a", old(101), "ready 1.1") }));
+    REQUIRE(read.listings.size() == 1);
+    other.apply(changes(old(100), old(101), read.listings));
+    CHECK(valueOf(other, "a") == "ready 1.1");
+}
--- a/include/currantfall/Steering/TableReplica.h
+++ b/include/currantfall/Steering/TableReplica.h
@@ -88,9 +88,10 @@
         std::vector<RowChange> changes;
         /// Further such rows that other VMs need not be told: each VM finds them by itself.
         std::vector<RowChange> localChanges;
-        /// Rows that the store lists for the first time in its current era although the replica
-        /// has known them since an older one. They may change nothing here, but a replica that is
-        /// not told of them drops its row when the hold time ends.
+        /// Rows that may change nothing here, but of which other VMs must be told: rows that the
+        /// store lists for the first time in its current era although the replica has known them
+        /// since an older one, which other replicas would drop when the hold time ends, and rows
+        /// that the replica knew before it reached their position.
         std::vector<RowChange> listings;
     };
 
@@ -152,6 +153,8 @@
     /// Whether `row`, which the store lists in a newer era, must not replace `known`, which is a
     /// row or a deletion.
     bool superseded(const RowChange &row, const RowChange &known, bool written) const;
+    /// Whether the replica has the row as it was at the position of `row`, or later.
+    bool knows(const RowChange &row) const;
     std::optional<WriterOrder> orderOf(const RowChange &row) const;
     bool ofOlderEra(const RowChange &row) const
     {
