Compare rows of different older eras by their writers' order

Callers could see: requests at a server that drains or has left, from a VM that takes over from a peer, after a second restore, the entry that the peer read from the copy of the first one. Found by a random test of three replicas. Cause: rows that two VMs know from before the present era were compared by their positions. A row of an earlier copy has the later era, but it may be older than what is known from before that copy. Change: between eras the writer's order decides if it is known. Deletions that the store made in the later era still count. Evidence: "Rows that are known from different older eras are compared by their writer's order" failed before, with CHECK( valueOf(replica, "a") == expected ), "ready 1.4" == "draining 1.5" (twice) and "ready 1.4" == ""

--- a/Source/Core/Steering/TableReplica.cpp
+++ b/Source/Core/Steering/TableReplica.cpp
@@ -206,7 +206,7 @@
     }
     RowChange &known = found->second;
     if (this->ofOlderEra(known)) {
-        if (known.position >= row.position) {
+        if (!this->isLater(row, known)) {
             return;
         }
     } else {
@@ -229,7 +229,7 @@
     }
     const RowChange known = found->second;
     if (this->ofOlderEra(known)) {
-        if (known.position >= deletion.position) {
+        if (!this->isLater(deletion, known)) {
             return;
         }
     } else {
@@ -305,6 +305,21 @@
     return *order <= *knownOrder;
 }
 
+bool TableReplica::isLater(const RowChange &change, const RowChange &known) const
+{
+    const bool laterPosition = change.position > known.position;
+    if (change.position.era() == known.position.era() || (change.deleted && laterPosition)) {
+        return laterPosition;
+    }
+    // The one of the later era may be a row of the copy.
+    const auto order = this->orderOf(change);
+    const auto knownOrder = this->orderOf(known);
+    if (!order || !knownOrder) {
+        return laterPosition;
+    }
+    return change.deleted ? *order >= *knownOrder : *order > *knownOrder;
+}
+
 bool TableReplica::knows(const RowChange &row) const
 {
     const auto found = this->current.find(row.key);
--- a/Source/UnitTests/Steering/StoreEraTest.cpp
+++ b/Source/UnitTests/Steering/StoreEraTest.cpp
@@ -578,3 +578,33 @@
     other.apply(changes(old(100), old(101), read.listings));
     CHECK(valueOf(other, "a") == "ready 1.1");
 }
+
+// Guards against a VM that goes back to an earlier entry of a server after two restores, because
+// a peer has read that entry in the era between them.
+TEST_CASE("Rows that are known from different older eras are compared by their writer's order")
+{
+    const StorePosition again(3, 40);
+    const std::vector<RowChange> copy { row("a", restored(30), "ready 1.4") };
+    TableReplica replica(serverSettings());
+    RowChange known = copy.front();
+    std::string expected;
+    SECTION("The peer knows the earlier one")
+    {
+        replica = replicaWith({ row("a", old(90), "draining 1.5") });
+        expected = "draining 1.5";
+    }
+    SECTION("The peer knows the later one")
+    {
+        known = row("a", old(90), "draining 1.5");
+        expected = "draining 1.5";
+    }
+    SECTION("The peer knows that the row is deleted")
+    {
+        known = deletion("a", old(110));
+        known.value = "ready 1.5";
+    }
+    replica.apply(complete(restored(40), copy));
+    replica.apply(complete(again, {}));
+    replica.apply(changes(again, again, { known }));
+    CHECK(valueOf(replica, "a") == expected);
+}
--- a/include/currantfall/Steering/TableReplica.h
+++ b/include/currantfall/Steering/TableReplica.h
@@ -153,6 +153,8 @@
     /// Whether `row`, which the store lists in a newer era, must not replace `known`, which is a
     /// row or a deletion.
     bool superseded(const RowChange &row, const RowChange &known, bool written) const;
+    /// Whether `change` happened after `known`, both of which are of older eras.
+    bool isLater(const RowChange &change, const RowChange &known) const;
     /// Whether the replica has the row as it was at the position of `row`, or later.
     bool knows(const RowChange &row) const;
     std::optional<WriterOrder> orderOf(const RowChange &row) const;
