Do not pass a full read on as changes

Callers could see: requests at a server that is gone, from one VM and without an end; after a restore, the store's loss of its history, a restart or a cut. Cause: a VM that had got all rows of a table told its peers the difference to what it had known as the changes since its version before. A row that was added and deleted meanwhile is in neither. A peer between the two versions that had the row took the update for complete and kept the row. The answer to a request for changes had the same gap. Change: after a full read only the position is sent, and peers ask. Requests from positions within the span that a full read has skipped are answered with all rows. A full read of several pages is exact only after the changes that follow it.

--- a/Source/Core/Steering/TableReplica.cpp
+++ b/Source/Core/Steering/TableReplica.cpp
@@ -43,6 +43,13 @@
         this->currentPosition = update.to;
         if (newEra) {
             this->startEra(update);
+        } else if (update.complete) {
+            const StorePosition lastRead = std::max(this->deletionsSince, this->unlistedUntil);
+            // A full read of several pages is exact only once the changes since its first page have
+            // been applied.
+            this->deletionsSince = before == lastRead ? update.to : lastRead;
+            this->unlistedSince = before;
+            this->unlistedUntil = update.to;
         }
         for (const RowChange &row : update.rows) {
             if (this->ofOlderEra(row)) {
@@ -92,6 +99,8 @@
 {
     this->supersededRows.clear();
     this->deletionsSince = update.to;
+    this->unlistedSince = update.to;
+    this->unlistedUntil = update.to;
     this->holdUntil = update.confirmedAt + this->settings.holdTime;
     this->holding = true;
     this->deletionHoldUntil = update.confirmedAt + this->settings.deletionHoldTime;
@@ -378,7 +387,8 @@
     TableUpdate update;
     update.to = this->currentPosition;
     update.confirmedAt = this->confirmed;
-    update.complete = position < this->deletionsSince;
+    update.complete = position < this->deletionsSince
+                      || (this->unlistedSince < position && position < this->unlistedUntil);
     update.from = update.complete ? StorePosition() : position;
     for (const auto &[key, row] : this->current) {
         if (update.complete ? !this->ofOlderEra(row) : row.position > position) {
--- a/Source/Entry/StoreSync.cpp
+++ b/Source/Entry/StoreSync.cpp
@@ -287,9 +287,9 @@
     relayedUpdate.to = state.replica.position();
     relayedUpdate.confirmedAt = state.replica.confirmedAt();
     relayedUpdate.rows = changesForPeers;
-    if (!loadedBefore || newEra) {
-        // After the first load and in a new era only the version is sent; peers that lack changes
-        // request them.
+    if (!loadedBefore || update.complete) {
+        // All rows do not tell what was deleted since a peer's position. Only the version is sent;
+        // peers that lack changes request them.
         relayedUpdate.from = relayedUpdate.to;
         relayedUpdate.rows.clear();
     }
--- a/Source/UnitTests/Steering/StoreEraTest.cpp
+++ b/Source/UnitTests/Steering/StoreEraTest.cpp
@@ -608,3 +608,40 @@
     replica.apply(changes(again, again, { known }));
     CHECK(valueOf(replica, "a") == expected);
 }
+
+// Guards against a server that a VM uses for good although it is gone: a reader that missed its row
+// and the row's deletion told the VM of neither.
+TEST_CASE("A replica that read all rows does not know what was deleted meanwhile")
+{
+    TableReplica reader = replicaWith({});
+    TableReplica other = replicaWith({});
+    reader.apply(changes(old(100), old(102), {}));
+    other.apply(changes(old(100), old(103), { row("a", old(103), "ready 1.1") }));
+    reader.apply(complete(old(110), {}));
+    CHECK_FALSE(reader.changesSince(old(102)).complete);
+    CHECK_FALSE(reader.changesSince(old(110)).complete);
+    other.apply(reader.changesSince(other.position()));
+    CHECK(other.position() == old(110));
+    CHECK(other.rows().empty());
+
+    SECTION("All rows are read once more after some changes")
+    {
+        reader.apply(changes(old(110), old(112), {}));
+        reader.apply(complete(old(120), {}));
+        CHECK(reader.changesSince(old(102)).complete);
+        CHECK_FALSE(reader.changesSince(old(112)).complete);
+        CHECK(reader.changesSince(old(115)).complete);
+    }
+    SECTION("All rows are read once more without changes between")
+    {
+        reader.apply(complete(old(120), {}));
+        CHECK(reader.changesSince(old(110)).complete);
+        CHECK_FALSE(reader.changesSince(old(120)).complete);
+    }
+    SECTION("The store returns from a copy")
+    {
+        reader.apply(complete(restored(40), {}));
+        CHECK(reader.changesSince(old(110)).complete);
+        CHECK_FALSE(reader.changesSince(restored(40)).complete);
+    }
+}
--- a/include/currantfall/Steering/TableReplica.h
+++ b/include/currantfall/Steering/TableReplica.h
@@ -122,8 +122,12 @@
     std::map<std::string, RowChange> current;
     /// The latest deletions, ordered by position.
     std::deque<RowChange> deletions;
-    /// `deletions` contains all deletions after this position.
+    /// `deletions` contains all deletions after this position, except between the next two.
     StorePosition deletionsSince;
+    /// Between these positions all rows were read instead of the changes, which does not show rows
+    /// that were added and deleted meanwhile.
+    StorePosition unlistedSince;
+    StorePosition unlistedUntil;
     /// Rows that the store lists in the current era but that are not used, because the replica
     /// knows a newer value or deletion of an older era. Contains only rows of the store's table.
     std::map<std::string, RowChange> supersededRows;
