--- a/Source/Core/Steering/TableReplica.cpp
+++ b/Source/Core/Steering/TableReplica.cpp
@@ -38,10 +38,18 @@
     // VMs send them to each other endlessly.
     if (!this->isLoaded || update.to != this->currentPosition) {
         const bool newEra = !this->isLoaded || era != this->currentPosition.era();
+        const StorePosition before = this->currentPosition;
         this->isLoaded = true;
         this->currentPosition = update.to;
         if (newEra) {
             this->startEra(update);
+        } else if (update.complete) {
+            const StorePosition lastRead = std::max(this->deletionsSince, this->unlistedUntil);
+            // A full read of several pages is exact only once the changes since its first page have
+            // been applied.
+            this->deletionsSince = before == lastRead ? update.to : lastRead;
+            this->unlistedSince = before;
+            this->unlistedUntil = update.to;
         }
         for (const RowChange &row : update.rows) {
             if (this->ofOlderEra(row)) {
@@ -50,7 +58,13 @@
             if (row.deleted) {
                 this->remove(row, outcome.changes);
             } else {
-                this->put(row, !update.complete, outcome);
+                if (row.position > before && this->knows(row)) {
+                    // A full read may contain rows that were written after its position. Peers
+                    // learn of them when the position passes them.
+                    outcome.listings.push_back(row);
+                }
+                // The reader may tell of rows of the copy beside the changes since then.
+                this->put(row, !update.complete && row.position > update.from, outcome);
             }
         }
         if (update.complete) {
@@ -85,6 +99,8 @@
 {
     this->supersededRows.clear();
     this->deletionsSince = update.to;
+    this->unlistedSince = update.to;
+    this->unlistedUntil = update.to;
     this->holdUntil = update.confirmedAt + this->settings.holdTime;
     this->holding = true;
     this->deletionHoldUntil = update.confirmedAt + this->settings.deletionHoldTime;
@@ -140,7 +156,10 @@
         // between.
         const RowChange *known = this->findDeletion(deletion.key);
         if (known == nullptr || known->position < deletion.position) {
-            this->recordDeletion(deletion);
+            RowChange recorded = deletion;
+            // The order of the row must last until the store returns from a copy once more.
+            recorded.value = known == nullptr ? deletion.value : known->value;
+            this->recordDeletion(recorded);
             changes.push_back(deletion);
         }
         return;
@@ -154,7 +173,10 @@
 {
     std::set<std::string> keys;
     for (const RowChange &row : update.rows) {
-        keys.insert(row.key);
+        // Rows of an older era are not listed by the store.
+        if (!this->ofOlderEra(row)) {
+            keys.insert(row.key);
+        }
     }
     for (auto row = this->current.begin(); row != this->current.end();) {
         // A row that the current era has never listed is kept until the hold time ends.
@@ -166,8 +188,17 @@
             row = this->drop(row, update.to, changes);
         }
     }
-    std::erase_if(this->supersededRows,
-                  [&keys](const auto &entry) { return !keys.contains(entry.first); });
+    std::vector<std::string> unlisted;
+    for (const auto &[key, row] : this->supersededRows) {
+        if (!keys.contains(key)) {
+            unlisted.push_back(key);
+        }
+    }
+    for (const std::string &key : unlisted) {
+        // Changes nothing here if the row was deleted before, but other replicas would use the row
+        // when the hold time ends.
+        this->remove({ key, "", update.to, true, update.confirmedAt }, changes);
+    }
 }
 
 void TableReplica::putRetained(const RowChange &row, Changes &changes)
@@ -184,7 +215,7 @@
     }
     RowChange &known = found->second;
     if (this->ofOlderEra(known)) {
-        if (known.position >= row.position) {
+        if (!this->isLater(row, known)) {
             return;
         }
     } else {
@@ -207,7 +238,7 @@
     }
     const RowChange known = found->second;
     if (this->ofOlderEra(known)) {
-        if (known.position >= deletion.position) {
+        if (!this->isLater(deletion, known)) {
             return;
         }
     } else {
@@ -283,6 +314,27 @@
     return *order <= *knownOrder;
 }
 
+bool TableReplica::isLater(const RowChange &change, const RowChange &known) const
+{
+    const bool laterPosition = change.position > known.position;
+    if (change.position.era() == known.position.era() || (change.deleted && laterPosition)) {
+        return laterPosition;
+    }
+    // The one of the later era may be a row of the copy.
+    const auto order = this->orderOf(change);
+    const auto knownOrder = this->orderOf(known);
+    if (!order || !knownOrder) {
+        return laterPosition;
+    }
+    return change.deleted ? *order >= *knownOrder : *order > *knownOrder;
+}
+
+bool TableReplica::knows(const RowChange &row) const
+{
+    const auto found = this->current.find(row.key);
+    return found != this->current.end() && found->second.position >= row.position;
+}
+
 std::optional<WriterOrder> TableReplica::orderOf(const RowChange &row) const
 {
     return this->settings.order ? this->settings.order(row) : std::nullopt;
@@ -335,7 +387,8 @@
     TableUpdate update;
     update.to = this->currentPosition;
     update.confirmedAt = this->confirmed;
-    update.complete = position < this->deletionsSince;
+    update.complete = position < this->deletionsSince
+                      || (this->unlistedSince < position && position < this->unlistedUntil);
     update.from = update.complete ? StorePosition() : position;
     for (const auto &[key, row] : this->current) {
         if (update.complete ? !this->ofOlderEra(row) : row.position > position) {
--- a/Source/UnitTests/Steering/StoreEraTest.cpp
+++ b/Source/UnitTests/Steering/StoreEraTest.cpp
@@ -475,3 +475,173 @@
     CHECK(valueOf(started, "a") == "draining 1.6");
     CHECK(started.listedRow("a") != nullptr);
 }
+
+// Guards against a server at the address of its earlier start, or a server that has left: a reader
+// that reads the whole table once more tells its peers of the copy's rows beside changes.
+TEST_CASE("A row of the copy that comes with later changes does not count as written")
+{
+    const std::vector<RowChange> copy { row("a", restored(30), "ready 1.9") };
+    TableReplica reader = replicaWith({ row("a", old(90), "ready 2.1") });
+    TableReplica other = replicaWith({ row("a", old(90), "ready 2.1") });
+    std::string expected = "ready 2.1";
+    SECTION("The replica prefers a row") { }
+    SECTION("The replica prefers a deletion")
+    {
+        const TableUpdate left = changes(old(100), old(110), { deletion("a", old(110)) });
+        reader.apply(left);
+        other.apply(left);
+        expected = "";
+    }
+    reader.apply(complete(restored(40), copy));
+    other.apply(complete(restored(40), copy));
+    const auto read = reader.apply(
+            complete(restored(50), { copy.front(), row("b", restored(45), "ready 1.1") }, 100));
+    std::vector<RowChange> told = read.changes;
+    told.insert(told.end(), read.listings.begin(), read.listings.end());
+    other.apply(changes(restored(40), restored(50), told, 100));
+    CHECK(valueOf(reader, "a") == expected);
+    CHECK(valueOf(other, "a") == expected);
+    CHECK(valueOf(other, "b") == "ready 1.1");
+}
+
+// Guards against a server that a VM uses for good although the store deleted its row, because
+// a peer that read the store later still holds the row of the older era.
+TEST_CASE("A row that the store does not list any more is deleted even if a peer still holds it")
+{
+    const std::string known = GENERATE("ready 1.3", "ready 1.5");
+    TableReplica early(serverSettings());
+    early.apply(complete(restored(40), { row("a", restored(30), "ready 1.4") }));
+    TableReplica late = replicaWith({ row("a", old(90), known) });
+    late.apply(complete(restored(46), {}));
+    const TableUpdate update = late.changesSince(early.position());
+    REQUIRE(update.complete);
+    early.apply(update);
+    early.apply(changes(restored(46), restored(46), {}, deletionHoldMs));
+    CHECK_FALSE(early.rows().contains("a"));
+}
+
+// Guards against requests to a server that has left, because the store returns a second time from
+// a copy that lists it.
+TEST_CASE("A row stays deleted if the store deleted it again between two restores")
+{
+    TableReplica replica = replicaWith({ row("a", old(90), "ready 1.5") });
+    replica.apply(changes(old(100), old(110), { deletion("a", old(110)) }));
+    replica.apply(complete(restored(40), { row("a", restored(30), "ready 1.4") }));
+    replica.apply(changes(restored(40), restored(45), { deletion("a", restored(45)) }));
+    const StorePosition again(3, 40);
+    replica.apply(complete(again, { row("a", { 3, 30 }, "ready 1.4") }));
+    replica.apply(changes(again, again, {}, deletionHoldMs - 1));
+    CHECK_FALSE(replica.rows().contains("a"));
+    replica.apply(changes(again, again, {}, deletionHoldMs));
+    CHECK(valueOf(replica, "a") == "ready 1.4");
+}
+
+// Guards against a server that all VMs but the reader use again when the hold time of deletions
+// ends, although the store has deleted its row: the reader found the row missing in a full read.
+TEST_CASE("Peers are told that the store does not list a row any more that was not in use")
+{
+    const auto prepared = [] {
+        TableReplica replica = replicaWith({ row("a", old(90), "ready 1.5") });
+        replica.apply(changes(old(100), old(110), { deletion("a", old(110)) }));
+        replica.apply(complete(restored(40), { row("a", restored(30), "ready 1.4") }));
+        return replica;
+    };
+    TableReplica reader = prepared();
+    TableReplica other = prepared();
+    const auto read = reader.apply(complete(restored(50), {}, 100));
+    REQUIRE(read.changes.size() == 1);
+    CHECK(read.changes.front().deleted);
+    SECTION("With the changes")
+    {
+        other.apply(changes(restored(40), restored(50), read.changes, 100));
+    }
+    SECTION("On request")
+    {
+        other.apply(reader.changesSince(other.position()));
+    }
+    CHECK(other.position() == restored(50));
+    other.apply(changes(restored(50), restored(50), {}, deletionHoldMs));
+    CHECK_FALSE(other.rows().contains("a"));
+}
+
+// Guards against a server that gets no requests from VMs other than the reader, because the reader
+// knew its row before it reached the row's position.
+TEST_CASE("Peers are told of a row that was written between two pages of a full read")
+{
+    TableReplica reader(serverSettings());
+    reader.apply(complete(old(100), { row("a", old(101), "ready 1.1") }));
+    TableReplica other(serverSettings());
+    other.apply(complete(old(100), {}));
+    const auto read
+            = reader.apply(changes(old(100), old(101), { row("a", old(101), "ready 1.1") }));
+    REQUIRE(read.listings.size() == 1);
+    other.apply(changes(old(100), old(101), read.listings));
+    CHECK(valueOf(other, "a") == "ready 1.1");
+}
+
+// Guards against a VM that goes back to an earlier entry of a server after two restores, because
+// a peer has read that entry in the era between them.
+TEST_CASE("Rows that are known from different older eras are compared by their writer's order")
+{
+    const StorePosition again(3, 40);
+    const std::vector<RowChange> copy { row("a", restored(30), "ready 1.4") };
+    TableReplica replica(serverSettings());
+    RowChange known = copy.front();
+    std::string expected;
+    SECTION("The peer knows the earlier one")
+    {
+        replica = replicaWith({ row("a", old(90), "draining 1.5") });
+        expected = "draining 1.5";
+    }
+    SECTION("The peer knows the later one")
+    {
+        known = row("a", old(90), "draining 1.5");
+        expected = "draining 1.5";
+    }
+    SECTION("The peer knows that the row is deleted")
+    {
+        known = deletion("a", old(110));
+        known.value = "ready 1.5";
+    }
+    replica.apply(complete(restored(40), copy));
+    replica.apply(complete(again, {}));
+    replica.apply(changes(again, again, { known }));
+    CHECK(valueOf(replica, "a") == expected);
+}
+
+// Guards against a server that a VM uses for good although it is gone: a reader that missed its row
+// and the row's deletion told the VM of neither.
+TEST_CASE("A replica that read all rows does not know what was deleted meanwhile")
+{
+    TableReplica reader = replicaWith({});
+    TableReplica other = replicaWith({});
+    reader.apply(changes(old(100), old(102), {}));
+    other.apply(changes(old(100), old(103), { row("a", old(103), "ready 1.1") }));
+    reader.apply(complete(old(110), {}));
+    CHECK_FALSE(reader.changesSince(old(102)).complete);
+    CHECK_FALSE(reader.changesSince(old(110)).complete);
+    other.apply(reader.changesSince(other.position()));
+    CHECK(other.position() == old(110));
+    CHECK(other.rows().empty());
+
+    SECTION("All rows are read once more after some changes")
+    {
+        reader.apply(changes(old(110), old(112), {}));
+        reader.apply(complete(old(120), {}));
+        CHECK(reader.changesSince(old(102)).complete);
+        CHECK_FALSE(reader.changesSince(old(112)).complete);
+        CHECK(reader.changesSince(old(115)).complete);
+    }
+    SECTION("All rows are read once more without changes between")
+    {
+        reader.apply(complete(old(120), {}));
+        CHECK(reader.changesSince(old(110)).complete);
+        CHECK_FALSE(reader.changesSince(old(120)).complete);
+    }
+    SECTION("The store returns from a copy")
+    {
+        reader.apply(complete(restored(40), {}));
+        CHECK(reader.changesSince(old(110)).complete);
+        CHECK_FALSE(reader.changesSince(restored(40)).complete);
+    }
+}
