Send no request whose caller has left before it is sent

Callers and servers saw (GONE): on an overloaded VM, requests reached servers up to 3.5 s after their callers had given up. The request lines say "caller-gone" after 5 to 19 ms, so that the VM had read the request after its caller had closed the connection. Cause: the end of a caller's connection was noticed by a wait in the event loop, which a busy VM gets to after it has sent the request. A request that may not be repeated was sent even if the end was noticed while the VM connected. Change: the last check before a request is sent also asks the caller's connection.

--- a/Source/Entry/CallerListener.cpp
+++ b/Source/Entry/CallerListener.cpp
@@ -69,6 +69,14 @@
     std::size_t bytes;
 };
 
+/// Whether the caller has not closed its connection.
+bool isOpen(boost::beast::tcp_stream &stream)
+{
+    char byte = 0;
+    const auto peeked = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return peeked > 0 || (peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+}
+
 } // namespace
 
 Common::Result<std::unique_ptr<CallerListener>>
@@ -191,6 +199,7 @@
     reservation.growTo(request.body().size());
     stream.expires_never();
     ++this->inProgress;
+    caller->isOpen = [&stream] { return isOpen(stream); };
     this->watchForDisconnect(stream, caller);
     auto response = co_await this->steering.handle(request, caller);
     caller->responded = true;
@@ -232,21 +241,17 @@
 void CallerListener::watchForDisconnect(boost::beast::tcp_stream &stream,
                                         const SharedCaller &caller)
 {
-    stream.socket().async_wait(Tcp::socket::wait_read, [&stream,
-                                                        weak = std::weak_ptr<CallerState>(caller)](
-                                                               const IoError &error) {
-        const auto waiting = weak.lock();
-        if (error || !waiting || waiting->responded) {
-            return;
-        }
-        char byte = 0;
-        const auto peeked
-                = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        const bool open = peeked > 0 || (peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
-        if (!open) {
-            waiting->onDisconnected();
-        }
-    });
+    stream.socket().async_wait(
+            Tcp::socket::wait_read,
+            [&stream, weak = std::weak_ptr<CallerState>(caller)](const IoError &error) {
+                const auto waiting = weak.lock();
+                if (error || !waiting || waiting->responded) {
+                    return;
+                }
+                if (!isOpen(stream)) {
+                    waiting->onDisconnected();
+                }
+            });
 }
 
 } // namespace Currantfall::Entry
--- a/Source/Entry/RequestSteering.cpp
+++ b/Source/Entry/RequestSteering.cpp
@@ -309,7 +309,8 @@
     exchange->idempotent = activeRequest.route->idempotent;
     exchange->deadline = activeRequest.deadline;
     this->withholdIfNotEligible(
-            *exchange, Steering::HomeRegions::fromList(activeRequest.route->allowedRegions));
+            *exchange, activeRequest.callerState,
+            Steering::HomeRegions::fromList(activeRequest.route->allowedRegions));
     auto attempt = std::make_shared<Attempt>();
     attempt->exchange = std::move(exchange);
     attempt->caller = activeRequest.callerState;
--- a/Source/Entry/RequestSteering.h
+++ b/Source/Entry/RequestSteering.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -36,7 +37,19 @@
         this->wakeTimer.cancel();
     }
 
+    /// Whether the caller still waits for the response. Asks the connection, because the event loop
+    /// of a busy VM learns late that a caller has closed it.
+    bool waits()
+    {
+        if (!this->responded && !this->disconnected && this->isOpen && !this->isOpen()) {
+            this->onDisconnected();
+        }
+        return !this->disconnected;
+    }
+
     boost::asio::steady_timer wakeTimer;
+    /// Whether the caller's connection is open. Called only until the response has been determined.
+    std::function<bool()> isOpen;
     bool disconnected = false;
     /// The response has been determined. The caller's connection may have been destroyed since.
     bool responded = false;
@@ -124,9 +137,11 @@
                       const Adapter::BackendResponse &response);
     /// Makes the pool send a health check only if the server still takes requests by then.
     void withholdIfUnwanted(Exchange &exchange);
-    /// Makes the pool send the request of a caller only if the server may still get it by then.
-    /// Homes, evacuations, entries and notices may change while a connection is established.
-    void withholdIfNotEligible(Exchange &exchange, const Steering::HomeRegions &homesAtArrival);
+    /// Makes the pool send the request of a caller only if the caller still waits and the server
+    /// may still get it by then. Homes, evacuations, entries and notices may change while a
+    /// connection is established.
+    void withholdIfNotEligible(Exchange &exchange, const SharedCaller &caller,
+                               const Steering::HomeRegions &homesAtArrival);
     bool wantsRequests(const Steering::ServerIncarnation &server) const;
     /// Interrupts idempotent attempts at a server that has become unreachable, so that their
     /// requests are retried at another server.
--- a/Source/Entry/RequestSteeringServers.cpp
+++ b/Source/Entry/RequestSteeringServers.cpp
@@ -103,11 +103,14 @@
     };
 }
 
-void RequestSteering::withholdIfNotEligible(Exchange &exchange,
+void RequestSteering::withholdIfNotEligible(Exchange &exchange, const SharedCaller &caller,
                                             const Steering::HomeRegions &homesAtArrival)
 {
-    exchange.mayBeSent = [this, &exchange, homesAtArrival,
+    exchange.mayBeSent = [this, &exchange, caller, homesAtArrival,
                           server = Steering::ServerIncarnation::of(exchange.server)] {
+        if (!caller->waits()) {
+            return false;
+        }
         const Steering::ServerRecord *record = this->table.find(server.name);
         const bool eligible = record != nullptr && this->wantsRequests(server)
                               && this->serverSelector.mayUse(
--- /dev/null
+++ b/Source/UnitTests/Entry/CallerListenerTest.cpp
@@ -0,0 +1,79 @@
+#include "CallerListener.h"
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+
+#include "SteeringFixture.h"
+#include "Support/ScriptedBackend.h"
+
+using namespace Currantfall;
+using namespace Currantfall::Entry;
+using namespace Currantfall::Entry::Tests;
+using namespace Currantfall::Tests;
+
+namespace {
+
+/// A port on which nothing listens.
+std::uint16_t freePort()
+{
+    const ScriptedBackend temporary([](ScriptedConnection &) {});
+    return temporary.port();
+}
+
+/// Sends the request and closes the connection at once.
+void callAndLeave(std::uint16_t port, const std::string &request)
+{
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    ::inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    REQUIRE(::connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address))
+            == 0);
+    REQUIRE(::send(descriptor, request.data(), request.size(), MSG_NOSIGNAL)
+            == static_cast<ssize_t>(request.size()));
+    ::close(descriptor);
+}
+
+} // namespace
+
+// Guards against work for callers that have left (GONE): a busy VM reads a request only after its
+// caller has closed the connection.
+TEST_CASE("A request whose caller left before it was read is not sent to a server")
+{
+    std::atomic<int> requests { 0 };
+    ScriptedBackend backend([&requests](ScriptedConnection &connection) {
+        for (std::string request = connection.readRequest(); !request.empty();
+             request = connection.readRequest()) {
+            ++requests;
+            connection.write(answerTo(request, "body"));
+        }
+    });
+    SteeringFixture fixture;
+    fixture.addServer("i-1", backend.port());
+    fixture.settings.callers.port = freePort();
+    const auto listener = CallerListener::start(fixture.context, fixture.settings, fixture.steering,
+                                                fixture.log);
+    REQUIRE(listener);
+    const std::string head = "Host: h.example\r\nRequest-Id: id-2\r\nDeadline-Ms: 4000\r\n";
+    SECTION("over a new connection to the server")
+    {
+        callAndLeave(fixture.settings.callers.port,
+                     "POST /write/1 HTTP/1.1\r\n" + head + "Content-Length: 0\r\n\r\n");
+        fixture.runFor(absl::Milliseconds(200));
+        CHECK(requests == 0);
+    }
+    SECTION("over an idle connection to the server")
+    {
+        REQUIRE(fixture.run(SteeringFixture::request("/read/1")));
+        REQUIRE(requests == 1);
+        callAndLeave(fixture.settings.callers.port, "GET /read/1 HTTP/1.1\r\n" + head + "\r\n");
+        fixture.runFor(absl::Milliseconds(200));
+        CHECK(requests == 1);
+    }
+}
