Give callers of a region whose VMs restart or are lost entry VMs again

Callers of a lost region would have got no VM at all. Cause: names no VM outside the caller's region and the homes that all homed routes of its host share. Routes with disjoint homes share none, so that callers of all routes of the host got an empty answer when no VM of their region served. Change: VMs that are being shut down serve until they end, and are named if no other VM may be. A region without any VM is lost: its callers get all VMs, as before, except from a VM that has run for less than a second, which may not know the VMs of the region yet; the bodies outside their homes that was for came from such lookups and from regions whose VMs restart. Evidence: "Lookups name leaving VMs of the caller's region, and others only if it has none" failed with the former choice, "homes" == "d1 d2 leaving" and "homes" == "a1 c1 all-regions".

--- a/Source/Core/Steering/EntryDirectory.cpp
+++ b/Source/Core/Steering/EntryDirectory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace Currantfall::Steering {
 
@@ -32,28 +33,39 @@
         return "region";
     case LookupScope::Homes:
         return "homes";
+    case LookupScope::Leaving:
+        return "leaving";
     case LookupScope::AllRegions:
         return "all-regions";
     }
     return "unknown";
 }
 
-LookupResult entriesFor(const Common::ZoneName &zone, const Common::RegionName &region,
-                        const HomeRegions &homes, const std::vector<EntryVm> &vms,
+LookupResult entriesFor(const Lookup &lookup, const std::vector<EntryVm> &vms,
                         std::size_t maxEntries)
 {
+    const auto select = [&vms](const auto &predicate) {
+        return filter(vms, [&](const EntryVm &vm) { return !vm.leaving && predicate(vm); });
+    };
     LookupResult result { LookupScope::Zone,
-                          filter(vms, [&zone](const EntryVm &vm) { return vm.zone == zone; }) };
+                          select([&](const EntryVm &vm) { return vm.zone == lookup.zone; }) };
     if (result.vms.size() < minEntries) {
         result = { LookupScope::Region,
-                   filter(vms, [&region](const EntryVm &vm) { return vm.region == region; }) };
+                   select([&](const EntryVm &vm) { return vm.region == lookup.region; }) };
     }
     if (result.vms.size() < minEntries) {
-        const auto mayHoldBody = [&](const EntryVm &vm) {
-            return vm.region == region || homes.contains(vm.region);
-        };
-        result = { homes.allRegions() ? LookupScope::AllRegions : LookupScope::Homes,
-                   filter(vms, mayHoldBody) };
+        result = { lookup.homes.allRegions() ? LookupScope::AllRegions : LookupScope::Homes,
+                   select([&](const EntryVm &vm) {
+                       return vm.region == lookup.region || lookup.homes.contains(vm.region);
+                   }) };
+    }
+    if (result.vms.empty()) {
+        auto leaving = filter(vms, [&](const EntryVm &vm) { return vm.region == lookup.region; });
+        if (!leaving.empty()) {
+            result = { LookupScope::Leaving, std::move(leaving) };
+        } else if (lookup.allVmsKnown) {
+            result = { LookupScope::AllRegions, select([](const EntryVm &) { return true; }) };
+        }
     }
     std::vector<EntryVm> &chosen = result.vms;
     const auto larger = [](const EntryVm &left, const EntryVm &right) {
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -26,6 +26,8 @@
 // Callers repeat the lookup after this time, and so learn which VMs have failed or are leaving.
 constexpr absl::Duration lookupTtl = absl::Seconds(1);
 constexpr std::size_t maxLookupEntries = 64;
+// After a start, links to all live VMs are established within this time.
+constexpr absl::Duration maxLinkTime = absl::Seconds(1);
 // Fraction of the shutdown grace period after which new requests are refused, because they might
 // not end before the process is killed.
 constexpr double refuseNewAfterFraction = 0.5;
@@ -123,7 +125,8 @@
         return started;
     }
     this->startPeerSync();
-    this->steering.selector().setStarted(Common::monotonicNow());
+    this->startedAt = Common::monotonicNow();
+    this->steering.selector().setStarted(this->startedAt);
     this->startStore();
     if (auto started = this->startEndpoints(); !started) {
         return started;
@@ -495,15 +498,19 @@
     std::vector<Steering::EntryVm> vms;
     for (const auto &member : this->cluster->members().members()) {
         const bool own = member->vm == this->settings.vm;
+        const bool isLeaving = own ? this->leaving : member->state == MemberState::Leaving;
         const bool serves
-                = own ? this->ready() : member->state == MemberState::Live && member->revision > 0;
+                = own ? isLeaving || this->ready()
+                      : member->revision > 0 && (isLeaving || member->state == MemberState::Live);
         if (serves) {
             vms.push_back({ member->vm, member->zone, member->region, member->address + port,
-                            this->processorShareOf(member->vm) });
+                            this->processorShareOf(member->vm), isLeaving });
         }
     }
+    const bool allVmsKnown = Common::monotonicNow() - this->startedAt >= maxLinkTime;
     const auto result = Steering::entriesFor(
-            query->zone, query->region, configuration->homesOf(query->host), vms, maxLookupEntries);
+            { query->zone, query->region, configuration->homesOf(query->host), allVmsKnown }, vms,
+            maxLookupEntries);
     this->metrics.addToCounter("currantfall_lookups_total",
                                { { "scope", Steering::toString(result.scope) } });
     const bool outside = result.scope == Steering::LookupScope::AllRegions
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -106,6 +106,7 @@
     std::unique_ptr<HttpEndpoint> readinessEndpoint;
     std::unique_ptr<HttpEndpoint> directoryEndpoint;
     std::unique_ptr<HttpEndpoint> metricsEndpoint;
+    Common::Instant startedAt;
     bool leaving = false;
     bool stopped = false;
     Common::Instant leavingSince;
--- a/include/currantfall/Steering/EntryDirectory.h
+++ b/include/currantfall/Steering/EntryDirectory.h
@@ -16,15 +16,31 @@
     Common::RegionName region;
     std::string address; ///< Address for callers, as "IP:port".
     double processorShare = 1.0;
+    /// The VM is being shut down: it serves requests until it ends, but should get no new callers.
+    bool leaving = false;
 
     friend bool operator==(const EntryVm &left, const EntryVm &right) = default;
 };
 
+/// A caller's question for entry VMs.
+struct Lookup
+{
+    Common::ZoneName zone;
+    Common::RegionName region;
+    /// Homes of the routes that the caller asks for.
+    HomeRegions homes;
+    /// Whether all VMs that serve are known. A VM that has just started knows few.
+    bool allVmsKnown = true;
+
+    friend bool operator==(const Lookup &left, const Lookup &right) = default;
+};
+
 /// Which VMs an answer to a lookup names.
 enum class LookupScope {
     Zone,       ///< Those of the caller's zone.
     Region,     ///< Those of the caller's region.
     Homes,      ///< Those of the caller's region and of the homes.
+    Leaving,    ///< Those of the caller's region that are being shut down.
     AllRegions, ///< All VMs.
 };
 
@@ -38,14 +54,14 @@
     friend bool operator==(const LookupResult &left, const LookupResult &right) = default;
 };
 
-/// Returns at most `maxEntries` entry VMs for a caller in `zone` of `region`, which picks one of
-/// them at random: those of its zone if there are several, else those of its region, else all that
-/// may hold the bodies of its requests. `homes` are the homes of the routes that it asks for; no VM
-/// outside them and its own region is named. If the VMs differ in size, only the larger ones are
-/// returned: with fewer VMs, each one reuses its connections to backend servers more often and
-/// knows more about the load of the servers.
-LookupResult entriesFor(const Common::ZoneName &zone, const Common::RegionName &region,
-                        const HomeRegions &homes, const std::vector<EntryVm> &vms,
+/// Returns at most `maxEntries` entry VMs for a caller, which picks one of them at random: those of
+/// its zone if there are several, else those of its region, else all that may hold the bodies of
+/// its requests, which are those of its region and of the homes. If there is none, those of its
+/// region that are being shut down are returned. A region without any VM is lost; its callers get
+/// all VMs, because most of their routes may have no homes. If the VMs differ in size, only the
+/// larger ones are returned: with fewer VMs, each one reuses its connections to backend servers
+/// more often and knows more about the load of the servers.
+LookupResult entriesFor(const Lookup &lookup, const std::vector<EntryVm> &vms,
                         std::size_t maxEntries);
 
 } // namespace Currantfall::Steering
