Keep notices that a restarted server gives before its entry is known

A server that starts again under its name and address answers requests that this VM sends to the run it knows. What it said was stored with that run and discarded when the new entry arrived, so that the VM sent requests into a pause, or used a server that leaves after its drain time.

Cause: a notice holds for one start time, and responses don't carry it. The wall-clock time of the request, compared with the start time of the new entry, now decides. Clocks may differ by 5 s: a pause counts unless the request was sent more than 5 s before the start (a wrong pause ends by itself); an announcement counts only if it was sent at least 5 s after it (a wrong one would keep a live server out of use, a missed one is in the next response again). The time of the request is used, because a VM that was suspended reads responses late.

--- a/Source/Core/Steering/ServerNotices.cpp
+++ b/Source/Core/Steering/ServerNotices.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t maxRemovedEntries = 1024;
 // Requests in flight at the start of a pause are refused with about the same end.
 constexpr absl::Duration minReportedExtension = absl::Seconds(1);
+// Assumed limit of the difference between the wall clocks of a VM and a server.
+constexpr absl::Duration maxClockDifference = absl::Seconds(5);
 
 } // namespace
 
@@ -29,7 +31,7 @@
 }
 
 NoticeEffect ServerNotices::apply(const ServerIncarnation &server, const ServerNotice &notice,
-                                  Common::Instant now)
+                                  absl::Time sentAt, Common::Instant now)
 {
     NoticeEffect effect;
     if (!notice.leaving() && notice.pause() <= absl::ZeroDuration()) {
@@ -39,14 +41,13 @@
     if (known != this->notices.end() && known->second.startTime > server.startTime) {
         return effect;
     }
-    if (known != this->notices.end() && known->second.startTime < server.startTime) {
-        this->notices.erase(known);
-    }
     Entry &entry = this->notices[server.name];
+    entry = this->find(server).value_or(Entry());
     entry.startTime = server.startTime;
-    if (notice.leaving() && !entry.leavingSince) {
-        entry.leavingSince = now;
-        effect.leavingStarted = true;
+    if (notice.leaving()) {
+        entry.leavingSentAt = std::max(entry.leavingSentAt, sentAt);
+        effect.leavingStarted = !entry.leavingSince;
+        entry.leavingSince = entry.leavingSince.value_or(now);
     }
     const Common::Instant pauseEnd = now + notice.pause();
     if (notice.pause() > absl::ZeroDuration() && pauseEnd > entry.pausedUntil) {
@@ -54,17 +55,41 @@
         effect.pauseExtended
                 = !effect.pauseStarted && pauseEnd - entry.pausedUntil > minReportedExtension;
         entry.pausedUntil = pauseEnd;
+        entry.pauseSentAt = sentAt;
     }
     ++this->generationCount;
     return effect;
 }
 
-const ServerNotices::Entry *ServerNotices::find(const ServerIncarnation &server) const
+std::optional<ServerNotices::Entry> ServerNotices::find(const ServerIncarnation &server) const
 {
     const auto found = this->notices.find(server.name);
-    return found == this->notices.end() || found->second.startTime != server.startTime
-                   ? nullptr
-                   : &found->second;
+    return found == this->notices.end() ? std::nullopt
+                                        : attributedTo(server.startTime, found->second);
+}
+
+std::optional<ServerNotices::Entry> ServerNotices::attributedTo(absl::Time startTime,
+                                                                const Entry &entry)
+{
+    if (entry.startTime == startTime) {
+        return entry;
+    }
+    // Nothing is known of the order of the incarnations if the server's clock was set back.
+    if (startTime < entry.startTime) {
+        return std::nullopt;
+    }
+    Entry result = entry;
+    result.startTime = startTime;
+    if (entry.leavingSentAt < startTime + maxClockDifference) {
+        result.leavingSince.reset();
+        result.leavingSentAt = absl::InfinitePast();
+    }
+    if (entry.pauseSentAt < startTime - maxClockDifference) {
+        result.pausedUntil = Entry().pausedUntil;
+        result.pauseSentAt = absl::InfinitePast();
+    }
+    const bool empty = !result.leavingSince && result.pausedUntil == Entry().pausedUntil;
+    return empty ? std::nullopt : std::optional(result);
 }
 
 ServerUse ServerNotices::useOf(const Entry &entry, Common::Instant now) const
@@ -80,15 +105,15 @@
 
 ServerUse ServerNotices::use(const ServerIncarnation &server, Common::Instant now) const
 {
-    const Entry *entry = this->find(server);
-    return entry == nullptr ? ServerUse::Unrestricted : this->useOf(*entry, now);
+    const std::optional<Entry> entry = this->find(server);
+    return !entry ? ServerUse::Unrestricted : this->useOf(*entry, now);
 }
 
 Common::Instant ServerNotices::usableFrom(const ServerIncarnation &server,
                                           Common::Instant now) const
 {
-    const Entry *entry = this->find(server);
-    if (entry == nullptr) {
+    const std::optional<Entry> entry = this->find(server);
+    if (!entry) {
         return now;
     }
     const Common::Instant returns = std::max(now, entry->pausedUntil);
@@ -98,8 +123,8 @@
 Common::Instant ServerNotices::nextSendTime(const ServerIncarnation &server,
                                             Common::Instant lastSent, Common::Instant now) const
 {
-    const Entry *entry = this->find(server);
-    if (entry == nullptr || now >= entry->pausedUntil + returnPeriod) {
+    const std::optional<Entry> entry = this->find(server);
+    if (!entry || now >= entry->pausedUntil + returnPeriod) {
         return now;
     }
     return std::max({ now, entry->pausedUntil, lastSent + returnSendInterval });
@@ -111,7 +136,14 @@
     for (auto each = this->notices.begin(); each != this->notices.end();) {
         Entry &entry = each->second;
         const ServerRecord *record = servers.find(each->first);
-        const bool replaced = record != nullptr && record->server().startTime > entry.startTime;
+        if (record != nullptr && record->server().startTime > entry.startTime) {
+            const auto attributed = attributedTo(record->server().startTime, entry);
+            if (!attributed) {
+                each = this->notices.erase(each);
+                continue;
+            }
+            entry = *attributed;
+        }
         if (record != nullptr) {
             entry.removedAt.reset();
         } else if (!entry.removedAt) {
@@ -121,7 +153,7 @@
         const bool expired = pauseOver
                              && (!entry.leavingSince
                                  || (entry.removedAt && now - *entry.removedAt > removedRetention));
-        if (replaced || expired) {
+        if (expired) {
             each = this->notices.erase(each);
             continue;
         }
--- a/Source/Entry/BackendPool.h
+++ b/Source/Entry/BackendPool.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include <absl/time/clock.h>
+#include <absl/time/time.h>
 #include <boost/beast/http/parser.hpp>
 
 #include "currantfall/Common/Time.h"
@@ -56,6 +58,8 @@
     /// repeated if the server has closed the connection.
     bool idempotent = false;
     Common::Instant deadline;
+    /// Wall-clock time before the request is sent.
+    absl::Time startedAt = absl::Now();
 
     SharedConnection connection;
     bool cancelled = false;
--- a/Source/Entry/RequestSteering.cpp
+++ b/Source/Entry/RequestSteering.cpp
@@ -334,7 +334,7 @@
     this->runningAttempts.erase(attempt);
     --this->inProgress;
     const Common::Instant now = Common::monotonicNow();
-    const bool asksForPause = this->recordNotice(attempt->exchange->server, result.parsed);
+    const bool asksForPause = this->recordNotice(*attempt->exchange, result.parsed);
     if (!asksForPause) {
         this->recordOutcome(*attempt, result);
     }
--- a/Source/Entry/RequestSteering.h
+++ b/Source/Entry/RequestSteering.h
@@ -120,8 +120,7 @@
     /// Records the outcome of the attempt in the outcomes that are shared with the other VMs.
     void recordOutcome(const Attempt &attempt, const ExchangeResult &result);
     /// Applies what the response says of the server. Returns whether the server asks for a pause.
-    bool recordNotice(const Steering::BackendServer &server,
-                      const Adapter::BackendResponse &response);
+    bool recordNotice(const Exchange &exchange, const Adapter::BackendResponse &response);
     /// Makes the pool send a health check only if the server still takes requests by then.
     void withholdIfUnwanted(Exchange &exchange);
     /// Makes the pool send the request of a caller only if the server may still get it by then.
--- a/Source/Entry/RequestSteeringServers.cpp
+++ b/Source/Entry/RequestSteeringServers.cpp
@@ -46,9 +46,10 @@
     }
 }
 
-bool RequestSteering::recordNotice(const Steering::BackendServer &server,
+bool RequestSteering::recordNotice(const Exchange &exchange,
                                    const Adapter::BackendResponse &response)
 {
+    const Steering::BackendServer &server = exchange.server;
     // Another server at the address speaks for itself.
     if (response.misdirected) {
         return false;
@@ -65,8 +66,9 @@
                                                          { "values", notice.malformed() } });
         }
     }
-    const Steering::NoticeEffect effect = this->serverNotices.apply(
-            Steering::ServerIncarnation::of(server), notice, Common::monotonicNow());
+    const Steering::NoticeEffect effect
+            = this->serverNotices.apply(Steering::ServerIncarnation::of(server), notice,
+                                        exchange.startedAt, Common::monotonicNow());
     const Telemetry::Labels labels { { "service", server.service.value() } };
     if (effect.leavingStarted) {
         this->metrics.addToCounter("currantfall_server_leaving_notices_total", labels);
@@ -216,7 +218,7 @@
     }
     // Any server at the address responds to the check.
     const bool fromServer = result.parsed.server.empty() || result.parsed.server == name;
-    const bool asksForPause = fromServer && this->recordNotice(exchange->server, result.parsed);
+    const bool asksForPause = fromServer && this->recordNotice(*exchange, result.parsed);
     // A server that rejects the check because it has no free slot is healthy.
     const bool healthy = result.end == AttemptEnd::NotExecuted || asksForPause
                          || (result.end == AttemptEnd::Answered && result.parsed.success
--- a/Source/UnitTests/Entry/ServerNoticeSteeringTest.cpp
+++ b/Source/UnitTests/Entry/ServerNoticeSteeringTest.cpp
@@ -1,6 +1,7 @@
 #include <atomic>
 #include <set>
 
+#include <absl/time/clock.h>
 #include <catch2/catch.hpp>
 
 #include "currantfall/Common/RendezvousHash.h"
@@ -259,11 +260,38 @@
     backend.recover();
     Steering::ServerTable &servers = fixture.steering.servers();
     Steering::BackendServer restarted = servers.find(Common::BackendServerName("i-1"))->server();
-    restarted.startTime = absl::FromUnixMillis(5);
+    // The requests were sent so long before that the new run can't have answered them.
+    restarted.startTime = absl::Now() + absl::Seconds(10);
     servers.put(restarted, Common::monotonicNow());
     CHECK(fixture.run(SteeringFixture::request("/write/1"))->result_int() == 200);
 }
 
+// Guards against requests to a server that started again and asked for a pause, or said that it
+// leaves, before its new entry was known.
+TEST_CASE("A server is not used because of what it said before its new entry is known")
+{
+    const auto [headers, startedAgo] = GENERATE(table<std::string, absl::Duration>({
+            { "Retry-After: 60\r\n", absl::Seconds(1) },
+            { "Server-Leaving: 1\r\n", absl::Seconds(20) },
+    }));
+    CountingBackend backend(unavailable, "Not-Executed: 1\r\n" + headers);
+    CountingBackend other;
+    SteeringFixture fixture;
+    fixture.addServer("i-1", backend.port());
+    fixture.addServer(secondName(), other.port());
+    CHECK(fixture.run(SteeringFixture::request("/write/1"))->result_int() == 200);
+    Steering::ServerTable &servers = fixture.steering.servers();
+    Steering::BackendServer restarted = servers.find(Common::BackendServerName("i-1"))->server();
+    restarted.startTime = absl::Now() - startedAgo;
+    servers.put(restarted, Common::monotonicNow());
+    for (int request = 0; request < 3; ++request) {
+        CHECK(fixture.run(SteeringFixture::request("/write/1"))->result_int() == 200);
+        fixture.steering.advance(Common::monotonicNow());
+    }
+    CHECK(backend.requests() == 1);
+    CHECK(other.requests() == 4);
+}
+
 // Guards against requests that were waiting for a connection when the server asked for a pause.
 TEST_CASE("A request is not sent if the server asked for a pause while it connected")
 {
--- a/include/currantfall/Steering/ServerNotices.h
+++ b/include/currantfall/Steering/ServerNotices.h
@@ -59,6 +59,12 @@
 /// Notices that backend servers gave this VM about themselves: that they leave, or that they want
 /// no requests for some time. They hold for one incarnation of a server, whether or not the store
 /// and other VMs can be reached. A pause concerns this VM only.
+///
+/// A server may give a notice after it has started again and before its new entry is known here.
+/// Such a notice is recorded for the previous incarnation and is attributed to the new one by the
+/// time of the request and the start time of the server, whose clocks may differ: a pause also if
+/// it may be of the previous incarnation, an announcement that the server leaves only if it can't
+/// be. A wrong pause ends by itself; a wrong announcement would keep a live server out of use.
 class ServerNotices
 {
 public:
@@ -67,10 +73,11 @@
 
     void setDrainTime(absl::Duration time);
 
-    /// Applies a notice that was received at `now`. A pause never ends earlier because of a later
-    /// notice. Notices of an incarnation that has been replaced are ignored.
+    /// Applies a notice that was received at `now`, in the response to a request that was sent at
+    /// `sentAt` by this VM's wall clock. A pause never ends earlier because of a later notice.
+    /// Notices of an incarnation that has been replaced are ignored.
     NoticeEffect apply(const ServerIncarnation &server, const ServerNotice &notice,
-                       Common::Instant now);
+                       absl::Time sentAt, Common::Instant now);
 
     ServerUse use(const ServerIncarnation &server, Common::Instant now) const;
     /// Selections ask for every server, mostly while there are no notices.
@@ -109,12 +116,18 @@
     {
         absl::Time startTime;
         std::optional<Common::Instant> leavingSince;
+        /// Wall-clock time of the latest request whose response said that the server leaves.
+        absl::Time leavingSentAt = absl::InfinitePast();
+        /// Wall-clock time of the request whose response asked for the pause.
+        absl::Time pauseSentAt = absl::InfinitePast();
         Common::Instant pausedUntil = Common::Instant::fromOrigin(-absl::InfiniteDuration());
         /// When the server was first seen to be missing from the store's list.
         std::optional<Common::Instant> removedAt;
     };
 
-    const Entry *find(const ServerIncarnation &server) const;
+    /// What the known notices of the server mean for this incarnation of it.
+    std::optional<Entry> find(const ServerIncarnation &server) const;
+    static std::optional<Entry> attributedTo(absl::Time startTime, const Entry &entry);
     ServerUse useOf(const Entry &entry, Common::Instant now) const;
     void discardOldestRemoved();
 
