Heed the notices of a server whose clock was set back

A server that restarted with an earlier start time than the known one got requests during its pauses and after its drain time: its notices were ignored and those of its previous run stayed for good.

Cause: ServerNotices took the higher start time for the current run, while ServerTable and ServerRecord take every entry with another start time for a new run. Now both follow the listed entry. A request that waits for a connection, or a health check, is withheld by what the listed run said.

Changed tests: apply() takes the table; the test of a new incarnation lists each run, as responses are judged by the list.

--- a/Source/Core/Steering/ServerNotices.cpp
+++ b/Source/Core/Steering/ServerNotices.cpp
@@ -30,20 +30,39 @@
     }
 }
 
+std::optional<ServerIncarnation> ServerNotices::incarnationFor(const ServerIncarnation &server,
+                                                               absl::Time sentAt,
+                                                               const ServerTable &servers) const
+{
+    const ServerRecord *record = servers.find(server.name);
+    if (record == nullptr) {
+        const auto known = this->notices.find(server.name);
+        const bool replaced
+                = known != this->notices.end() && known->second.startTime > server.startTime;
+        return replaced ? std::nullopt : std::optional(server);
+    }
+    const ServerIncarnation listed = ServerIncarnation::of(record->server());
+    const bool certain = listed == server
+                         || (listed.startTime > server.startTime
+                             && sentAt >= listed.startTime + maxClockDifference);
+    return certain ? std::optional(listed) : std::nullopt;
+}
+
 NoticeEffect ServerNotices::apply(const ServerIncarnation &server, const ServerNotice &notice,
-                                  absl::Time sentAt, Common::Instant now)
+                                  absl::Time sentAt, const ServerTable &servers,
+                                  Common::Instant now)
 {
     NoticeEffect effect;
     if (!notice.leaving() && notice.pause() <= absl::ZeroDuration()) {
         return effect;
     }
-    const auto known = this->notices.find(server.name);
-    if (known != this->notices.end() && known->second.startTime > server.startTime) {
+    const auto incarnation = this->incarnationFor(server, sentAt, servers);
+    if (!incarnation) {
         return effect;
     }
     Entry &entry = this->notices[server.name];
-    entry = this->find(server).value_or(Entry());
-    entry.startTime = server.startTime;
+    entry = this->find(*incarnation).value_or(Entry());
+    entry.startTime = incarnation->startTime;
     if (notice.leaving()) {
         entry.leavingSentAt = std::max(entry.leavingSentAt, sentAt);
         effect.leavingStarted = !entry.leavingSince;
@@ -136,7 +155,7 @@
     for (auto each = this->notices.begin(); each != this->notices.end();) {
         Entry &entry = each->second;
         const ServerRecord *record = servers.find(each->first);
-        if (record != nullptr && record->server().startTime > entry.startTime) {
+        if (record != nullptr && record->server().startTime != entry.startTime) {
             const auto attributed = attributedTo(record->server().startTime, entry);
             if (!attributed) {
                 each = this->notices.erase(each);
--- a/Source/Entry/RequestSteering.h
+++ b/Source/Entry/RequestSteering.h
@@ -126,7 +126,8 @@
     /// Makes the pool send the request of a caller only if the server may still get it by then.
     /// Homes, evacuations, entries and notices may change while a connection is established.
     void withholdIfNotEligible(Exchange &exchange, const Steering::HomeRegions &homesAtArrival);
-    bool wantsRequests(const Steering::ServerIncarnation &server) const;
+    /// Whether the run of the server that is listed now takes requests.
+    bool wantsRequests(const Common::BackendServerName &server) const;
     /// Interrupts idempotent attempts at a server that has become unreachable, so that their
     /// requests are retried at another server.
     void interruptAttempts(const Common::BackendServerName &server);
--- a/Source/Entry/RequestSteeringServers.cpp
+++ b/Source/Entry/RequestSteeringServers.cpp
@@ -68,7 +68,7 @@
     }
     const Steering::NoticeEffect effect
             = this->serverNotices.apply(Steering::ServerIncarnation::of(server), notice,
-                                        exchange.startedAt, Common::monotonicNow());
+                                        exchange.startedAt, this->table, Common::monotonicNow());
     const Telemetry::Labels labels { { "service", server.service.value() } };
     if (effect.leavingStarted) {
         this->metrics.addToCounter("currantfall_server_leaving_notices_total", labels);
@@ -93,25 +93,26 @@
     return notice.pause() > absl::ZeroDuration();
 }
 
-bool RequestSteering::wantsRequests(const Steering::ServerIncarnation &server) const
+bool RequestSteering::wantsRequests(const Common::BackendServerName &server) const
 {
-    return this->serverNotices.use(server, Common::monotonicNow()) != Steering::ServerUse::None;
+    const Steering::ServerRecord *record = this->table.find(server);
+    return record != nullptr
+           && this->serverNotices.use(record->server(), Common::monotonicNow())
+                      != Steering::ServerUse::None;
 }
 
 void RequestSteering::withholdIfUnwanted(Exchange &exchange)
 {
-    exchange.mayBeSent = [this, server = Steering::ServerIncarnation::of(exchange.server)] {
-        return this->wantsRequests(server);
-    };
+    exchange.mayBeSent
+            = [this, server = exchange.server.name] { return this->wantsRequests(server); };
 }
 
 void RequestSteering::withholdIfNotEligible(Exchange &exchange,
                                             const Steering::HomeRegions &homesAtArrival)
 {
-    exchange.mayBeSent = [this, &exchange, homesAtArrival,
-                          server = Steering::ServerIncarnation::of(exchange.server)] {
-        const Steering::ServerRecord *record = this->table.find(server.name);
-        const bool eligible = record != nullptr && this->wantsRequests(server)
+    exchange.mayBeSent = [this, &exchange, homesAtArrival] {
+        const Steering::ServerRecord *record = this->table.find(exchange.server.name);
+        const bool eligible = record != nullptr
                               && this->serverSelector.mayUse(
                                       *record, this->homesNow(exchange.request, homesAtArrival),
                                       Common::monotonicNow());
--- a/Source/UnitTests/Steering/ServerNoticesTest.cpp
+++ b/Source/UnitTests/Steering/ServerNoticesTest.cpp
@@ -123,12 +123,13 @@
 TEST_CASE("A leaving server is used as a last resort until its drain time is over")
 {
     ServerNotices notices(drainTime);
+    const ServerTable servers;
     const ServerIncarnation server = incarnation("s1");
     CHECK(notices.use(server, at(0)) == ServerUse::Unrestricted);
-    CHECK(notices.apply(server, leaving(), wall(100), at(100)).leavingStarted);
+    CHECK(notices.apply(server, leaving(), wall(100), servers, at(100)).leavingStarted);
     CHECK(notices.use(server, at(100)) == ServerUse::LastResort);
     // Later notices do not prolong the drain time.
-    CHECK(notices.apply(server, leaving(), wall(1500), at(1500)) == NoticeEffect());
+    CHECK(notices.apply(server, leaving(), wall(1500), servers, at(1500)) == NoticeEffect());
     CHECK(notices.use(server, at(2099)) == ServerUse::LastResort);
     CHECK(notices.use(server, at(2100)) == ServerUse::None);
     CHECK(notices.usableFrom(server, at(2100)) == Instant::infinite());
@@ -141,14 +142,15 @@
 TEST_CASE("A pausing server is not used until the longest pause ends")
 {
     ServerNotices notices(drainTime);
+    const ServerTable servers;
     const ServerIncarnation server = incarnation("s1");
-    CHECK(notices.apply(server, pause("3"), wall(100), at(100)).pauseStarted);
-    CHECK(notices.apply(server, pause("1"), wall(200), at(200)) == NoticeEffect());
+    CHECK(notices.apply(server, pause("3"), wall(100), servers, at(100)).pauseStarted);
+    CHECK(notices.apply(server, pause("1"), wall(200), servers, at(200)) == NoticeEffect());
     CHECK(notices.use(server, at(3099)) == ServerUse::None);
     CHECK(notices.usableFrom(server, at(1000)) == at(3100));
     CHECK(notices.nextChange(at(1000)) == at(3100));
     CHECK(notices.use(server, at(3100)) == ServerUse::Unrestricted);
-    CHECK(notices.apply(server, ServerNotice(), wall(4000), at(4000)) == NoticeEffect());
+    CHECK(notices.apply(server, ServerNotice(), wall(4000), servers, at(4000)) == NoticeEffect());
 }
 
 // Guards against a pause of hours that is not reported because a short one is in progress, and
@@ -156,11 +158,13 @@
 TEST_CASE("A pause is reported at its start and when it becomes longer")
 {
     ServerNotices notices(drainTime);
+    const ServerTable servers;
     const ServerIncarnation server = incarnation("s1");
-    CHECK(notices.apply(server, pause("3"), wall(0), at(0)) == NoticeEffect { false, true, false });
-    CHECK(notices.apply(server, pause("3"), wall(50), at(50)) == NoticeEffect());
+    CHECK(notices.apply(server, pause("3"), wall(0), servers, at(0))
+          == NoticeEffect { false, true, false });
+    CHECK(notices.apply(server, pause("3"), wall(50), servers, at(50)) == NoticeEffect());
     CHECK(notices.usableFrom(server, at(100)) == at(3050));
-    CHECK(notices.apply(server, pause("7200"), wall(100), at(100))
+    CHECK(notices.apply(server, pause("7200"), wall(100), servers, at(100))
           == NoticeEffect { false, false, true });
     CHECK(notices.usableFrom(server, at(100)) == at(7200100));
 }
@@ -170,12 +174,13 @@
 TEST_CASE("A server that leaves while it pauses is not used any more")
 {
     ServerNotices notices(drainTime);
+    const ServerTable servers;
     const ServerIncarnation server = incarnation("s1");
-    notices.apply(server, ServerNotice::read({ "1" }, { "1" }, true), wall(0), at(0));
+    notices.apply(server, ServerNotice::read({ "1" }, { "1" }, true), wall(0), servers, at(0));
     CHECK(notices.use(server, at(500)) == ServerUse::None);
     CHECK(notices.usableFrom(server, at(500)) == at(1000));
     CHECK(notices.use(server, at(1000)) == ServerUse::LastResort);
-    notices.apply(server, pause("5"), wall(1500), at(1500));
+    notices.apply(server, pause("5"), wall(1500), servers, at(1500));
     CHECK(notices.usableFrom(server, at(1500)) == Instant::infinite());
     CHECK(notices.use(server, at(7000)) == ServerUse::None);
 }
@@ -184,9 +189,10 @@
 TEST_CASE("The first requests after a pause are sent at a limited rate")
 {
     ServerNotices notices(drainTime);
+    const ServerTable servers;
     const ServerIncarnation server = incarnation("s1");
     CHECK(notices.nextSendTime(server, at(-1), at(0)) == at(0));
-    notices.apply(server, pause("1"), wall(0), at(0));
+    notices.apply(server, pause("1"), wall(0), servers, at(0));
     CHECK(notices.nextSendTime(server, at(0), at(1000)) == at(1000));
     CHECK(notices.nextSendTime(server, at(1000), at(1010)) > at(1010));
     int sent = 0;
@@ -208,17 +214,19 @@
     ServerNotices notices(drainTime);
     const ServerIncarnation before = incarnation("s1", 1);
     const ServerIncarnation after = incarnation("s1", 10000);
-    notices.apply(before, leaving(), wall(100), at(100));
-    notices.apply(before, pause("3600"), wall(100), at(100));
+    ServerTable servers;
+    servers.put(listed(before), at(0));
+    notices.apply(before, leaving(), wall(100), servers, at(100));
+    notices.apply(before, pause("3600"), wall(100), servers, at(100));
+    servers.put(listed(after), at(10000));
     CHECK(notices.use(after, at(10010)) == ServerUse::Unrestricted);
     CHECK(notices.nextSendTime(after, at(10009), at(10010)) == at(10010));
-    CHECK(notices.apply(after, pause("1"), wall(10020), at(10020)).pauseStarted);
+    CHECK(notices.apply(after, pause("1"), wall(10020), servers, at(10020)).pauseStarted);
     CHECK(notices.usableFrom(after, at(10020)) == at(11020));
-    CHECK(notices.apply(before, pause("3600"), wall(100), at(10030)) == NoticeEffect());
+    CHECK(notices.apply(before, pause("3600"), wall(100), servers, at(10030)) == NoticeEffect());
     CHECK(notices.usableFrom(after, at(10030)) == at(11020));
     CHECK(notices.use(after, at(11020)) == ServerUse::Unrestricted);
 
-    ServerTable servers;
     servers.put(listed(incarnation("s1", 20000)), at(20000));
     notices.advance(servers, at(20040));
     CHECK(notices.size() == 0);
@@ -236,7 +244,7 @@
     const ServerIncarnation after = incarnation("s1", startTime);
     servers.put(listed(before), at(0));
     // The new run answers a request that was sent to the known one.
-    CHECK(notices.apply(before, pause("3"), wall(60000), at(60100)).pauseStarted);
+    CHECK(notices.apply(before, pause("3"), wall(60000), servers, at(60100)).pauseStarted);
     servers.put(listed(after), at(61000));
     CHECK(notices.use(after, at(61000)) == ServerUse::None);
     CHECK(notices.usableFrom(after, at(61000)) == at(63100));
@@ -257,14 +265,14 @@
     const ServerIncarnation before = incarnation("s1", 1);
     const ServerIncarnation after = incarnation("s1", 50000);
     servers.put(listed(before), at(0));
-    CHECK(notices.apply(before, leaving(), wall(60000), at(60100)).leavingStarted);
+    CHECK(notices.apply(before, leaving(), wall(60000), servers, at(60100)).leavingStarted);
     servers.put(listed(after), at(61000));
     CHECK(notices.use(after, at(61000)) == ServerUse::LastResort);
     notices.advance(servers, at(61100));
     CHECK(notices.use(after, at(62099)) == ServerUse::LastResort);
     CHECK(notices.use(after, at(62100)) == ServerUse::None);
     // The announcement is known already.
-    CHECK(notices.apply(after, leaving(), wall(61200), at(61300)) == NoticeEffect());
+    CHECK(notices.apply(after, leaving(), wall(61200), servers, at(61300)) == NoticeEffect());
     CHECK(notices.use(after, at(62100)) == ServerUse::None);
 }
 
@@ -278,24 +286,75 @@
     const ServerIncarnation before = incarnation("s1", 1);
     const ServerIncarnation after = incarnation("s1", startTime);
     servers.put(listed(before), at(0));
-    notices.apply(before, leaving(), wall(60000), at(60100));
+    notices.apply(before, leaving(), wall(60000), servers, at(60100));
     servers.put(listed(after), at(63000));
     CHECK(notices.use(after, at(63000)) == ServerUse::Unrestricted);
     notices.advance(servers, at(63100));
     CHECK(notices.size() == 0);
     // If the new run leaves, its next response says so again.
-    CHECK(notices.apply(after, leaving(), wall(63200), at(63300)).leavingStarted);
+    CHECK(notices.apply(after, leaving(), wall(63200), servers, at(63300)).leavingStarted);
     CHECK(notices.use(after, at(65300)) == ServerUse::None);
 }
 
+// Guards against notices that are ignored until a server's clock has passed the start of the run
+// that it has replaced, and against late responses of that run.
+TEST_CASE("A run that started at an earlier time by the clock of its server replaces the known one")
+{
+    ServerNotices notices(drainTime);
+    ServerTable servers;
+    const ServerIncarnation before = incarnation("s1", 3600000);
+    const ServerIncarnation after = incarnation("s1", 1000);
+    servers.put(listed(before), at(0));
+    notices.apply(before, leaving(), wall(3700000), servers, at(100));
+    servers.put(listed(after), at(9000));
+    CHECK(notices.use(after, at(9000)) == ServerUse::Unrestricted);
+    SECTION("while notices of the replaced run are known")
+    {
+        CHECK(notices.apply(after, pause("3"), wall(3709000), servers, at(9000)).pauseStarted);
+    }
+    SECTION("when notices of the replaced run have been discarded")
+    {
+        notices.advance(servers, at(9000));
+        CHECK(notices.size() == 0);
+        CHECK(notices.apply(after, pause("3"), wall(3709000), servers, at(9000)).pauseStarted);
+    }
+    CHECK(notices.apply(before, leaving(), wall(3709000), servers, at(9010)) == NoticeEffect());
+    CHECK(notices.apply(before, pause("9"), wall(3709000), servers, at(9010)) == NoticeEffect());
+    notices.advance(servers, at(9100));
+    CHECK(notices.use(after, at(11999)) == ServerUse::None);
+    CHECK(notices.use(after, at(12000)) == ServerUse::Unrestricted);
+    CHECK(notices.apply(after, leaving(), wall(3713000), servers, at(13000)).leavingStarted);
+    CHECK(notices.use(after, at(15000)) == ServerUse::None);
+}
+
+// Guards against late responses of a run that act on the one that replaced it, and against
+// responses of the new run that are ignored because its entry came late.
+TEST_CASE("A response holds for the listed run only if that run must have answered")
+{
+    ServerNotices notices(drainTime);
+    ServerTable servers;
+    const ServerIncarnation before = incarnation("s1", 1);
+    const ServerIncarnation after = incarnation("s1", 50000);
+    servers.put(listed(after), at(60000));
+    CHECK(notices.apply(before, leaving(), wall(49000), servers, at(60000)) == NoticeEffect());
+    CHECK(notices.apply(before, pause("9"), wall(49000), servers, at(60000)) == NoticeEffect());
+    CHECK(notices.apply(before, pause("9"), wall(54000), servers, at(60000)) == NoticeEffect());
+    CHECK(notices.use(after, at(60000)) == ServerUse::Unrestricted);
+    CHECK(notices.apply(before, pause("1"), wall(59900), servers, at(60000)).pauseStarted);
+    CHECK(notices.use(after, at(60000)) == ServerUse::None);
+    CHECK(notices.apply(before, leaving(), wall(59900), servers, at(60000)).leavingStarted);
+    CHECK(notices.use(after, at(61000)) == ServerUse::LastResort);
+}
+
 // Guards against an announcement that decides about a new run by the time of its response, which a
 // VM that was suspended receives late.
 TEST_CASE("The time of the request decides to which run a notice belongs")
 {
     ServerNotices notices(drainTime);
+    const ServerTable servers;
     const ServerIncarnation before = incarnation("s1", 1);
-    notices.apply(before, leaving(), wall(1000), at(60000));
-    notices.apply(before, pause("3600"), wall(1000), at(60000));
+    notices.apply(before, leaving(), wall(1000), servers, at(60000));
+    notices.apply(before, pause("3600"), wall(1000), servers, at(60000));
     CHECK(notices.use(incarnation("s1", 50000), at(60100)) == ServerUse::Unrestricted);
 }
 
@@ -307,7 +366,7 @@
     const ServerIncarnation server = incarnation("s1");
     ServerTable servers;
     servers.put(listed(server), at(0));
-    notices.apply(server, leaving(), wall(0), at(0));
+    notices.apply(server, leaving(), wall(0), servers, at(0));
     notices.advance(servers, at(100));
     servers.remove(server.name);
     notices.advance(servers, at(200));
@@ -330,9 +389,9 @@
     ServerTable servers;
     const ServerIncarnation known = incarnation("known");
     servers.put(listed(known), at(0));
-    notices.apply(known, leaving(), wall(0), at(0));
+    notices.apply(known, leaving(), wall(0), servers, at(0));
     for (int number = 0; number < 5000; ++number) {
-        notices.apply(incarnation("s" + std::to_string(number)), leaving(), wall(number),
+        notices.apply(incarnation("s" + std::to_string(number)), leaving(), wall(number), servers,
                       at(number));
         notices.advance(servers, at(number));
     }
@@ -345,9 +404,10 @@
 TEST_CASE("The summary counts leaving and pausing servers and the longest pause")
 {
     ServerNotices notices(drainTime);
-    notices.apply(incarnation("s1"), leaving(), wall(0), at(0));
-    notices.apply(incarnation("s2"), pause("5"), wall(0), at(0));
-    notices.apply(incarnation("s3"), pause("7200"), wall(0), at(0));
+    const ServerTable servers;
+    notices.apply(incarnation("s1"), leaving(), wall(0), servers, at(0));
+    notices.apply(incarnation("s2"), pause("5"), wall(0), servers, at(0));
+    notices.apply(incarnation("s3"), pause("7200"), wall(0), servers, at(0));
     CHECK(notices.summary(at(1000)) == NoticeSummary { 1, 2, absl::Seconds(7199) });
     CHECK(notices.summary(at(5000)).pausing == 1);
 }
--- a/Source/UnitTests/Steering/ServerSelectorTest.cpp
+++ b/Source/UnitTests/Steering/ServerSelectorTest.cpp
@@ -419,7 +419,8 @@
     Deployment deployment;
     const BackendServer leaving = deployment.send("1", 0)->server();
     const ServerNotice notice = ServerNotice::read({ "1" }, {}, false);
-    deployment.notices.apply(ServerIncarnation::of(leaving), notice, sentAt, at(0));
+    deployment.notices.apply(ServerIncarnation::of(leaving), notice, sentAt, deployment.servers,
+                             at(0));
     CHECK(deployment.send("1", 1)->server().name != leaving.name);
     for (ServerRecord *record : deployment.servers.all()) {
         if (record->server().name != leaving.name) {
@@ -443,7 +444,7 @@
     for (ServerRecord *record : deployment.servers.all()) {
         if (record != busy) {
             deployment.notices.apply(ServerIncarnation::of(record->server()), notice, sentAt,
-                                     at(0));
+                                     deployment.servers, at(0));
         }
     }
     for (int now = 0; now <= 1500; now += 100) {
@@ -463,7 +464,7 @@
     for (ServerRecord *record : deployment.servers.all()) {
         deployment.notices.apply(ServerIncarnation::of(record->server()),
                                  ServerNotice::read({}, { std::to_string(seconds++) }, true),
-                                 sentAt, at(0));
+                                 sentAt, deployment.servers, at(0));
     }
     const SelectionRequest request = deployment.selectionRequest("1");
     const Selection selection = deployment.selector.select(request, &deployment.terms, at(500));
@@ -486,7 +487,8 @@
     Deployment deployment;
     ServerRecord *first = deployment.send("1", 0);
     deployment.notices.apply(ServerIncarnation::of(first->server()),
-                             ServerNotice::read({}, { "1" }, true), sentAt, at(0));
+                             ServerNotice::read({}, { "1" }, true), sentAt, deployment.servers,
+                             at(0));
     ServerRecord *second = deployment.send("1", 500);
     REQUIRE(second != nullptr);
     CHECK(second != first);
@@ -513,7 +515,8 @@
     // Two of the four servers of the own region pause.
     for (const int number : { 0, 1 }) {
         deployment.notices.apply(ServerIncarnation::of(server(number, "a")),
-                                 ServerNotice::read({}, { "2" }, true), sentAt, at(0));
+                                 ServerNotice::read({}, { "2" }, true), sentAt, deployment.servers,
+                                 at(0));
     }
     CHECK(inEast(100) > before * 3 / 2);
     // The weights are as before when the pause is over.
--- a/include/currantfall/Steering/ServerNotices.h
+++ b/include/currantfall/Steering/ServerNotices.h
@@ -75,9 +75,11 @@
 
     /// Applies a notice that was received at `now`, in the response to a request that was sent at
     /// `sentAt` by this VM's wall clock. A pause never ends earlier because of a later notice.
-    /// Notices of an incarnation that has been replaced are ignored.
+    /// Notices of an incarnation that has been replaced are ignored: `servers` lists the current
+    /// ones. Start times decide only for servers that are not listed, as a server's clock may have
+    /// been set back.
     NoticeEffect apply(const ServerIncarnation &server, const ServerNotice &notice,
-                       absl::Time sentAt, Common::Instant now);
+                       absl::Time sentAt, const ServerTable &servers, Common::Instant now);
 
     ServerUse use(const ServerIncarnation &server, Common::Instant now) const;
     /// Selections ask for every server, mostly while there are no notices.
@@ -125,6 +127,11 @@
         std::optional<Common::Instant> removedAt;
     };
 
+    /// Incarnation for which the notice in a response to a request to `server` holds, or nothing if
+    /// that has been replaced.
+    std::optional<ServerIncarnation> incarnationFor(const ServerIncarnation &server,
+                                                    absl::Time sentAt,
+                                                    const ServerTable &servers) const;
     /// What the known notices of the server mean for this incarnation of it.
     std::optional<Entry> find(const ServerIncarnation &server) const;
     static std::optional<Entry> attributedTo(absl::Time startTime, const Entry &entry);
