Test that notices of another server at an address are ignored

Responses with status 421 and health responses that name another server may carry notices of that server. The code ignores them; no test said so. Passes without a change of the code (entry-tests, 54 cases, Release).

--- a/Source/UnitTests/Entry/ServerNoticeSteeringTest.cpp
+++ b/Source/UnitTests/Entry/ServerNoticeSteeringTest.cpp
@@ -292,6 +292,36 @@
     CHECK(other.requests() == 4);
 }
 
+// Guards against a server that is not used because of what another server at its address said.
+TEST_CASE("Notices of another server at the address are ignored")
+{
+    const std::string notices = "Server-Leaving: 1\r\nRetry-After: 60\r\n";
+    SteeringFixture fixture;
+    const Common::BackendServerName name("i-1");
+    SECTION("in a response to a request that names the expected server")
+    {
+        CountingBackend other("421 Misdirected Request", "Not-Executed: 1\r\n" + notices);
+        fixture.addServer("i-1", other.port());
+        CHECK(fixture.run(SteeringFixture::request("/write/1"))->result_int() == 503);
+        CHECK(other.requests() == 1);
+    }
+    SECTION("in a response to a health check")
+    {
+        CountingBackend other(unavailable, "Instance-Id: i-2\r\n" + notices);
+        fixture.addServer("i-1", other.port());
+        Steering::ServerRecord *record = fixture.steering.servers().find(name);
+        record->onUnreachable(Common::monotonicNow());
+        const Common::Instant start = Common::monotonicNow();
+        while (other.requests() == 0 && Common::monotonicNow() - start < absl::Milliseconds(2000)) {
+            fixture.steering.advance(Common::monotonicNow());
+            fixture.runFor(absl::Milliseconds(20));
+        }
+        fixture.runFor(absl::Milliseconds(100));
+        CHECK(other.requests() == 1);
+    }
+    CHECK(fixture.steering.notices().size() == 0);
+}
+
 // Guards against requests that were waiting for a connection when the server asked for a pause.
 TEST_CASE("A request is not sent if the server asked for a pause while it connected")
 {
