--- a/Source/Entry/RequestSteering.h
+++ b/Source/Entry/RequestSteering.h
@@ -133,8 +133,7 @@
     /// Records the outcome of the attempt in the outcomes that are shared with the other VMs.
     void recordOutcome(const Attempt &attempt, const ExchangeResult &result);
     /// Applies what the response says of the server. Returns whether the server asks for a pause.
-    bool recordNotice(const Steering::BackendServer &server,
-                      const Adapter::BackendResponse &response);
+    bool recordNotice(const Exchange &exchange, const Adapter::BackendResponse &response);
     /// Makes the pool send a health check only if the server still takes requests by then.
     void withholdIfUnwanted(Exchange &exchange);
     /// Makes the pool send the request of a caller only if the caller still waits and the server
@@ -142,7 +141,8 @@
     /// connection is established.
     void withholdIfNotEligible(Exchange &exchange, const SharedCaller &caller,
                                const Steering::HomeRegions &homesAtArrival);
-    bool wantsRequests(const Steering::ServerIncarnation &server) const;
+    /// Whether the run of the server that is listed now takes requests.
+    bool wantsRequests(const Common::BackendServerName &server) const;
     /// Interrupts idempotent attempts at a server that has become unreachable, so that their
     /// requests are retried at another server.
     void interruptAttempts(const Common::BackendServerName &server);
--- a/Source/Entry/RequestSteeringServers.cpp
+++ b/Source/Entry/RequestSteeringServers.cpp
@@ -46,9 +46,10 @@
     }
 }
 
-bool RequestSteering::recordNotice(const Steering::BackendServer &server,
+bool RequestSteering::recordNotice(const Exchange &exchange,
                                    const Adapter::BackendResponse &response)
 {
+    const Steering::BackendServer &server = exchange.server;
     // Another server at the address speaks for itself.
     if (response.misdirected) {
         return false;
@@ -65,8 +66,9 @@
                                                          { "values", notice.malformed() } });
         }
     }
-    const Steering::NoticeEffect effect = this->serverNotices.apply(
-            Steering::ServerIncarnation::of(server), notice, Common::monotonicNow());
+    const Steering::NoticeEffect effect
+            = this->serverNotices.apply(Steering::ServerIncarnation::of(server), notice,
+                                        exchange.startedAt, this->table, Common::monotonicNow());
     const Telemetry::Labels labels { { "service", server.service.value() } };
     if (effect.leavingStarted) {
         this->metrics.addToCounter("currantfall_server_leaving_notices_total", labels);
@@ -91,28 +93,29 @@
     return notice.pause() > absl::ZeroDuration();
 }
 
-bool RequestSteering::wantsRequests(const Steering::ServerIncarnation &server) const
+bool RequestSteering::wantsRequests(const Common::BackendServerName &server) const
 {
-    return this->serverNotices.use(server, Common::monotonicNow()) != Steering::ServerUse::None;
+    const Steering::ServerRecord *record = this->table.find(server);
+    return record != nullptr
+           && this->serverNotices.use(record->server(), Common::monotonicNow())
+                      != Steering::ServerUse::None;
 }
 
 void RequestSteering::withholdIfUnwanted(Exchange &exchange)
 {
-    exchange.mayBeSent = [this, server = Steering::ServerIncarnation::of(exchange.server)] {
-        return this->wantsRequests(server);
-    };
+    exchange.mayBeSent
+            = [this, server = exchange.server.name] { return this->wantsRequests(server); };
 }
 
 void RequestSteering::withholdIfNotEligible(Exchange &exchange, const SharedCaller &caller,
                                             const Steering::HomeRegions &homesAtArrival)
 {
-    exchange.mayBeSent = [this, &exchange, caller, homesAtArrival,
-                          server = Steering::ServerIncarnation::of(exchange.server)] {
+    exchange.mayBeSent = [this, &exchange, caller, homesAtArrival] {
         if (!caller->waits()) {
             return false;
         }
-        const Steering::ServerRecord *record = this->table.find(server.name);
-        const bool eligible = record != nullptr && this->wantsRequests(server)
+        const Steering::ServerRecord *record = this->table.find(exchange.server.name);
+        const bool eligible = record != nullptr
                               && this->serverSelector.mayUse(
                                       *record, this->homesNow(exchange.request, homesAtArrival),
                                       Common::monotonicNow());
@@ -219,7 +222,7 @@
     }
     // Any server at the address responds to the check.
     const bool fromServer = result.parsed.server.empty() || result.parsed.server == name;
-    const bool asksForPause = fromServer && this->recordNotice(exchange->server, result.parsed);
+    const bool asksForPause = fromServer && this->recordNotice(*exchange, result.parsed);
     // A server that rejects the check because it has no free slot is healthy.
     const bool healthy = result.end == AttemptEnd::NotExecuted || asksForPause
                          || (result.end == AttemptEnd::Answered && result.parsed.success
