Check in the soak that requests stay inside the homes of their routes

The soak had no routes with homes, so that it could not see a request that runs outside them (HOME). Change: the deployment has the routes "resident" (unsafe, home north in all configurations) and "moving" (safe, home north, south or none, by the variant of the configuration). The servers' check that nothing changes on the way now also compares method and route with those of the caller, because two routes are read with GET. "Requests stay inside homes that configurations move" runs faults of servers only, so that every VM is in touch and moves of homes are checked.

--- a/Tests/Entry/EntryDeployment.cpp
+++ b/Tests/Entry/EntryDeployment.cpp
@@ -1,5 +1,6 @@
 #include "EntryDeployment.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -301,6 +302,14 @@
         photo["traffic_split"] = json::array({ { { "service", "photos" }, { "weight", 80 } },
                                                { { "service", "catalog" }, { "weight", 20 } } });
     }
+    json resident = routeEntry("resident", "unsafe", 1, 6000);
+    resident["service"] = "orders";
+    resident["allowed_regions"] = json::array({ "north" });
+    json moving = routeEntry("moving", "safe", 0, 6000);
+    moving["service"] = "catalog";
+    if (variant % 3 != 2) {
+        moving["allowed_regions"] = json::array({ variant % 3 == 0 ? "north" : "south" });
+    }
     json list = json::array();
     for (const std::string &service : services) {
         list.push_back(serviceEntry(service));
@@ -313,10 +322,51 @@
             { "max_body_bytes", 1 << 20 },
             { "header_timeout_ms", 3000 },
             { "idle_timeout_ms", 15000 } } },
-        { "virtual_hosts", json::array({ { { "host", "shop.example" },
-                                           { "paths", json::array({ read, order, photo }) } } }) }
+        { "virtual_hosts",
+          json::array({ { { "host", "shop.example" },
+                          { "paths", json::array({ read, order, photo, resident, moving }) } } }) }
     };
+    const auto begin = SoakClock::now();
     this->storeStandin->put("op", "config", configuration.dump());
+    this->endPeriods();
+    this->beginPeriod(begin);
+}
+
+std::vector<StoreStandin::LostWrite> EntryDeployment::restoreStore()
+{
+    const auto begin = SoakClock::now();
+    std::vector<StoreStandin::LostWrite> lost = this->storeStandin->restoreCopy();
+    this->beginPeriod(begin);
+    return lost;
+}
+
+void EntryDeployment::writeAgain(const std::vector<StoreStandin::LostWrite> &lost)
+{
+    const auto begin = SoakClock::now();
+    this->storeStandin->writeAgain(lost);
+    this->endPeriods();
+    this->beginPeriod(begin);
+}
+
+void EntryDeployment::beginPeriod(SoakClock::time_point begin)
+{
+    ConfigurationPeriod period { begin, {}, {} };
+    const json configuration = json::parse(this->storeStandin->value("op", "config").value());
+    for (const json &route : configuration.at("virtual_hosts").at(0).at("paths")) {
+        const auto regions = route.at("allowed_regions").get<std::set<std::string>>();
+        if (!regions.empty()) {
+            period.homes[route.at("name")] = regions;
+        }
+    }
+    this->periods.push_back(std::move(period));
+}
+
+void EntryDeployment::endPeriods()
+{
+    const auto now = SoakClock::now();
+    for (ConfigurationPeriod &period : this->periods) {
+        period.end = period.end.value_or(now);
+    }
 }
 
 void EntryDeployment::evacuate(const std::string &zone, bool wanted)
@@ -334,13 +384,25 @@
     return allZones[choice % allZones.size()].name;
 }
 
+std::string EntryDeployment::regionOfServer(const std::string &address) const
+{
+    const auto server
+            = std::find_if(this->backendServers.begin(), this->backendServers.end(),
+                           [&](const auto &candidate) { return candidate->address() == address; });
+    const std::string zoneName = (*server)->identity().zone;
+    return std::find_if(allZones.begin(), allZones.end(),
+                        [&](const Zone &zone) { return zone.name == zoneName; })
+            ->region;
+}
+
 std::vector<std::string> EntryDeployment::servicesOf(const std::string &route)
 {
-    if (route == "read") {
+    if (route == "read" || route == "moving") {
         return { "catalog" };
     }
-    return route == "order" ? std::vector<std::string> { "orders" }
-                            : std::vector<std::string> { "photos", "catalog" };
+    return route == "order" || route == "resident"
+                   ? std::vector<std::string> { "orders" }
+                   : std::vector<std::string> { "photos", "catalog" };
 }
 
 } // namespace Currantfall::Tests
--- a/Tests/Entry/EntryDeployment.h
+++ b/Tests/Entry/EntryDeployment.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +34,15 @@
     std::optional<ProcessFixture> process;
 };
 
+/// A time in which a configuration may have been the latest one of the store.
+struct ConfigurationPeriod
+{
+    SoakClock::time_point begin;
+    std::optional<SoakClock::time_point> end; ///< When the store had acknowledged the next one.
+    /// Home regions of each route that has some.
+    std::map<std::string, std::set<std::string>> homes;
+};
+
 /// Entry VMs as processes, with stand-ins for the platform's store and the backend servers. Every
 /// connection but those to directories and readiness goes through one relay process.
 class EntryDeployment
@@ -56,6 +67,7 @@
 
     StoreStandin &store() { return *this->storeStandin; }
     ExecutionLedger &ledger() { return this->executions; }
+    const ExecutionLedger &ledger() const { return this->executions; }
     std::vector<std::unique_ptr<SoakServer>> &servers() { return this->backendServers; }
     /// Writes the server's entry, or removes it.
     void registerServer(std::size_t index, const std::string &state = "ready");
@@ -63,13 +75,20 @@
     /// Another server, maybe of another service, gets the address.
     void replaceServer(std::size_t index, const std::string &service);
 
-    /// Writes the next configuration. `variant` selects where photos go, and the timeouts.
+    /// Writes the next configuration. `variant` selects where photos go, the timeouts, and the
+    /// homes of the route "moving".
     void configure(unsigned variant);
     /// The version of the latest configuration.
     unsigned configurationVersion() const { return this->version; }
+    /// Returns the store to its copy. What it lost may stay in force until the next configuration.
+    std::vector<StoreStandin::LostWrite> restoreStore();
+    void writeAgain(const std::vector<StoreStandin::LostWrite> &lost);
+    const std::vector<ConfigurationPeriod> &configurations() const { return this->periods; }
     void evacuate(const std::string &zone, bool wanted);
     /// One of the zones.
     static const std::string &zoneOf(unsigned choice);
+    /// The region of the server that listens at `address`.
+    std::string regionOfServer(const std::string &address) const;
     /// Services to which requests of the route may ever go.
     static std::vector<std::string> servicesOf(const std::string &route);
 
@@ -86,6 +105,9 @@
     nlohmann::json settingsOf(const EntryVm &vm) const;
     void writeSettings(const EntryVm &vm, const nlohmann::json &settings) const;
     void startLinks();
+    /// Notes that the store's configuration is the latest one since `begin`.
+    void beginPeriod(SoakClock::time_point begin);
+    void endPeriods();
 
     AddressBlock addresses;
     std::string directory;
@@ -94,6 +116,7 @@
     std::vector<std::unique_ptr<SoakServer>> backendServers;
     std::vector<EntryVm> entryVms;
     std::optional<ProcessFixture> links;
+    std::vector<ConfigurationPeriod> periods;
     unsigned version = 0;
     unsigned incarnations = 0;
 };
--- a/Tests/Entry/SoakCallers.cpp
+++ b/Tests/Entry/SoakCallers.cpp
@@ -55,7 +55,8 @@
 private:
     SoakRecord call(unsigned number)
     {
-        static const std::vector<std::string> routes { "read", "order", "photo", "order" };
+        static const std::vector<std::string> routes { "read",  "order",    "photo",
+                                                       "order", "resident", "moving" };
         SoakRecord record;
         record.route = routes[(this->index + number) % routes.size()];
         record.id = this->prefix + std::to_string(number);
@@ -71,6 +72,7 @@
                                          { "Request-Id", record.id },
                                          { "Deadline-Ms", std::to_string(deadline) },
                                          { "X-Caller-Deadline", std::to_string(deadline) },
+                                         { "X-Caller-Route", record.route },
                                          { "Cookie",
                                            "Affinity-Key=" + std::to_string(number % objects) } };
         const std::string path = "/" + record.route + "/" + record.id + "?own=" + record.id;
@@ -102,7 +104,7 @@
     httplib::Result send(const SoakRecord &record, const std::string &path,
                          const httplib::Headers &headers, unsigned number)
     {
-        if (record.route == "read") {
+        if (record.idempotent()) {
             return this->client->Get(path, headers);
         }
         const std::string body = requestBodyOf(record.id);
@@ -197,8 +199,7 @@
                                          + " after " + std::to_string(record.took.count())
                                          + " ms, started " + std::to_string(seen.started));
         };
-        const bool mayRepeat = record.route == "read";
-        if (!mayRepeat && seen.started > 1) {
+        if (!record.idempotent() && seen.started > 1) {
             wrong("executed twice");
         }
         if (seen.started > maxAttempts) {
--- a/Tests/Entry/SoakCallers.h
+++ b/Tests/Entry/SoakCallers.h
@@ -29,6 +29,7 @@
     /// When the caller gives up.
     std::chrono::milliseconds deadline { 0 };
 
+    bool idempotent() const { return this->route == "read" || this->route == "moving"; }
     /// Whether the caller waits for a shorter time than requests may take.
     bool impatient() const { return this->deadline < std::chrono::seconds(1); }
 };
--- a/Tests/Entry/SoakFaults.cpp
+++ b/Tests/Entry/SoakFaults.cpp
@@ -203,6 +203,11 @@
     this->seenDisruptions.push_back({ subject, now, now + duration + resumeSlack });
 }
 
+void SoakFaultDriver::addDelay(const std::string &entry, Clock::time_point begin, bool restarted)
+{
+    this->seenDelays.push_back({ entry, begin, Clock::now(), restarted });
+}
+
 void SoakFaultDriver::after(milliseconds delay, std::function<void()> action)
 {
     this->due.push_back({ Clock::now() + delay, std::move(action) });
@@ -233,8 +238,10 @@
     if (state.startAt) {
         if (now >= *state.startAt) {
             const int shift = state.clockShiftMs;
+            const auto begin = state.endingSince.value_or(*state.startAt - restartDelay);
             state = VmState();
             this->deployment.start(vm, shift);
+            this->addDelay(vm.relayHost, begin, true);
         }
         return;
     }
@@ -337,11 +344,13 @@
     state.clockShiftMs = clockShiftsMs[fault.variant % clockShiftsMs.size()];
     if (fault.kind == SoakFaultKind::KillVm) {
         state.endExpected = true;
+        state.endingSince = state.endingSince.value_or(Clock::now());
         vm.process->kill();
     } else if (fault.kind == SoakFaultKind::StopVm) {
         state.endExpected = true;
         state.pausedWhileStopping = state.pausedWhileStopping || state.pauses > 0;
         state.stopSince = state.stopSince.value_or(Clock::now());
+        state.endingSince = state.endingSince.value_or(Clock::now());
         this->sendHandled(index, SIGTERM);
     } else if (fault.kind == SoakFaultKind::ReloadVm) {
         this->deployment.rewriteSettings(vm, fault.variant);
@@ -351,8 +360,9 @@
         state.pausedWhileStopping = true;
         this->addDisruption(vm.relayHost, fault.duration);
         vm.process->pause();
-        this->after(fault.duration, [this, index, pid = vm.process->pid()] {
+        this->after(fault.duration, [this, index, pid = vm.process->pid(), begin = Clock::now()] {
             EntryVm &paused = this->deployment.vms()[index];
+            this->addDelay(paused.relayHost, begin);
             VmState &now = this->vms[index];
             if (paused.process->pid() == pid && now.pauses > 0 && --now.pauses == 0) {
                 paused.process->resume();
@@ -368,13 +378,23 @@
     if (kind == LinkKind::Server) {
         this->addDisruption(this->deployment.servers()[link.second]->address(), fault.duration);
     }
+    const auto begin = Clock::now();
+    const auto addDelay = [this, link, begin] {
+        if (link.first == LinkKind::Store || link.first == LinkKind::Peers) {
+            this->addDelay(this->deployment.vms()[link.second].relayHost, begin);
+        }
+    };
     if (fault.kind == SoakFaultKind::LinkReset) {
         this->deployment.setLink(link.first, link.second, { { "reset", true } });
+        addDelay();
         return;
     }
     this->links[link].push_back(fault.kind);
     this->applyLink(link);
-    this->after(fault.duration, [this, link, ended = fault.kind] {
+    this->after(fault.duration, [this, link, addDelay, ended = fault.kind] {
+        if (ended != SoakFaultKind::LinkDelayed) {
+            addDelay();
+        }
         auto &inForce = this->links[link];
         inForce.erase(std::find(inForce.begin(), inForce.end(), ended));
         this->applyLink(link);
@@ -408,7 +428,10 @@
     static const std::vector<StoreFault> variants { StoreFault::Refuses, StoreFault::Silent,
                                                     StoreFault::Slow, StoreFault::LosesAnswers };
     this->deployment.store().setFault(variants[fault.variant % variants.size()]);
-    this->after(fault.duration, [this] { this->deployment.store().setFault(StoreFault::None); });
+    this->after(fault.duration, [this, begin = Clock::now()] {
+        this->deployment.store().setFault(StoreFault::None);
+        this->addDelay("", begin);
+    });
 }
 
 void SoakFaultDriver::beginRestore(const SoakFault &fault)
@@ -422,11 +445,13 @@
     this->after(fault.duration, [this, fault] {
         StoreStandin &store = this->deployment.store();
         store.setFault(StoreFault::Refuses);
-        const auto lost = store.restoreCopy();
+        const auto begin = Clock::now();
+        const auto lost = this->deployment.restoreStore();
         this->after(restoreTime, [this] { this->deployment.store().setFault(StoreFault::None); });
         const milliseconds delay = restoreTime + milliseconds(fault.variant % longestRewriteMs);
-        this->after(delay, [this, lost] {
-            this->deployment.store().writeAgain(lost);
+        this->after(delay, [this, lost, begin] {
+            this->deployment.writeAgain(lost);
+            this->addDelay("", begin);
             this->restoring = false;
         });
     });
--- a/Tests/Entry/SoakFaults.h
+++ b/Tests/Entry/SoakFaults.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "EntryDeployment.h"
+#include "HomeChecks.h"
 #include "NoticeChecks.h"
 
 namespace Currantfall::Tests {
@@ -85,6 +86,8 @@
     const std::vector<std::string> &violations() const { return this->found; }
     /// Times in which entry VMs did not run and links of backend servers were impaired.
     const std::vector<Disruption> &disruptions() const { return this->seenDisruptions; }
+    /// Times after which entry VMs may not know the latest configuration.
+    const std::vector<ConfigurationDelay> &configurationDelays() const { return this->seenDelays; }
     /// What processes that have ended wrote, each followed by how it ended.
     const std::map<std::string, std::string> &logs() const { return this->endedLogs; }
 
@@ -98,6 +101,7 @@
         bool pausedWhileStopping = false;
         std::optional<Clock::time_point> stopSince;
         std::optional<Clock::time_point> startAt;
+        std::optional<Clock::time_point> endingSince;
         int clockShiftMs = 0; ///< Of the next process.
         /// Signals that were sent before the program's first instruction blocked them.
         std::set<int> earlySignals;
@@ -118,6 +122,9 @@
     void beginAtServer(const SoakFault &fault);
     void beginLeaving(std::size_t index);
     void addDisruption(const std::string &subject, std::chrono::milliseconds duration);
+    /// Notes that the VM, or all of them if it is empty, could not learn of configurations from
+    /// `begin` until now.
+    void addDelay(const std::string &entry, Clock::time_point begin, bool restarted = false);
     void applyLink(const LinkKey &link);
     void poll();
     void checkVm(std::size_t index);
@@ -135,6 +142,7 @@
     std::list<Due> due;
     std::vector<std::string> found;
     std::vector<Disruption> seenDisruptions;
+    std::vector<ConfigurationDelay> seenDelays;
     std::map<std::string, std::string> endedLogs;
 };
 
--- a/Tests/Entry/SoakServer.cpp
+++ b/Tests/Entry/SoakServer.cpp
@@ -197,9 +197,8 @@
     const std::string line = request.substr(0, request.find("\r\n"));
     const std::string body = request.substr(request.find("\r\n\r\n") + 4);
     const bool read = line.starts_with("GET ");
-    const std::string path = read ? "GET /read/" : "POST /";
-    if (!line.starts_with(path)
-        || line.find("/" + id + "?own=" + id + " HTTP/1.1") == std::string::npos
+    const std::string path = "/" + headerOf(request, "X-Caller-Route") + "/" + id + "?own=" + id;
+    if (line != (read ? "GET " : "POST ") + path + " HTTP/1.1"
         || body != (read ? "" : requestBodyOf(id))) {
         this->ledger.violation("changed on the way: " + id + " arrived as " + line + " with "
                                + std::to_string(body.size()) + " bytes");
--- a/Tests/Entry/SoakTest.cpp
+++ b/Tests/Entry/SoakTest.cpp
@@ -14,6 +14,7 @@
 #include <catch2/catch.hpp>
 
 #include "EntryDeployment.h"
+#include "HomeChecks.h"
 #include "NoticeChecks.h"
 #include "SoakCallers.h"
 #include "SoakFaults.h"
@@ -98,7 +99,7 @@
 };
 
 /// Fresh callers while nothing fails are all answered.
-bool requireWell(EntryDeployment &deployment, std::size_t threads)
+bool requireWell(EntryDeployment &deployment, const SoakFaultDriver &driver, std::size_t threads)
 {
     bool well = true;
     SoakCallers callers(deployment, threads);
@@ -107,6 +108,9 @@
     const SoakVerdict verdict = judge(records, deployment.ledger());
     INFO(json(verdict.outcomes).dump());
     requireNone(verdict.violations);
+    const auto outsideHomes = judgeHomes(records, deployment, driver.configurationDelays());
+    requireNone(outsideHomes);
+    well = outsideHomes.empty();
     for (const SoakRecord &record : records) {
         // A short deadline may be too short for the work that the VMs have measured.
         const bool refusedInTime = record.impatient() && record.status == 503;
@@ -197,24 +201,28 @@
     driver.run(faults);
     const auto records = callers.finish();
     deployment.awaitReady();
-    bool passed = requireWell(deployment, settings.callers);
+    bool passed = requireWell(deployment, driver, settings.callers);
     const SoakVerdict verdict = judge(records, deployment.ledger());
     const NoticeVerdict notices = judgeNotices(records, deployment.ledger().arrivals(),
                                                driver.disruptions(), serverDrainTime);
+    const auto outsideHomes = judgeHomes(records, deployment, driver.configurationDelays());
     std::cout << json {
         { "seed", settings.seed },
         { "requests", records.size() },
         { "outcomes", verdict.outcomes },
         { "violations", verdict.violations.size() + driver.violations().size()
-                                + notices.leaving.size() + notices.pauses.size() }
+                                + notices.leaving.size() + notices.pauses.size()
+                                + outsideHomes.size() }
     }.dump() << std::endl;
     for (const EntryVm &vm : deployment.vms()) {
         passed = requireRisingVersions(logOf(vm, driver)) && passed;
     }
-    keeper.setPassed(passed && verdict.violations.empty() && driver.violations().empty());
+    keeper.setPassed(passed && verdict.violations.empty() && driver.violations().empty()
+                     && outsideHomes.empty());
     requireNone(verdict.violations);
     requireNone(notices.leaving);
     requireNone(notices.pauses);
+    requireNone(outsideHomes);
     requireNone(driver.violations());
 }
 
@@ -252,6 +260,37 @@
                       [](const Arrival &arrival) { return arrival.pause.count() > 0; }));
 }
 
+// Guards against requests that run in a region that is no home of their route, while configurations
+// move the homes and servers fail, but nothing keeps entry VMs from learning of configurations.
+TEST_CASE("Requests stay inside homes that configurations move")
+{
+    // Homes of "moving": north at first, then south, north and all regions.
+    const std::vector<std::pair<milliseconds, unsigned>> moves { { milliseconds(300), 1 },
+                                                                 { milliseconds(3800), 0 },
+                                                                 { milliseconds(7300), 2 } };
+    std::vector<SoakFault> faults;
+    for (const SoakFault &fault : soakFaults(20261206, milliseconds(7500), milliseconds(60))) {
+        if (fault.kind >= SoakFaultKind::ServerMisbehaves
+            && fault.kind <= SoakFaultKind::ServerReplaced) {
+            faults.push_back(fault);
+        }
+    }
+    for (const auto &[start, variant] : moves) {
+        faults.push_back({ SoakFaultKind::Configure, start, milliseconds(0), 0, variant });
+    }
+    EntryDeployment deployment;
+    SoakFaultDriver driver(deployment);
+    SoakCallers callers(deployment, 8);
+    driver.run(faults);
+    const auto records = callers.finish();
+    const SoakVerdict verdict = judge(records, deployment.ledger());
+    INFO(json(verdict.outcomes).dump());
+    requireNone(verdict.violations);
+    requireNone(driver.violations());
+    CHECK(driver.configurationDelays().empty());
+    requireNone(judgeHomes(records, deployment, driver.configurationDelays()));
+}
+
 // The long run: seed, length in seconds, mean gap between faults and callers come from environment
 // variables.
 TEST_CASE("Long soak of entry VMs", "[.long]")
@@ -324,7 +363,7 @@
     // The directories of all VMs name it again.
     deployment.awaitReady();
     CHECK(vm.process->output().find("incarnation_outdated") != std::string::npos);
-    requireWell(deployment, 8);
+    requireWell(deployment, driver, 8);
 }
 
 // Guards against settings that take effect only with a signal, which the platform does not always
