Let the backend stand-in leave by its answers and ask for pauses

Tests could make a backend server drain or shed, but not do what servers are now expected to do: announce in their answers that they leave while health and store say nothing, and refuse with a time for which they want no requests. No test of the own deployment met such servers.

Behaviour fields, checked like the others: `leaving` (answers to requests carry `Currantfall-Leaving: 1`, work goes on), `pause` (share of the requests that are refused with 503, `Currantfall-Shed: not-run` and `Retry-After`) and `pause_ms` (that time).

All answers and /_health state the start of the process in `Currantfall-Started-Ms`, since nothing else tells two runs at an address apart. Setting `leaving` back counts as a restart.

The stand-in counts refusals with a pause, and the most requests that one run of a VM sent between half a second after such a refusal and the end of its time, which is the stated bound.

--- a/Source/Standins/BackendServer/BackendStandin.cpp
+++ b/Source/Standins/BackendServer/BackendStandin.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <absl/time/clock.h>
-
 namespace Currantfall::BackendStandin {
 
 namespace {
@@ -46,6 +44,16 @@
                                                                         WorkOutcome &outcome)
 {
     this->counts.lastNewWorkMs = absl::ToUnixMillis(absl::Now());
+    const Common::Instant now = Common::monotonicNow();
+    this->pauseRecord.onRequest(ids.attempt, now);
+    if (drawPause(this->current, this->seed, this->arrivals++)) {
+        ++this->counts.shed;
+        ++this->counts.paused;
+        this->pauseRecord.onRefusal(ids.attempt, now, this->current.pauseTime);
+        outcome.result = WorkResult::Shed;
+        outcome.pause = this->current.pauseTime;
+        return std::nullopt;
+    }
     const bool full = this->running.size() >= this->serverIdentity.slots;
     if (full) {
         ++this->counts.slotOverruns;
@@ -56,8 +64,7 @@
         return std::nullopt;
     }
     outcome.answerDelay = this->current.answerDelay;
-    outcome.draw = draw(this->current, this->seed, this->sequence++,
-                        this->warmth(Common::monotonicNow()));
+    outcome.draw = draw(this->current, this->seed, this->sequence++, this->warmth(now));
     Attempt &attempt = this->running.emplace_front();
     attempt.id = ids.attempt;
     attempt.hanging = outcome.draw.hang;
@@ -124,6 +131,9 @@
 void BackendStandin::setBehaviour(const Behaviour &behaviour, bool restartCold)
 {
     const std::lock_guard lock(this->mutex);
+    if (this->current.leaving && !behaviour.leaving) {
+        this->startedAt = std::max(absl::Now(), this->startedAt + absl::Milliseconds(1));
+    }
     this->current = behaviour;
     if (restartCold) {
         this->coldSince = Common::monotonicNow();
@@ -131,6 +141,12 @@
     this->recordLoad();
 }
 
+absl::Time BackendStandin::startTime() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->startedAt;
+}
+
 double BackendStandin::warmth(Common::Instant now) const
 {
     if (this->current.coldStart <= absl::ZeroDuration()) {
@@ -184,6 +200,8 @@
              { "started", this->counts.started },
              { "ran", this->counts.ran },
              { "shed", this->counts.shed },
+             { "paused", this->counts.paused },
+             { "max_requests_in_pause", this->pauseRecord.mostRequests() },
              { "cancelled", this->counts.cancelled },
              { "expired", this->counts.expired },
              { "slot_overruns", this->counts.slotOverruns },
--- a/Source/Standins/BackendServer/BackendStandin.h
+++ b/Source/Standins/BackendServer/BackendStandin.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include <absl/time/clock.h>
 #include <nlohmann/json.hpp>
 
 #include "currantfall/Common/Time.h"
@@ -15,6 +16,7 @@
 #include "Behaviour.h"
 #include "ExecutionLog.h"
 #include "LoadReport.h"
+#include "PauseRecord.h"
 #include "ServiceTimes.h"
 
 namespace Currantfall::BackendStandin {
@@ -39,6 +41,8 @@
     WorkResult result = WorkResult::Shed;
     Draw draw;
     absl::Duration answerDelay;
+    /// For how long a server that shed the request wants no more; zero if it does not say.
+    absl::Duration pause = absl::ZeroDuration();
 };
 
 /// The slots, work and counters of one backend server. Thread-safe.
@@ -65,6 +69,9 @@
     /// The server is cold again if `restartCold` is set.
     void setBehaviour(const Behaviour &behaviour, bool restartCold);
 
+    /// What the server says is the start of its process.
+    absl::Time startTime() const;
+
     nlohmann::json health() const;
     nlohmann::json counters() const;
 
@@ -82,6 +89,7 @@
         std::uint64_t started = 0;
         std::uint64_t ran = 0;
         std::uint64_t shed = 0;
+        std::uint64_t paused = 0; // Of those, refusals that asked for a pause.
         std::uint64_t cancelled = 0;
         std::uint64_t expired = 0;
         std::uint64_t slotOverruns = 0;
@@ -106,9 +114,12 @@
     mutable std::mutex mutex;
     Behaviour current;
     Common::Instant coldSince;
+    absl::Time startedAt = absl::Now();
     Attempts running;
     Counters counts;
-    std::uint64_t sequence = 0;
+    std::uint64_t sequence = 0; // Of the requests that start.
+    std::uint64_t arrivals = 0;
+    PauseRecord pauseRecord;
     LoadReport loadReport;
     bool stopping = false;
 };
--- a/Source/Standins/BackendServer/Behaviour.h
+++ b/Source/Standins/BackendServer/Behaviour.h
@@ -29,6 +29,11 @@
     bool shed = true;
     /// Health says "draining" and new work is shed.
     bool draining = false;
+    /// All answers to requests say that the server leaves. It still takes work, and its health says
+    /// nothing of it. Setting this back counts as a restart: the server states a later start.
+    bool leaving = false;
+    double pause = 0.0; ///< Refuses and asks the entry VM for no requests for `pauseTime`.
+    absl::Duration pauseTime = absl::Seconds(1);
     absl::Duration reportLag = absl::ZeroDuration();
     /// Health says this number of slots in use; -1 is the truth.
     std::int64_t reportInUse = -1;
--- a/Source/Standins/BackendServer/RequestHandler.cpp
+++ b/Source/Standins/BackendServer/RequestHandler.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <utility>
 
+#include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 
 #include "Answer.h"
@@ -40,12 +41,12 @@
 
 void addToTotals(Json &totals, const Json &counters)
 {
-    for (const char *const name :
-         { "started", "ran", "shed", "cancelled", "expired", "slot_overruns", "in_use", "slots" }) {
+    for (const char *const name : { "started", "ran", "shed", "paused", "cancelled", "expired",
+                                    "slot_overruns", "in_use", "slots" }) {
         totals[name]
                 = totals.value(name, std::uint64_t { 0 }) + counters[name].get<std::uint64_t>();
     }
-    for (const char *const name : { "max_in_use", "last_new_work_ms" }) {
+    for (const char *const name : { "max_in_use", "max_requests_in_pause", "last_new_work_ms" }) {
         totals[name] = std::max(totals.value(name, std::int64_t { 0 }),
                                 counters[name].get<std::int64_t>());
     }
@@ -60,7 +61,11 @@
         : server(server), log(log), servers(std::move(servers))
     { }
 
-    void health(httplib::Response &response) const { answerJson(response, this->server.health()); }
+    void health(httplib::Response &response) const
+    {
+        answerJson(response, this->server.health());
+        this->stateStart(response);
+    }
 
     void cancel(const httplib::Request &request, httplib::Response &response) const
     {
@@ -111,6 +116,23 @@
     }
 
     void work(const httplib::Request &request, httplib::Response &response) const
+    {
+        this->serve(request, response);
+        this->stateStart(response);
+        // Also in answers to requests that came before the server was told to leave.
+        if (this->server.behaviour().leaving) {
+            response.set_header("Currantfall-Leaving", "1");
+        }
+    }
+
+private:
+    void stateStart(httplib::Response &response) const
+    {
+        response.set_header("Currantfall-Started-Ms",
+                            absl::StrCat(absl::ToUnixMillis(this->server.startTime())));
+    }
+
+    void serve(const httplib::Request &request, httplib::Response &response) const
     {
         const RequestIds ids { request.get_header_value("Idempotency-Key"),
                                request.get_header_value("Currantfall-Attempt"),
@@ -136,7 +158,6 @@
         refuse(outcome, response);
     }
 
-private:
     static void refuse(const WorkOutcome &outcome, httplib::Response &response)
     {
         if (outcome.draw.hang) {
@@ -145,6 +166,10 @@
         }
         if (outcome.result == WorkResult::Shed) {
             response.set_header("Currantfall-Shed", "not-run");
+            if (outcome.pause > absl::ZeroDuration()) {
+                response.set_header("Retry-After",
+                                    absl::StrCat(absl::ToDoubleSeconds(outcome.pause)));
+            }
             answerJson(response, { { "finished", false }, { "reason", "shed" } }, unavailable);
             return;
         }
--- a/Source/Standins/BackendServer/ServiceTimes.cpp
+++ b/Source/Standins/BackendServer/ServiceTimes.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+// Differs from all purposes of draw().
+constexpr std::uint64_t pausePurpose = 1000;
+
 // A number in [0, 1) for one purpose of one request.
 double unitInterval(std::uint64_t seed, std::uint64_t sequence, std::uint64_t purpose)
 {
@@ -38,6 +41,11 @@
     return result;
 }
 
+bool drawPause(const Behaviour &behaviour, std::uint64_t seed, std::uint64_t arrival)
+{
+    return unitInterval(seed, arrival, pausePurpose) < behaviour.pause;
+}
+
 std::uint64_t serverSeed(std::uint64_t seed, const std::string &server)
 {
     return XXH3_64bits_withSeed(server.data(), server.size(), seed);
--- a/Source/UnitTests/BackendStandin/BackendStandinTest.cpp
+++ b/Source/UnitTests/BackendStandin/BackendStandinTest.cpp
@@ -10,6 +10,7 @@
 #include <xxhash.h>
 
 #include "Fleet.h"
+#include "PauseRecord.h"
 #include "ServiceTimes.h"
 
 namespace Currantfall::BackendStandin {
@@ -101,6 +102,14 @@
                       [name] { return RunningFleet::client().Get("/", ids(name)); });
 }
 
+// Changes the first server.
+void behave(const Json &behaviour)
+{
+    const auto response = RunningFleet::client().Post("/_control/behaviour", behaviour.dump(),
+                                                      "application/json");
+    REQUIRE(response->status == 200);
+}
+
 std::string hashHex(const std::string &bytes)
 {
     return absl::StrCat(absl::Hex(XXH3_64bits(bytes.data(), bytes.size()), absl::kZeroPad16));
@@ -199,9 +208,6 @@
 TEST_CASE("Faulty answers are cut, missing or mismatched, but their work is counted")
 {
     const RunningFleet fleet;
-    const auto behave = [](const Json &behaviour) {
-        RunningFleet::client().Post("/_control/behaviour", behaviour.dump(), "application/json");
-    };
     behave({ { "truncate", 1 } });
     REQUIRE_FALSE(RunningFleet::client().Get("/?bytes=100000", ids("r1")));
     behave({ { "truncate", 0 }, { "close_after_run", 1 } });
@@ -263,6 +269,114 @@
     REQUIRE(behave({ { "hang", 2 } })->status == 400);
 }
 
+// Guards against a leaving server that stops work, or that its health gives away.
+TEST_CASE("A leaving server says so in all its answers, works on, and its health says nothing")
+{
+    const RunningFleet fleet(Json { { "service_time_ms", 200 } });
+    auto early = getLater("r1");
+    fleet.awaitInUse(1);
+    behave({ { "leaving", true }, { "service_time_ms", 1 } });
+    REQUIRE(early.get()->get_header_value("Currantfall-Leaving") == "1");
+    const auto answer = RunningFleet::client().Get("/", ids("r2"));
+    REQUIRE(answer->status == 200);
+    REQUIRE(answer->get_header_value("Currantfall-Leaving") == "1");
+    REQUIRE(answer->get_header_value_count("Currantfall-Leaving") == 1);
+    auto malformed = ids("r3");
+    malformed.emplace("Currantfall-Deadline-Ms", "soon");
+    REQUIRE(RunningFleet::client().Get("/", malformed)->has_header("Currantfall-Leaving"));
+    behave({ { "pause", 1 } });
+    const auto refusal = RunningFleet::client().Get("/", ids("r4"));
+    REQUIRE(refusal->status == 503);
+    REQUIRE(refusal->has_header("Currantfall-Leaving"));
+    const auto health = RunningFleet::client().Get("/_health");
+    REQUIRE_FALSE(health->has_header("Currantfall-Leaving"));
+    REQUIRE(Json::parse(health->body)["state"] == "ready");
+    // The other server stays.
+    REQUIRE_FALSE(RunningFleet::client(2).Get("/", ids("r5"))->has_header("Currantfall-Leaving"));
+    // The start tells the runs of a server apart.
+    const std::string start = health->get_header_value("Currantfall-Started-Ms");
+    REQUIRE(refusal->get_header_value("Currantfall-Started-Ms") == start);
+    behave({ { "leaving", false }, { "pause", 0 } });
+    const auto later = RunningFleet::client().Get("/", ids("r6"));
+    REQUIRE_FALSE(later->has_header("Currantfall-Leaving"));
+    REQUIRE(std::stoll(later->get_header_value("Currantfall-Started-Ms")) > std::stoll(start));
+}
+
+// Guards against a refusal without the time to wait, or of a request that runs.
+TEST_CASE("A pausing server refuses the commanded share with the time to wait")
+{
+    const RunningFleet fleet;
+    behave({ { "pause", 1 }, { "pause_ms", 2500 } });
+    const auto refusal = RunningFleet::client().Get("/", ids("r1"));
+    REQUIRE(refusal->status == 503);
+    REQUIRE(refusal->get_header_value("Currantfall-Shed") == "not-run");
+    REQUIRE(refusal->get_header_value("Currantfall-Attempt") == "a-r1");
+    REQUIRE(refusal->get_header_value("Retry-After") == "2.5");
+    REQUIRE(fleet.requestCount("r1")["started"] == 0);
+    behave({ { "pause", 0.5 }, { "pause_ms", 3000 } });
+    auto client = RunningFleet::client();
+    constexpr int requests = 200;
+    int refused = 0;
+    for (int request = 0; request < requests; ++request) {
+        const auto answer = client.Get("/", ids(absl::StrCat("s", request)));
+        const bool isRefusal = answer->status == 503;
+        REQUIRE(answer->has_header("Retry-After") == isRefusal);
+        refused += isRefusal ? 1 : 0;
+    }
+    REQUIRE(refused > requests / 4);
+    REQUIRE(refused < requests * 3 / 4);
+    const Json totals = fleet.executions()["totals"];
+    REQUIRE(totals["paused"] == refused + 1);
+    REQUIRE(totals["shed"] == refused + 1);
+    REQUIRE(totals["ran"] == requests - refused);
+    behave({ { "pause", 0 }, { "draining", true } });
+    REQUIRE_FALSE(RunningFleet::client().Get("/", ids("r2"))->has_header("Retry-After"));
+}
+
+// Guards against deployment tests that miss requests which a VM sends in a pause.
+TEST_CASE("Requests of a VM between half a second after a refusal and the end of the pause count")
+{
+    PauseRecord record;
+    const auto at = [](int milliseconds) {
+        return Common::Instant::fromOrigin(absl::Milliseconds(milliseconds));
+    };
+    record.onRefusal("lm-1.7.b1", at(0), absl::Milliseconds(2000));
+    record.onRequest("lm-1.7.b2", at(499));
+    record.onRequest("lm-1.7.b3", at(2000));
+    // Another VM, another run of the VM, and a request of no VM.
+    record.onRefusal("lm-1.7.b1", at(3000), absl::Milliseconds(2000));
+    for (const char *const attempt : { "lm-2.7.b1", "lm-1.8.b1", "a-r1", "" }) {
+        record.onRequest(attempt, at(4000));
+    }
+    REQUIRE(record.mostRequests() == 0);
+    record.onRequest("lm-1.7.b4", at(3500));
+    record.onRequest("lm-1.7.b5", at(4999));
+    REQUIRE(record.mostRequests() == 2);
+    // A later pause counts anew, a longer one from its own refusal.
+    record.onRefusal("lm-1.7.b6", at(6000), absl::Milliseconds(1000));
+    record.onRefusal("lm-1.7.b7", at(6400), absl::Milliseconds(3000));
+    record.onRequest("lm-1.7.b8", at(6600));
+    record.onRequest("lm-1.7.b9", at(6950));
+    record.onRequest("lm-1.7.b10", at(7100));
+    REQUIRE(record.mostRequests() == 2);
+    record.onRequest("lm-1.7.b11", at(7200));
+    REQUIRE(record.mostRequests() == 3);
+}
+
+// Guards against values that would make the server wait, refuse or leave in an unknown way.
+TEST_CASE("Behaviour about leaving and pausing is checked as a whole")
+{
+    const Behaviour before = changed({}, Json { { "pause", 0.25 }, { "pause_ms", 1500 } }).value();
+    REQUIRE(changed({}, toJson(before)).value() == before);
+    for (const Json &refused :
+         { Json { { "leaving", 1 } }, Json { { "leaving", "1" } }, Json { { "pause", 1.5 } },
+           Json { { "pause", -0.5 } }, Json { { "pause", true } }, Json { { "pause_ms", -1 } },
+           Json { { "pause_ms", "1 s" } }, Json { { "pause_ms", 4'000'000 } } }) {
+        INFO(refused.dump());
+        REQUIRE_FALSE(changed(before, refused));
+    }
+}
+
 TEST_CASE("A stop finishes the request in progress")
 {
     RunningFleet fleet(Json { { "service_time_ms", 200 } });
