Count in the load tool what callers saw of leaving and pausing servers

A load run against servers that leave or ask for pauses looked like one against servers that shed: the report did not say that a server had announced anything.

Each attempt's response now counts as `leaving_responses` if it carries `Currantfall-Leaving: 1`, and as `pause_refusals` if it is a backend server's refusal with `Retry-After`, from the server itself or passed on by an entry VM (reason `backend-server-shed`). Refusals that entry VMs decide on have other reasons and are not counted. The text report has a line for each class that saw one, the JSON report always has both numbers.

--- a/Source/Load/Caller.cpp
+++ b/Source/Load/Caller.cpp
@@ -56,6 +56,21 @@
     return absl::SimpleHexAtoi(hex, &hash) && hash == XXH3_64bits(body.data(), body.size());
 }
 
+/// True for the refusal of a backend server that wants no requests for some time, also if an entry
+/// VM passes it on. Entry VMs that refuse by themselves give other reasons.
+bool asksForPause(const httplib::Response &response)
+{
+    if (!response.has_header("Retry-After")) {
+        return false;
+    }
+    if (response.get_header_value("Currantfall-Shed") == "not-run") {
+        return true;
+    }
+    const nlohmann::json body = nlohmann::json::parse(response.body, nullptr, false);
+    return response.get_header_value("Currantfall-Outcome") == "not-run" && body.is_object()
+           && body.value("reason", nlohmann::json()) == "backend-server-shed";
+}
+
 } // namespace
 
 Caller::Caller(const Settings &settings, const RequestClass &requestClass, LookupCache &lookups,
@@ -148,10 +163,12 @@
 }
 
 CallOutcome Caller::send(httplib::Client &client, const httplib::Request &request,
-                         const std::string &requestId, bool isSteered) const
+                         const std::string &requestId, bool isSteered, Call &call) const
 {
     const httplib::Result result = client.send(request);
     if (result) {
+        call.pauseRefusals += asksForPause(*result) ? 1 : 0;
+        call.leavingResponses += result->get_header_value("Currantfall-Leaving") == "1" ? 1 : 0;
         return this->classify(*result, request, requestId, isSteered);
     }
     const bool notConnected = result.error() == httplib::Error::Connection
@@ -166,7 +183,10 @@
     }
     const Endpoint &endpoint = this->settings.direct.at(number % this->settings.direct.size());
     const httplib::Request request = this->request(requestId, this->requestClass.path);
-    return { this->send(this->client(endpoint), request, requestId, false), 1 };
+    Call call;
+    call.attempts = 1;
+    call.outcome = this->send(this->client(endpoint), request, requestId, false, call);
+    return call;
 }
 
 Caller::Call Caller::balanced(const std::string &requestId, std::uint64_t number)
@@ -175,14 +195,17 @@
     const bool limited = this->requestClass.deadline > absl::ZeroDuration();
     const absl::Duration deadline = limited ? this->requestClass.deadline : this->settings.timeout;
     DirectBalancer &balancer = this->balancers->balancerFor(this->requestClass.service, number);
-    const DirectBalancer::Call call
+    Call call;
+    const DirectBalancer::Call balanced
             = balancer.call(deadline, [&](httplib::Client &client, absl::Duration remaining) {
                   setDeadline(request, remaining);
                   client.set_read_timeout(absl::ToChronoMilliseconds(this->settings.timeout));
                   client.set_write_timeout(absl::ToChronoMilliseconds(this->settings.timeout));
-                  return this->send(client, request, requestId, false);
+                  return this->send(client, request, requestId, false, call);
               });
-    return { call.outcome, call.attempts };
+    call.outcome = balanced.outcome;
+    call.attempts = balanced.attempts;
+    return call;
 }
 
 Common::Result<std::vector<Entry>> Caller::entries(std::uint64_t number)
@@ -227,7 +250,7 @@
         }
         ++call.attempts;
         const CallOutcome outcome
-                = this->send(this->client(entry.endpoint), request, requestId, true);
+                = this->send(this->client(entry.endpoint), request, requestId, true, call);
         if (outcome == CallOutcome::Unreachable) {
             continue;
         }
--- a/Source/Load/Caller.h
+++ b/Source/Load/Caller.h
@@ -24,6 +24,8 @@
     {
         CallOutcome outcome = CallOutcome::Unreachable;
         std::uint64_t attempts = 0;
+        std::uint64_t pauseRefusals = 0;
+        std::uint64_t leavingResponses = 0;
     };
 
     /// Direct calls go through `balancers` if there are any.
@@ -48,8 +50,9 @@
     httplib::Client &client(const Endpoint &endpoint);
     const std::string &clientAddress(std::uint64_t number) const;
     httplib::Request request(const std::string &requestId, const std::string &path) const;
+    /// Makes one attempt and counts in `call` what the response says about the backend server.
     CallOutcome send(httplib::Client &client, const httplib::Request &request,
-                     const std::string &requestId, bool isSteered) const;
+                     const std::string &requestId, bool isSteered, Call &call) const;
     CallOutcome classify(const httplib::Response &response, const httplib::Request &request,
                          const std::string &requestId, bool isSteered) const;
 
--- a/Source/Load/LoadRun.cpp
+++ b/Source/Load/LoadRun.cpp
@@ -164,6 +164,8 @@
             ++result.answeredInPhase;
         }
         result.attempts += call.attempts;
+        result.pauseRefusals += call.pauseRefusals;
+        result.leavingResponses += call.leavingResponses;
         if (!this->settings.verify.empty()) {
             result.records.push_back(RequestRecord { std::move(id), call.outcome });
         }
--- a/Source/Load/ReportText.cpp
+++ b/Source/Load/ReportText.cpp
@@ -90,6 +90,8 @@
                           { "attempts", result.attempts },
                           { "goodput_per_s", goodput(result, length) },
                           { "outcomes", outcomes },
+                          { "pause_refusals", result.pauseRefusals },
+                          { "leaving_responses", result.leavingResponses },
                           { "wrong_answers", result.count(CallOutcome::WrongAnswer) },
                           { "p50_ms", milliseconds(result.answered.quantile(0.5)) },
                           { "p90_ms", milliseconds(result.answered.quantile(0.9)) },
@@ -122,6 +124,18 @@
     return text + "\n";
 }
 
+/// Empty if no backend server said that it leaves or pauses.
+std::string noticeLine(const ClassResult &result, const RequestClass &requestClass, bool direct)
+{
+    if (result.pauseRefusals == 0 && result.leavingResponses == 0) {
+        return {};
+    }
+    return absl::StrFormat(
+            "%-8s %-36s %d refusals by pausing servers, %d responses by leaving servers\n",
+            direct ? "direct" : "steered", requestClass.toString(), result.pauseRefusals,
+            result.leavingResponses);
+}
+
 } // namespace
 
 std::string reportText(const LoadReport &report, const Settings &settings)
@@ -139,6 +153,11 @@
             }
         }
     }
+    for (std::size_t index = 0; index < settings.classes.size(); ++index) {
+        for (const bool direct : { true, false }) {
+            text += noticeLine(report.total(index, direct), settings.classes.at(index), direct);
+        }
+    }
     for (std::size_t index = 0; index < settings.classes.size(); ++index) {
         for (const PairRatio &ratio : pairRatios(report, index)) {
             text += absl::StrFormat(
--- a/Source/Load/Results.cpp
+++ b/Source/Load/Results.cpp
@@ -86,6 +86,8 @@
     this->abandoned += other.abandoned;
     this->duplicates += other.duplicates;
     this->falseNotRun += other.falseNotRun;
+    this->pauseRefusals += other.pauseRefusals;
+    this->leavingResponses += other.leavingResponses;
     std::move(other.records.begin(), other.records.end(), std::back_inserter(this->records));
 }
 
--- a/Source/Load/Results.h
+++ b/Source/Load/Results.h
@@ -71,6 +71,10 @@
     std::uint64_t abandoned = 0;
     std::uint64_t duplicates = 0;
     std::uint64_t falseNotRun = 0;
+    /// Refusals, of each attempt, by a backend server that asked for no requests for some time.
+    std::uint64_t pauseRefusals = 0;
+    /// Responses to attempts by a backend server that announced that it leaves.
+    std::uint64_t leavingResponses = 0;
     std::vector<RequestRecord> records;
 
     void add(CallOutcome outcome, absl::Duration latency);
--- a/Source/UnitTests/LoadGenerator/LoadRunTest.cpp
+++ b/Source/UnitTests/LoadGenerator/LoadRunTest.cpp
@@ -1,5 +1,7 @@
 #include "Load/LoadRun.h"
 
+#include <atomic>
+#include <cstdint>
 #include <cstdlib>
 #include <functional>
 #include <map>
@@ -189,6 +191,54 @@
     REQUIRE(report.invariantBroken());
 }
 
+// Guards against a run that does not show that its servers paused or left, or that counts refusals
+// of entry VMs as theirs.
+TEST_CASE("Refusals by pausing servers and responses by leaving ones are counted")
+{
+    std::atomic<int> count { 0 };
+    FakeEntry *self = nullptr;
+    FakeEntry entry([&](const httplib::Request &request, httplib::Response &reply) {
+        const int kind = count++ % 6;
+        if (kind < 2) {
+            self->run(request, reply);
+            reply.set_header("Currantfall-Leaving", kind == 0 ? "1" : "0");
+            return;
+        }
+        setNotRun(reply);
+        if (kind != 5) {
+            reply.set_header("Retry-After", "1");
+        }
+        if (kind == 2) {
+            reply.set_header("Currantfall-Shed", "not-run");
+        }
+        const bool shed = kind == 3 || kind == 5;
+        const nlohmann::json body { { "reason", shed ? "backend-server-shed" : "no-capacity" } };
+        reply.set_content(body.dump(), "application/json");
+    });
+    self = &entry;
+    const Settings settings = settingsFor(entry, "service=shop,rate=400");
+    const LoadReport report = runLoad(settings).value();
+    const ClassResult result = report.total(0, false);
+    const auto all = static_cast<std::uint64_t>(count);
+    // Of six responses in turn, the first is of a leaving server, the third and fourth are refusals
+    // of a pausing one.
+    const auto counted = [all](std::uint64_t kind) { return all / 6 + (all % 6 > kind ? 1 : 0); };
+    REQUIRE(all >= 6);
+    REQUIRE(result.attempts == all);
+    REQUIRE(result.leavingResponses == counted(0));
+    REQUIRE(result.pauseRefusals == counted(2) + counted(3));
+    const auto json = nlohmann::json::parse(reportJson(report, settings)).at("classes").at(0);
+    REQUIRE(json.at("leaving_responses") == result.leavingResponses);
+    REQUIRE(json.at("pause_refusals") == result.pauseRefusals);
+    const std::string line = absl::StrCat(result.pauseRefusals, " refusals by pausing servers, ",
+                                          result.leavingResponses, " responses by leaving servers");
+    REQUIRE(reportText(report, settings).find(line) != std::string::npos);
+    FakeEntry plain;
+    const Settings plainSettings = settingsFor(plain, "service=shop,rate=100");
+    const std::string text = reportText(runLoad(plainSettings).value(), plainSettings);
+    REQUIRE(text.find("by leaving servers") == std::string::npos);
+}
+
 TEST_CASE("The answer to another request is counted as wrong")
 {
     FakeEntry *self = nullptr;
