Keep to what backend servers announce in their answers: leaving and pauses

An owner went on sending work to a server that had announced its end in its answers, and to a server that had asked for no requests with `Retry-After`: it knew drains of operators and sheds only, and read neither header.

The owner now keeps Steering::ServerNotices, as entry VMs on the platform do. A refusal with a pause says nothing about the server's capacity, so that it does not lower its limit nor open its breaker. Callers that get the refusal are told to wait for a second at most, because the pause concerns only that server.

Probes are not sent in a pause.

--- a/Source/Daemon/BackendConnection.cpp
+++ b/Source/Daemon/BackendConnection.cpp
@@ -6,6 +6,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
+#include <vector>
+
+#include <absl/strings/numbers.h>
 
 #include "HttpHeaders.h"
 
@@ -26,6 +29,9 @@
 constexpr std::size_t maxAnswerBytes = std::size_t { 16 } * 1024 * 1024;
 constexpr int statusNoContent = 204;
 constexpr int statusNotModified = 304;
+constexpr int statusUnavailable = 503;
+// A server's pause concerns only that server, and others may take the caller's next try.
+constexpr absl::Duration longestSuggestedWait = absl::Seconds(1);
 
 /// False if the end of the answer can't be told from a lost connection.
 bool hasVerifiableEnd(const httplib::Request &request, const httplib::Response &response)
@@ -102,13 +108,44 @@
     return response.get_header_value("Currantfall-Shed") == "not-run";
 }
 
+std::vector<std::string> valuesOf(const httplib::Response &response, const std::string &name)
+{
+    std::vector<std::string> values;
+    const auto range = response.headers.equal_range(name);
+    for (auto header = range.first; header != range.second; ++header) {
+        values.push_back(header->second);
+    }
+    return values;
+}
+
+absl::Time serverStartOf(const httplib::Response &response)
+{
+    std::int64_t milliseconds = 0;
+    const bool valid
+            = absl::SimpleAtoi(response.get_header_value("Currantfall-Started-Ms"), &milliseconds)
+              && milliseconds > 0;
+    return valid ? absl::FromUnixMillis(milliseconds) : absl::UnixEpoch();
+}
+
+Steering::ServerNotice noticeOf(const httplib::Response &response, absl::Time serverStart)
+{
+    // Without a start, nothing would show when the next process serves at the address.
+    const bool named = serverStart > absl::UnixEpoch();
+    return Steering::ServerNotice::read(
+            named ? valuesOf(response, "Currantfall-Leaving") : std::vector<std::string>(),
+            valuesOf(response, "Retry-After"), response.status == statusUnavailable);
+}
+
 BackendResult answeredResult(httplib::Response &response)
 {
     BackendResult result;
+    result.serverStart = serverStartOf(response);
+    result.notice = noticeOf(response, result.serverStart);
     if (isShed(response)) {
         result.verdict = ServerVerdict::Shed;
         result.answer
-                = Common::notRun(Reason::BackendServerShed, "the backend server shed the request");
+                = Common::notRun(Reason::BackendServerShed, "the backend server shed the request",
+                                 std::min(result.notice.pause(), longestSuggestedWait));
         return result;
     }
     result.verdict = ServerVerdict::Answered;
--- a/Source/Daemon/BackendConnection.h
+++ b/Source/Daemon/BackendConnection.h
@@ -8,6 +8,7 @@
 #include <httplib.h>
 
 #include "currantfall/Common/Mutex.h"
+#include "currantfall/Steering/ServerNotice.h"
 
 #include "Request.h"
 
@@ -28,6 +29,10 @@
     Common::Answer answer;
     ServerVerdict verdict = ServerVerdict::Unjudged;
     absl::Duration serviceTime = absl::ZeroDuration();
+    /// What the answer says about the server itself.
+    Steering::ServerNotice notice = {};
+    /// When the server's process started; the epoch if the answer does not say.
+    absl::Time serverStart = absl::UnixEpoch();
 };
 
 /// One warm HTTP connection to a backend server, for one request at a time. execute() belongs to
--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -13,6 +13,10 @@
 {
     metrics.describe("currantfall_backend_attempts_total", "Attempts at backend servers.");
     metrics.describe("currantfall_backend_sheds_total", "Requests shed by backend servers.");
+    metrics.describe("currantfall_backend_pauses_total",
+                     "Pauses that backend servers asked this VM for.");
+    metrics.describe("currantfall_backend_leaving_total",
+                     "Runs of backend servers that announced that they leave.");
     metrics.describe("currantfall_credit_refusals_total",
                      "Requests of other regions without a valid credit.");
     metrics.describe("currantfall_shifted_requests_total",
--- a/Source/Daemon/HttpHeaders.cpp
+++ b/Source/Daemon/HttpHeaders.cpp
@@ -29,6 +29,7 @@
     "currantfall-attempt",
     "currantfall-deadline-ms",
     "currantfall-outcome",
+    "currantfall-started-ms",
 };
 
 } // namespace
--- a/Source/Daemon/OwnerScheduler.cpp
+++ b/Source/Daemon/OwnerScheduler.cpp
@@ -20,12 +20,26 @@
 // A timeout counts against the server only if the request had this many times the usual time.
 constexpr double timeoutFactor = 2.0;
 constexpr std::size_t maxQueuedBytes = std::size_t { 64 } * 1024 * 1024;
+// A leaving server gets no new work after this time.
+constexpr absl::Duration drainTime = absl::Seconds(3);
+// For servers that have left.
+constexpr absl::Duration probeInterval = absl::Seconds(1);
+constexpr absl::Duration probeTimeout = absl::Milliseconds(500);
+
+SharedRequest probeRequest(Common::Instant now)
+{
+    auto request = std::make_shared<Request>();
+    request->method = "GET";
+    request->path = "/_health";
+    request->deadline = now + probeTimeout;
+    return request;
+}
 
 } // namespace
 
 OwnerScheduler::OwnerScheduler(SteeringContext &context, const Placement::OwnershipTable &ownership,
                                BackendPool::CompletionHandler completions)
-    : context(context), ownership(ownership), pool(std::move(completions))
+    : context(context), ownership(ownership), pool(std::move(completions)), notices(drainTime)
 {
     this->context.timers.subscribeEvery(this->context.now, tickInterval,
                                         [this](Common::Instant) { this->tick(); });
@@ -83,6 +97,7 @@
 void OwnerScheduler::onCompletion(const BackendCompletion &completion)
 {
     this->pool.release(completion.attempt);
+    this->note(completion.server, completion.result);
     const auto found = this->running.find(completion.attempt);
     if (found == this->running.end()) {
         return;
@@ -136,8 +151,12 @@
         }
         break;
     case ServerVerdict::Shed:
-        server.limit.shed(this->context.now, server.inUse);
         this->context.metrics.addToCounter("currantfall_backend_sheds_total");
+        // The pause keeps work from the server; nothing shows that it can do less afterwards.
+        if (result.notice.pause() > absl::ZeroDuration()) {
+            break;
+        }
+        server.limit.shed(this->context.now, server.inUse);
         // The limit can't fall below one request, and a server that refuses this one as well would
         // attract work, because refusals end early.
         if (server.inUse <= 1
@@ -153,6 +172,77 @@
     server.breaker.attemptNotMade();
 }
 
+Steering::ServerIncarnation
+OwnerScheduler::incarnationOf(const Common::BackendServerName &server) const
+{
+    const auto start = this->starts.find(server);
+    return { server, start == this->starts.end() ? absl::UnixEpoch() : start->second };
+}
+
+Steering::ServerUse OwnerScheduler::useOf(const Server &server) const
+{
+    // Asked for every server at every start, mostly while there are no notices.
+    return this->notices.size() == 0 ? Steering::ServerUse::Unrestricted
+                                     : this->notices.use(this->incarnationOf(server.settings.name),
+                                                         this->context.now);
+}
+
+bool OwnerScheduler::isReturning(const Server &server) const
+{
+    const Common::Instant now = this->context.now;
+    return this->notices.size() > 0
+           && this->notices.nextSendTime(this->incarnationOf(server.settings.name), now, now) > now;
+}
+
+void OwnerScheduler::note(const Common::BackendServerName &server, const BackendResult &result)
+{
+    if (result.serverStart > absl::UnixEpoch()) {
+        absl::Time &start = this->starts[server];
+        start = std::max(start, result.serverStart);
+    }
+    const Steering::ServerIncarnation incarnation = this->incarnationOf(server);
+    const bool isReplaced = incarnation.startTime > result.serverStart;
+    if (result.serverStart > absl::UnixEpoch() && isReplaced) {
+        return; // An answer of an earlier run that came late.
+    }
+    const Steering::NoticeEffect effect
+            = this->notices.apply(incarnation, result.notice, this->context.now);
+    const Steering::ServerRecord *known = this->noticed.find(server);
+    if (known == nullptr ? !result.notice.empty()
+                         : known->server().startTime < incarnation.startTime) {
+        Steering::BackendServer listed;
+        listed.name = server;
+        listed.startTime = incarnation.startTime;
+        this->noticed.put(listed, this->context.now);
+    }
+    if (effect.leavingStarted) {
+        this->context.metrics.addToCounter("currantfall_backend_leaving_total");
+        this->context.log.info("a backend server leaves", server.value());
+    }
+    if (effect.pauseStarted) {
+        this->context.metrics.addToCounter("currantfall_backend_pauses_total");
+        this->context.log.info("a backend server asks for no requests for "
+                                       + absl::FormatDuration(result.notice.pause()),
+                               server.value());
+    }
+}
+
+void OwnerScheduler::probeLeft()
+{
+    for (auto &[name, server] : this->servers) {
+        const Common::Instant now = this->context.now;
+        const Steering::ServerIncarnation incarnation = this->incarnationOf(name);
+        const bool left = this->notices.use(incarnation, now) == Steering::ServerUse::None
+                          && this->notices.nextSendTime(incarnation, now, now) == now;
+        if (!left || !server.startable || now < server.nextProbe) {
+            continue;
+        }
+        server.nextProbe = now + probeInterval;
+        const std::string attempt = this->attemptName('p', ++this->lastTicket);
+        this->pool.start({ attempt, name, probeRequest(now) });
+    }
+}
+
 bool OwnerScheduler::hasUntriedServer(const Common::ServiceName &service,
                                       const std::vector<Common::BackendServerName> &tried) const
 {
@@ -228,6 +318,11 @@
 
 void OwnerScheduler::tick()
 {
+    if (this->notices.size() > 0) {
+        // Discards pauses that are over, and what earlier runs of the servers said.
+        this->notices.advance(this->noticed, this->context.now);
+        this->probeLeft();
+    }
     std::vector<Common::ServiceName> services;
     for (auto &[service, queue] : this->queues) {
         queue.queue->setSlots(this->context.now, this->usableSlots(queue));
@@ -372,9 +467,7 @@
     Waiting ready = std::move(entry->second);
     this->waiting.erase(entry);
     Server *const server = this->chooseServer(queue, ready);
-    const std::string attempt = this->context.self.vm.value() + "."
-                                + std::to_string(this->context.self.incarnation) + ".b"
-                                + std::to_string(id);
+    const std::string attempt = this->attemptName('b', id);
     if (server == nullptr || !this->pool.start({ attempt, server->settings.name, ready.request })) {
         if (server != nullptr) {
             server->breaker.attemptNotMade();
@@ -396,6 +489,12 @@
     this->attemptOf.emplace(id, attempt);
 }
 
+std::string OwnerScheduler::attemptName(char kind, Ticket ticket) const
+{
+    return this->context.self.vm.value() + "." + std::to_string(this->context.self.incarnation)
+           + "." + kind + std::to_string(ticket);
+}
+
 void OwnerScheduler::requireStartAllowed(const Server &server) const
 {
     const auto describe = [&] {
@@ -436,10 +535,16 @@
         return (probe && !waiting.request->idempotent)
                || std::find(avoid.begin(), avoid.end(), server->settings.name) != avoid.end();
     };
+    const auto leaving = [this](const Server *server) {
+        return this->useOf(*server) == Steering::ServerUse::LastResort;
+    };
     std::stable_sort(usable.begin(), usable.end(), [&](const Server *left, const Server *right) {
         if (avoided(left) != avoided(right)) {
             return avoided(right);
         }
+        if (leaving(left) != leaving(right)) {
+            return leaving(right);
+        }
         return left->inUse < right->inUse;
     });
     for (Server *server : usable) {
@@ -452,6 +557,9 @@
 
 std::size_t OwnerScheduler::usableSlots(const Server &server) const
 {
+    if (this->useOf(server) == Steering::ServerUse::None) {
+        return 0;
+    }
     switch (server.breaker.state(this->context.now)) {
     case Admission::CircuitBreaker::State::Open:
         return 0;
@@ -460,7 +568,9 @@
     case Admission::CircuitBreaker::State::Closed:
         break;
     }
-    return std::min(server.settings.slots, server.limit.limit(this->context.now));
+    const std::size_t slots
+            = std::min(server.settings.slots, server.limit.limit(this->context.now));
+    return this->isReturning(server) ? std::min<std::size_t>(1, slots) : slots;
 }
 
 std::size_t OwnerScheduler::usableSlots(const ServiceQueue &queue) const
--- a/Source/Daemon/OwnerScheduler.h
+++ b/Source/Daemon/OwnerScheduler.h
@@ -14,6 +14,7 @@
 #include "currantfall/Drain/LoadAverage.h"
 #include "currantfall/Membership/Member.h"
 #include "currantfall/Placement/OwnershipTable.h"
+#include "currantfall/Steering/ServerNotices.h"
 
 #include "BackendPool.h"
 #include "SteeringContext.h"
@@ -80,6 +81,7 @@
         Common::ServiceName service;
         bool startable = false; // Owned and not being drained.
         std::size_t inUse = 0;
+        Common::Instant nextProbe;
         Admission::CircuitBreaker breaker;
         Admission::ConcurrencyLimit limit;
     };
@@ -118,6 +120,16 @@
     Server *chooseServer(const ServiceQueue &queue, const Waiting &waiting);
     /// Opens or closes the server's breaker, or lowers its limit. `usual`: high service time.
     void judge(Server &server, const BackendResult &result, absl::Duration usual);
+    /// The run of the server that answered last.
+    Steering::ServerIncarnation incarnationOf(const Common::BackendServerName &server) const;
+    Steering::ServerUse useOf(const Server &server) const;
+    /// True for some time after a pause, in which requests are sent one at a time.
+    bool isReturning(const Server &server) const;
+    /// Applies what the server said about itself.
+    void note(const Common::BackendServerName &server, const BackendResult &result);
+    /// Asks servers that have left for their health, to see whether another run has begun.
+    void probeLeft();
+    std::string attemptName(char kind, Ticket ticket) const;
     std::size_t usableSlots(const Server &server) const;
     std::size_t usableSlots(const ServiceQueue &queue) const;
     Admission::QueueSettings queueSettings(const ServiceQueue &queue) const;
@@ -134,6 +146,11 @@
     absl::flat_hash_map<Ticket, std::string> attemptOf;
     Ticket lastTicket = 0;
     std::size_t overruns = 0;
+    Steering::ServerNotices notices;
+    /// Servers that stated their start, with the latest one.
+    absl::flat_hash_map<Common::BackendServerName, absl::Time> starts;
+    /// Servers that ever gave a notice.
+    Steering::ServerTable noticed;
 };
 
 } // namespace Currantfall::Daemon
--- a/Source/UnitTests/Daemon/BackendConnectionTest.cpp
+++ b/Source/UnitTests/Daemon/BackendConnectionTest.cpp
@@ -80,6 +80,82 @@
     }
 }
 
+// Guards against a pause that is overlooked, or read where the server asks for none.
+TEST_CASE("A 503 with Retry-After carries the server's pause, also without a shed")
+{
+    struct Case
+    {
+        std::string status;
+        std::string headers;
+        absl::Duration pause;
+        absl::Duration suggested;
+    };
+    const std::string shed = "Currantfall-Shed: not-run\r\n";
+    const auto expected = GENERATE_COPY(
+            Case { "503 Service Unavailable", shed + "Retry-After: 2.5\r\n",
+                   absl::Milliseconds(2500), absl::Seconds(1) },
+            Case { "503 Service Unavailable", shed + "Retry-After: 0.5\r\nRetry-After: 0.25\r\n",
+                   absl::Milliseconds(500), absl::Milliseconds(500) },
+            Case { "503 Service Unavailable", "Retry-After: 3\r\n", absl::Seconds(3),
+                   absl::ZeroDuration() },
+            Case { "503 Service Unavailable", shed + "Retry-After: soon\r\n", absl::ZeroDuration(),
+                   absl::ZeroDuration() },
+            Case { "429 Too Many Requests", "Retry-After: 3\r\n", absl::ZeroDuration(),
+                   absl::ZeroDuration() },
+            Case { "200 OK", "Retry-After: 3\r\n", absl::ZeroDuration(), absl::ZeroDuration() });
+    ScriptedBackend backend([&expected](ScriptedConnection &connection) {
+        const std::string text = connection.readRequest();
+        connection.write(answer(expected.status, attemptHeader(text) + expected.headers, ""));
+    });
+    BackendConnection connection(addressOf(backend));
+    const BackendResult result = connection.execute("a-1", request());
+    INFO(expected.status << " " << expected.headers);
+    CHECK(result.notice.pause() == expected.pause);
+    CHECK(result.answer.retryAfter == expected.suggested);
+}
+
+// Guards against a server that stays out of use for ever, because nothing tells its runs apart.
+TEST_CASE("A server leaves only if it says when it started")
+{
+    const auto [headers, isLeaving, start] = GENERATE(table<std::string, bool, std::int64_t>({
+            { "Currantfall-Leaving: 1\r\nCurrantfall-Started-Ms: 1700000000000\r\n", true,
+              1'700'000'000'000 },
+            { "Currantfall-Leaving: 0\r\nCurrantfall-Started-Ms: 1700000000000\r\n", false,
+              1'700'000'000'000 },
+            { "Currantfall-Started-Ms: 5\r\n", false, 5 },
+            { "Currantfall-Leaving: 1\r\n", false, 0 },
+            { "Currantfall-Leaving: 1\r\nCurrantfall-Started-Ms: -5\r\n", false, 0 },
+            { "Currantfall-Leaving: 1\r\nCurrantfall-Started-Ms: today\r\n", false, 0 },
+    }));
+    ScriptedBackend backend([&headers = headers](ScriptedConnection &connection) {
+        const std::string text = connection.readRequest();
+        connection.write(answer("200 OK", attemptHeader(text) + headers, ""));
+    });
+    BackendConnection connection(addressOf(backend));
+    const BackendResult result = connection.execute("a-1", request());
+    INFO(headers);
+    CHECK(result.notice.leaving() == isLeaving);
+    CHECK(result.serverStart == absl::FromUnixMillis(start));
+    // The start concerns this VM only; that the server leaves also its callers.
+    for (const Common::Header &header : result.answer.headers) {
+        CHECK(header.name != "Currantfall-Started-Ms");
+    }
+}
+
+// Guards against a pause that another request's answer asks for.
+TEST_CASE("An answer that belongs to another attempt asks for no pause")
+{
+    ScriptedBackend backend([](ScriptedConnection &connection) {
+        connection.readRequest();
+        connection.write(answer("503 Service Unavailable",
+                                "Currantfall-Attempt: a-0\r\nRetry-After: 3\r\n", ""));
+    });
+    BackendConnection connection(addressOf(backend));
+    const BackendResult result = connection.execute("a-1", request());
+    CHECK(result.answer.outcome == Outcome::OutcomeUnknown);
+    CHECK(result.notice.pause() == absl::ZeroDuration());
+}
+
 // Guards against an answer that is attributed by the first of several attempts that it names.
 TEST_CASE("An answer that names two attempts is not used")
 {
