Test with entry VMs that leaving and pausing backend servers are left alone

No process test met a backend server that leaves by its answers or asks for a pause.

Two cases command the stand-ins of a zone to leave and to pause while callers go on. They check that outcomes are true, that callers of leaving servers are all answered and that of pausing servers no more requests are refused than the servers refused, that no work arrives later than the drain time and half a second after the announcement, that at most two requests arrive in a pause, and that the servers are used again afterwards.

--- a/Tests/Deployment/BackendFaultTest.cpp
+++ b/Tests/Deployment/BackendFaultTest.cpp
@@ -1,4 +1,8 @@
 #include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <thread>
 
 #include <catch2/catch.hpp>
 #include <httplib.h>
@@ -16,6 +20,14 @@
 constexpr std::size_t callsPerStorm = 300;
 // Each VM may use two retries per service before it has earned any.
 constexpr double reservedRetries = 2.0 * 10;
+// A leaving server gets no new work after this time.
+constexpr std::chrono::milliseconds drainTime { 3000 };
+// In this time requests that are under way arrive.
+constexpr std::chrono::milliseconds arrivalTime { 500 };
+constexpr std::chrono::milliseconds observationTime { 2000 };
+constexpr std::chrono::milliseconds pauseTime { 2000 };
+constexpr int pausesObserved = 3;
+constexpr std::size_t maxRequestsInPause = 2;
 
 /// Drives both kinds of callers until each has completed `calls` more.
 struct Traffic
@@ -54,6 +66,40 @@
     CHECK(retries <= 0.1 * requests + 2 * reservedRetries);
 }
 
+/// The counters of the backend servers of the two services that are called, by name.
+json countersOf(const DeploymentFixture &deployment, const std::string &part)
+{
+    json counters = json::object();
+    const json summary = deployment.executionSummary();
+    for (const json &server : summary.at("servers")) {
+        const auto name = server.at("server").get<std::string>();
+        const bool called = name.starts_with("slotview") || name.starts_with("bellbook");
+        if (called && name.find(part) != std::string::npos) {
+            counters[name] = server;
+        }
+    }
+    return counters;
+}
+
+/// Waits until each of these servers has started another request.
+void waitForNewWork(const DeploymentFixture &deployment, const std::string &part)
+{
+    const json before = countersOf(deployment, part);
+    waitUntil([&] {
+        const json now = countersOf(deployment, part);
+        return std::all_of(before.items().begin(), before.items().end(), [&](const auto &server) {
+            return now.at(server.key()).at("started") > server.value().at("started");
+        });
+    });
+}
+
+std::int64_t wallClockMs()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+            .count();
+}
+
 bool isExpired(const CallRecord &record)
 {
     return record.outcome == "answered" && record.status != 200;
@@ -139,6 +185,83 @@
     CHECK(deployment.slotOverruns() == 0);
 }
 
+// Guards against new work on a server after it has announced in its answers that it leaves, and
+// against a server that stays out of use after its restart.
+TEST_CASE("Backend servers that leave by their answers get no new work until their next run")
+{
+    const std::string part = "-lm-a-1";
+    const DeploymentFixture deployment;
+    Traffic traffic(deployment);
+    waitForNewWork(deployment, part);
+    const std::size_t servers = countersOf(deployment, part).size();
+    CHECK(servers == 2);
+    deployment.setBackendBehaviour({ { "leaving", true } }, part);
+    waitUntil([&] {
+        return deployment.metric("currantfall_backend_leaving_total")
+               >= static_cast<double>(servers);
+    });
+    // Later than the announcements.
+    const std::int64_t noticed = wallClockMs();
+    std::this_thread::sleep_for(drainTime + arrivalTime + observationTime);
+    traffic.run(callsPerFault);
+    const json after = countersOf(deployment, part);
+    for (const auto &[name, counters] : after.items()) {
+        INFO(name << " noticed at " << noticed << " " << counters.dump());
+        // A request that was started in time may still be on its way.
+        CHECK(counters.at("last_new_work_ms") <= noticed + (drainTime + arrivalTime).count());
+    }
+    deployment.setBackendBehaviour({ { "leaving", false } }, part);
+    waitForNewWork(deployment, part);
+    for (const auto &records : { traffic.bookings.finish(), traffic.queries.finish() }) {
+        requireTrueOutcomes(deployment, records);
+        requireAllAnswered(records);
+    }
+    CHECK(deployment.slotOverruns() == 0);
+}
+
+// Guards against requests to a server that has asked this VM for a pause, and against a pause that
+// does not end.
+TEST_CASE("Backend servers that ask for pauses are left alone and used again afterwards")
+{
+    const std::string part = "-lm-a-1";
+    const DeploymentFixture deployment;
+    Traffic traffic(deployment);
+    waitForNewWork(deployment, part);
+    CHECK(countersOf(deployment, part).size() == 2);
+    for (const double share : { 1.0, 0.3 }) {
+        const json behaviour { { "pause", share }, { "pause_ms", pauseTime.count() } };
+        INFO(behaviour.dump());
+        const json before = countersOf(deployment, part);
+        deployment.setBackendBehaviour(behaviour, part);
+        std::this_thread::sleep_for(pausesObserved * pauseTime);
+        traffic.run(callsPerFault);
+        const json after = countersOf(deployment, part);
+        for (const auto &[name, counters] : after.items()) {
+            INFO(counters.dump());
+            CHECK(counters.at("paused") > before.at(name).at("paused"));
+            CHECK(counters.at("max_requests_in_pause") <= maxRequestsInPause);
+        }
+    }
+    CHECK(deployment.metric("currantfall_backend_pauses_total") >= 4);
+    deployment.setBackendBehaviour({ { "pause", 0 } }, part);
+    waitForNewWork(deployment, part);
+    std::size_t refused = 0;
+    for (const auto &records : { traffic.bookings.finish(), traffic.queries.finish() }) {
+        requireTrueOutcomes(deployment, records);
+        auto outcomes = countOutcomes(records);
+        CHECK(outcomes["answered"] + outcomes["not-run"] == records.size());
+        refused += outcomes["not-run"];
+    }
+    // A refusal that can't be retried reaches its caller; no other request is refused.
+    std::size_t paused = 0;
+    const json last = countersOf(deployment, part);
+    for (const auto &[name, counters] : last.items()) {
+        paused += counters.at("paused").get<std::size_t>();
+    }
+    CHECK(refused <= paused);
+    CHECK(deployment.slotOverruns() == 0);
+}
+
 // Guards against hedges that don't help, and against losing attempts that keep their slots.
 TEST_CASE("Hedges answer queries that hang, and cancel the losing attempts")
 {
