Let backend servers leave and pause in the runs with random faults

The randomized run of the own deployment and its long form never met a server that leaves by its answers or asks for a pause.

Two kinds of faults come from a schedule of their own, as often as each other kind, so that the faults which a seed had before keep their order, times and targets. Checks, bounds and the fixed seed are as before.

--- a/Tests/Deployment/FaultDriver.cpp
+++ b/Tests/Deployment/FaultDriver.cpp
@@ -22,10 +22,15 @@
 
 json usualBehaviour()
 {
-    return { { "draining", false },    { "hang", 0 },
-             { "truncate", 0 },        { "mismatch", 0 },
-             { "close_after_run", 0 }, { "report_in_use", -1 },
-             { "report_state", "" } };
+    return { { "draining", false },
+             { "hang", 0 },
+             { "truncate", 0 },
+             { "mismatch", 0 },
+             { "close_after_run", 0 },
+             { "report_in_use", -1 },
+             { "report_state", "" },
+             { "leaving", false },
+             { "pause", 0 } };
 }
 
 json behaviourOf(FaultKind kind, unsigned choice)
@@ -41,6 +46,10 @@
         return { { "mismatch", faultShare } };
     case FaultKind::BackendCloses:
         return { { "close_after_run", faultShare } };
+    case FaultKind::BackendLeaves:
+        return { { "leaving", true } };
+    case FaultKind::BackendPauses:
+        return { { "pause", choice % 2 == 0 ? 1.0 : faultShare } };
     default:
         return choice % 2 == 0 ? json { { "report_in_use", 0 } }
                                : json { { "report_in_use", 99 }, { "report_state", "draining" } };
--- a/Tests/Deployment/FaultSchedule.cpp
+++ b/Tests/Deployment/FaultSchedule.cpp
@@ -1,5 +1,6 @@
 #include "FaultSchedule.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -40,6 +41,15 @@
     return names;
 }
 
+const std::vector<std::pair<FaultKind, std::string>> &noticeNames()
+{
+    static const std::vector<std::pair<FaultKind, std::string>> names = {
+        { FaultKind::BackendLeaves, "backend-leaves" },
+        { FaultKind::BackendPauses, "backend-pauses" },
+    };
+    return names;
+}
+
 /// Numbers from the engine itself: the distributions of the standard library differ between
 /// implementations, and a seed must give the same schedule everywhere.
 class Dice
@@ -62,10 +72,12 @@
     std::mt19937_64 engine;
 };
 
-std::vector<FaultKind> shuffledKinds(Dice &dice)
+using KindNames = std::vector<std::pair<FaultKind, std::string>>;
+
+std::vector<FaultKind> shuffledKinds(const KindNames &names, Dice &dice)
 {
     std::vector<FaultKind> kinds;
-    for (const auto &entry : kindNames()) {
+    for (const auto &entry : names) {
         kinds.push_back(entry.first);
     }
     for (std::size_t index = kinds.size() - 1; index > 0; --index) {
@@ -93,7 +105,9 @@
     case FaultKind::BackendTruncates:
     case FaultKind::BackendMismatches:
     case FaultKind::BackendCloses:
-    case FaultKind::BackendMisleads: {
+    case FaultKind::BackendMisleads:
+    case FaultKind::BackendLeaves:
+    case FaultKind::BackendPauses: {
         const std::string service = dice.oneOf(services);
         const std::string zone = dice.oneOf(zones);
         return service + "-" + zone + "-" + std::to_string(dice.between(1, 2));
@@ -103,28 +117,8 @@
     }
 }
 
-} // namespace
-
-std::string toString(FaultKind kind)
-{
-    for (const auto &[candidate, name] : kindNames()) {
-        if (candidate == kind) {
-            return name;
-        }
-    }
-    return "unknown";
-}
-
-nlohmann::json Fault::toJson() const
-{
-    return { { "start_ms", this->start.count() },
-             { "duration_ms", this->duration.count() },
-             { "fault", toString(this->kind) },
-             { "target", this->target },
-             { "choice", this->choice } };
-}
-
-std::vector<Fault> faultSchedule(std::uint64_t seed, milliseconds length, milliseconds meanGap)
+std::vector<Fault> scheduleOf(const KindNames &names, std::uint64_t seed, milliseconds length,
+                              milliseconds meanGap)
 {
     Dice dice(seed);
     std::vector<Fault> faults;
@@ -133,7 +127,7 @@
     milliseconds start { dice.between(0, mean) };
     while (start < length) {
         if (deck.empty()) {
-            deck = shuffledKinds(dice);
+            deck = shuffledKinds(names, dice);
         }
         Fault fault;
         fault.kind = deck.back();
@@ -150,4 +144,40 @@
     return faults;
 }
 
+} // namespace
+
+std::string toString(FaultKind kind)
+{
+    for (const KindNames *const names : { &kindNames(), &noticeNames() }) {
+        for (const auto &[candidate, name] : *names) {
+            if (candidate == kind) {
+                return name;
+            }
+        }
+    }
+    return "unknown";
+}
+
+nlohmann::json Fault::toJson() const
+{
+    return { { "start_ms", this->start.count() },
+             { "duration_ms", this->duration.count() },
+             { "fault", toString(this->kind) },
+             { "target", this->target },
+             { "choice", this->choice } };
+}
+
+std::vector<Fault> faultSchedule(std::uint64_t seed, milliseconds length, milliseconds meanGap)
+{
+    std::vector<Fault> faults = scheduleOf(kindNames(), seed, length, meanGap);
+    // As often as the other kinds.
+    const auto rarer = static_cast<int>(kindNames().size() / noticeNames().size());
+    const auto notices = scheduleOf(noticeNames(), ~seed, length, meanGap * rarer);
+    faults.insert(faults.end(), notices.begin(), notices.end());
+    std::stable_sort(faults.begin(), faults.end(), [](const Fault &left, const Fault &right) {
+        return left.start < right.start;
+    });
+    return faults;
+}
+
 } // namespace Currantfall::Tests
--- a/Tests/Deployment/FaultSchedule.h
+++ b/Tests/Deployment/FaultSchedule.h
@@ -28,6 +28,8 @@
     BackendMismatches,
     BackendCloses,
     BackendMisleads,
+    BackendLeaves,
+    BackendPauses,
 };
 
 std::string toString(FaultKind kind);
@@ -46,7 +48,8 @@
 };
 
 /// The faults of `length`, in the order of their start. They depend on the arguments only. Kinds
-/// are dealt from a shuffled deck, so that every kind comes once in each round.
+/// are dealt from a shuffled deck, so that every kind comes once in each round. Servers that leave
+/// and pause come in addition, so that the other faults of a seed are the same with and without.
 std::vector<Fault> faultSchedule(std::uint64_t seed, std::chrono::milliseconds length,
                                  std::chrono::milliseconds meanGap);
 
