--- a/Source/Daemon/OwnerScheduler.cpp
+++ b/Source/Daemon/OwnerScheduler.cpp
@@ -205,8 +205,6 @@
     if (result.serverStart > absl::UnixEpoch() && isReplaced) {
         return; // An answer of an earlier run that came late.
     }
-    const Steering::NoticeEffect effect
-            = this->notices.apply(incarnation, result.notice, this->context.now);
     const Steering::ServerRecord *known = this->noticed.find(server);
     if (known == nullptr ? !result.notice.empty()
                          : known->server().startTime < incarnation.startTime) {
@@ -215,6 +213,9 @@
         listed.startTime = incarnation.startTime;
         this->noticed.put(listed, this->context.now);
     }
+    // Answers state the run that gave them, so that the time of the request decides nothing.
+    const Steering::NoticeEffect effect = this->notices.apply(
+            incarnation, result.notice, result.serverStart, this->noticed, this->context.now);
     if (effect.leavingStarted) {
         this->context.metrics.addToCounter("currantfall_backend_leaving_total");
         this->context.log.info("a backend server leaves", server.value());
