Let VMs end side by side in the test of early signals

Seen: the last landing was refused because "Signals while a VM starts end it only before its first instruction" timed out after 300 s. The log does not say in which of the three builds, and keeps nothing of the test. Not shown: why. ThreadSanitizer has not been tried yet. Change: 60 starts as before, with the same signals, delays and checks, but of all VMs in turn, so that one starts while others end; a VM is checked before it starts again.

--- a/Tests/Entry/SoakTest.cpp
+++ b/Tests/Entry/SoakTest.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <iostream>
 #include <netinet/in.h>
+#include <optional>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -409,34 +410,55 @@
 TEST_CASE("Signals while a VM starts end it only before its first instruction")
 {
     constexpr int starts = 60;
+    struct SignalledStart
+    {
+        int number = 0;
+        int signal = 0;
+        bool handled = false;
+    };
     EntryDeployment deployment;
-    EntryVm &vm = deployment.vms()[0];
-    vm.process->kill();
-    vm.process->wait();
+    std::vector<EntryVm> &vms = deployment.vms();
+    for (EntryVm &vm : vms) {
+        vm.process->kill();
+        vm.process->wait();
+    }
     // The signals are spread over twice the time that one start takes in this build.
     const auto begin = std::chrono::steady_clock::now();
-    deployment.start(vm);
-    waitUntil([&vm] { return vm.process->handles(SIGHUP); });
+    deployment.start(vms[0]);
+    waitUntil([&vms] { return vms[0].process->handles(SIGHUP); });
     const auto startTime = std::chrono::steady_clock::now() - begin;
-    vm.process->kill();
-    vm.process->wait();
-    int handledStarts = 0;
-    for (int start = 0; start < starts; ++start) {
-        const int signal = start % 2 == 0 ? SIGHUP : SIGTERM;
-        deployment.start(vm);
-        std::this_thread::sleep_for(startTime * 2 * start / starts);
-        const bool handled = vm.process->handles(signal);
-        vm.process->signal(signal);
-        handledStarts += handled ? 1 : 0;
-        vm.process->terminate();
+    vms[0].process->kill();
+    vms[0].process->wait();
+    const auto checkEnd = [](EntryVm &vm, const SignalledStart &start) {
         const int code = vm.process->wait();
-        INFO("start " << start << ", code " << code << " " << vm.process->errors());
-        if (handled) {
+        INFO("start " << start.number << ", code " << code << " " << vm.process->errors());
+        if (start.handled) {
             CHECK(code == 0);
         } else if (code != 0) {
-            CHECK((code == 128 + signal || code == 128 + SIGTERM));
+            CHECK((code == 128 + start.signal || code == 128 + SIGTERM));
             CHECK(vm.process->output().empty());
         }
+    };
+    int handledStarts = 0;
+    // A VM that handles its signals takes seconds to end; the next one starts meanwhile.
+    std::vector<std::optional<SignalledStart>> latestStarts(vms.size());
+    for (int number = 0; number < starts; ++number) {
+        const std::size_t index = static_cast<std::size_t>(number) % vms.size();
+        EntryVm &vm = vms[index];
+        std::optional<SignalledStart> &latest = latestStarts[index];
+        if (latest) {
+            checkEnd(vm, *latest);
+        }
+        const int signal = number % 2 == 0 ? SIGHUP : SIGTERM;
+        deployment.start(vm);
+        std::this_thread::sleep_for(startTime * 2 * number / starts);
+        latest = SignalledStart { number, signal, vm.process->handles(signal) };
+        vm.process->signal(signal);
+        vm.process->terminate();
+        handledStarts += latest->handled ? 1 : 0;
+    }
+    for (std::size_t index = 0; index < vms.size(); ++index) {
+        checkEnd(vms[index], latestStarts[index].value());
     }
     CHECK(handledStarts > 0);
 }
