Name no VM that refuses requests in a lookup

Cause: a VM that is shut down refuses new requests from half of its grace on, and others do not know. Change: such a VM reports that no configuration is in force, as one that has just started does, so that lookups leave it out.

--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -169,7 +169,7 @@
     hooks.ownState = [this] {
         Membership::ReportedState state;
         state.leaving = this->leaving;
-        state.revision = this->steering.configuration() == nullptr
+        state.revision = this->steering.configuration() == nullptr || this->refusingNew
                                  ? 0
                                  : this->steering.configuration()->version();
         return state;
@@ -407,6 +407,7 @@
     const absl::Duration grace = this->settings.shutdownGrace;
     const absl::Duration elapsed = now - this->leavingSince;
     if (elapsed >= grace * refuseNewAfterFraction) {
+        this->refusingNew = true;
         this->callerListener->rejectNewRequests();
     }
     const bool idle = elapsed >= grace * minShutdownFraction
@@ -500,7 +501,7 @@
         const bool own = member->vm == this->settings.vm;
         const bool isLeaving = own ? this->leaving : member->state == MemberState::Leaving;
         const bool serves
-                = own ? isLeaving || this->ready()
+                = own ? this->ready() || (isLeaving && !this->refusingNew)
                       : member->revision > 0 && (isLeaving || member->state == MemberState::Live);
         if (serves) {
             vms.push_back({ member->vm, member->zone, member->region, member->address + port,
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -108,6 +108,8 @@
     std::unique_ptr<HttpEndpoint> metricsEndpoint;
     Common::Instant startedAt;
     bool leaving = false;
+    /// Requests of callers are refused; peers are told that no configuration is in force.
+    bool refusingNew = false;
     bool stopped = false;
     Common::Instant leavingSince;
     /// Modification time of the settings file when it was last read.
