Let the long soak ask calm callers only when no fault restricts requests any more

Each is what the design demands of a VM; routes with homes have too few other servers to hide it. Change: runs with servers' notices wait 5 s, those with restores 11 s, before the calm callers.

--- a/Tests/Entry/SoakTest.cpp
+++ b/Tests/Entry/SoakTest.cpp
@@ -34,6 +34,11 @@
 constexpr milliseconds usualNoticeGap { 1500 };
 constexpr milliseconds usualRestoreGap { 5000 };
 constexpr milliseconds serverDrainTime { 2000 };
+// After the last fault, a server may still pause (3 s, and 1 s at a limited rate), and zones and
+// servers that return get requests at their cold rate (3.5 s).
+constexpr milliseconds noticeSettleTime { 5000 };
+// A VM keeps an evacuation that a restored store has lost for 10 s.
+constexpr milliseconds restoreSettleTime { 11'000 };
 
 struct SoakSettings
 {
@@ -45,6 +50,15 @@
     milliseconds meanNoticeGap { 0 };
     /// Mean time between copies to which the store returns; it returns to none if zero.
     milliseconds meanRestoreGap { 0 };
+
+    /// Time after the faults for which requests may be refused because of them.
+    milliseconds settleTime() const
+    {
+        if (this->meanRestoreGap.count() > 0) {
+            return restoreSettleTime;
+        }
+        return this->meanNoticeGap.count() > 0 ? noticeSettleTime : milliseconds(0);
+    }
 };
 
 /// Versions of the configuration that a VM's processes have put into force never fall within one
@@ -202,6 +216,7 @@
     driver.run(faults);
     const auto records = callers.finish();
     deployment.awaitReady();
+    std::this_thread::sleep_for(settings.settleTime());
     bool passed = requireWell(deployment, driver, settings.callers);
     const SoakVerdict verdict = judge(records, deployment.ledger());
     const NoticeVerdict notices = judgeNotices(records, deployment.ledger().arrivals(),
