Describe a process that a test waits for in vain

Change: after 60 s without the end of a process, the fixture writes its state, signals, threads and last output to the standard error output, once; it goes on waiting, and the test runner's timeout decides as before.

--- a/Tests/Support/ProcessFixture.cpp
+++ b/Tests/Support/ProcessFixture.cpp
@@ -1,9 +1,12 @@
 #include "Support/ProcessFixture.h"
 
+#include <algorithm>
 #include <cerrno>
+#include <chrono>
 #include <cstdint>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <stdexcept>
 #include <sys/mman.h>
 #include <sys/prctl.h>
@@ -18,6 +21,10 @@
 
 namespace {
 
+// A process that has not ended by then is described, because a test that hangs leaves nothing else.
+constexpr std::chrono::seconds usualEndTime { 60 };
+constexpr std::size_t mostShownBytes = 4096;
+
 [[noreturn]] void throwSystemError(const std::string &step)
 {
     throw std::system_error(errno, std::generic_category(), step);
@@ -169,10 +176,41 @@
 
 int ProcessFixture::wait()
 {
-    waitUntil([this] { return !this->running(); });
+    const auto reportTime = std::chrono::steady_clock::now() + usualEndTime;
+    bool reported = false;
+    waitUntil([&] {
+        if (!reported && std::chrono::steady_clock::now() >= reportTime) {
+            reported = true;
+            std::cerr << this->describe() << std::endl;
+        }
+        return !this->running();
+    });
     return *this->exitCode;
 }
 
+std::string ProcessFixture::describe() const
+{
+    const std::string files = "/proc/" + std::to_string(this->process);
+    std::string text = "process " + std::to_string(this->process) + " has not ended\n";
+    std::ifstream status(files + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with("State") || line.starts_with("Sig") || line.starts_with("ShdPnd")) {
+            text += line + "\n";
+        }
+    }
+    std::error_code error;
+    for (const auto &task : std::filesystem::directory_iterator(files + "/task", error)) {
+        std::string name;
+        std::string place;
+        std::ifstream(task.path() / "comm") >> name;
+        std::ifstream(task.path() / "wchan") >> place;
+        text += "thread " + task.path().filename().string() + " " + name + " in " + place + "\n";
+    }
+    const std::string written = this->output();
+    const std::size_t start = written.size() - std::min(written.size(), mostShownBytes);
+    return text + "errors: " + this->errors() + "\noutput: ..." + written.substr(start);
+}
+
 bool ProcessFixture::handles(int signal) const
 {
     std::error_code error;
--- a/Tests/Support/ProcessFixture.h
+++ b/Tests/Support/ProcessFixture.h
@@ -39,7 +39,8 @@
     void signal(int number);
 
     bool running();
-    /// Waits for the end. Returns the exit code, or 128 plus the number of the fatal signal.
+    /// Waits for the end. Returns the exit code, or 128 plus the number of the fatal signal. Writes
+    /// the state of a process that does not end to the standard error output.
     int wait();
 
     /// True if the program, at this moment, blocks the signal or has a handler for it, or has
@@ -51,6 +52,9 @@
     std::string errors() const;
 
 private:
+    /// State, signals and threads of the process, and the end of what it wrote.
+    std::string describe() const;
+
     pid_t process = -1;
     int outputFile = -1;
     int errorFile = -1;
