--- a/Tests/Entry/SoakTest.cpp
+++ b/Tests/Entry/SoakTest.cpp
@@ -37,8 +37,8 @@
 // After the last fault, a server may still pause (3 s, and 1 s at a limited rate), and zones and
 // servers that return get requests at their cold rate (3.5 s).
 constexpr milliseconds noticeSettleTime { 5000 };
-// A VM keeps an evacuation that a restored store has lost for 10 s, and then sends to the servers of
-// the zone at their cold rate.
+// A VM keeps an evacuation that a restored store has lost for 10 s, and then sends to the servers
+// of the zone at their cold rate.
 constexpr milliseconds restoreSettleTime { 15'000 };
 
 struct SoakSettings
