--- a/Tests/Support/ProcessFixture.cpp
+++ b/Tests/Support/ProcessFixture.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <sstream>
 #include <stdexcept>
 #include <sys/mman.h>
 #include <sys/prctl.h>
@@ -191,11 +192,12 @@
 std::string ProcessFixture::describe() const
 {
     const std::string files = "/proc/" + std::to_string(this->process);
-    std::string text = "process " + std::to_string(this->process) + " has not ended\n";
+    std::ostringstream text;
+    text << "process " << this->process << " has not ended\n";
     std::ifstream status(files + "/status");
     for (std::string line; std::getline(status, line);) {
         if (line.starts_with("State") || line.starts_with("Sig") || line.starts_with("ShdPnd")) {
-            text += line + "\n";
+            text << line << "\n";
         }
     }
     std::error_code error;
@@ -204,11 +206,13 @@
         std::string place;
         std::ifstream(task.path() / "comm") >> name;
         std::ifstream(task.path() / "wchan") >> place;
-        text += "thread " + task.path().filename().string() + " " + name + " in " + place + "\n";
+        text << "thread " << task.path().filename().string() << " " << name << " in " << place
+             << "\n";
     }
     const std::string written = this->output();
     const std::size_t start = written.size() - std::min(written.size(), mostShownBytes);
-    return text + "errors: " + this->errors() + "\noutput: ..." + written.substr(start);
+    text << "errors: " << this->errors() << "\noutput: ..." << written.substr(start);
+    return text.str();
 }
 
 bool ProcessFixture::handles(int signal) const
