Name VMs of all regions in a lookup only if the caller's region is lost

Cause: called a region lost when no VM of it accepted requests, which is also so between the end of the VMs and their start. Evidence: the unit test now says so, "They have ended and are expected back": named() was "a1 c1 all-regions". Change: a region is lost if none of its members has been heard for three seconds; the answering VM must know its members for as long, also after it has joined again under another run. Before that a lookup without a VM is answered 503, and the caller keeps what it knows. Each lookup that is not answered with VMs of the zone or region logs its scope and the VMs that it names, and an empty one counts as "none" or "no-configuration".

--- a/Source/Core/Steering/EntryDirectory.cpp
+++ b/Source/Core/Steering/EntryDirectory.cpp
@@ -37,6 +37,8 @@
         return "leaving";
     case LookupScope::AllRegions:
         return "all-regions";
+    case LookupScope::None:
+        return "none";
     }
     return "unknown";
 }
@@ -63,10 +65,13 @@
         auto leaving = filter(vms, [&](const EntryVm &vm) { return vm.region == lookup.region; });
         if (!leaving.empty()) {
             result = { LookupScope::Leaving, std::move(leaving) };
-        } else if (lookup.allVmsKnown) {
+        } else if (lookup.regionLost) {
             result = { LookupScope::AllRegions, select([](const EntryVm &) { return true; }) };
         }
     }
+    if (result.vms.empty()) {
+        result.scope = LookupScope::None;
+    }
     std::vector<EntryVm> &chosen = result.vms;
     const auto larger = [](const EntryVm &left, const EntryVm &right) {
         return left.processorShare > right.processorShare;
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -26,8 +26,9 @@
 // Callers repeat the lookup after this time, and so learn which VMs have failed or are leaving.
 constexpr absl::Duration lookupTtl = absl::Seconds(1);
 constexpr std::size_t maxLookupEntries = 64;
-// After a start, links to all live VMs are established within this time.
-constexpr absl::Duration maxLinkTime = absl::Seconds(1);
+// A VM that restarts as planned is not heard for one to two seconds. A region whose VMs were all
+// silent for longer is lost.
+constexpr absl::Duration regionLossTime = absl::Seconds(3);
 // Fraction of the shutdown grace period after which new requests are refused, because they might
 // not end before the process is killed.
 constexpr double refuseNewAfterFraction = 0.5;
@@ -125,8 +126,7 @@
         return started;
     }
     this->startPeerSync();
-    this->startedAt = Common::monotonicNow();
-    this->steering.selector().setStarted(this->startedAt);
+    this->steering.selector().setStarted(Common::monotonicNow());
     this->startStore();
     if (auto started = this->startEndpoints(); !started) {
         return started;
@@ -184,6 +184,7 @@
         return tl::unexpected(started.error());
     }
     this->cluster = std::move(*started);
+    this->clusterStartedAt = Common::monotonicNow();
     this->steering.outcomes().startRun(this->cluster->incarnation());
     return {};
 }
@@ -484,17 +485,8 @@
            && this->storeSync->replica(Adapter::serverTable).loaded();
 }
 
-EndpointAnswer EntryDaemon::answerDirectory(const std::string &target)
+std::vector<Steering::EntryVm> EntryDaemon::servingVms() const
 {
-    const auto query = Adapter::readDirectoryQuestion(target);
-    if (!query) {
-        return { 404, "text/plain", "" };
-    }
-    const auto &configuration = this->steering.configuration();
-    if (configuration == nullptr) {
-        // The homes of the caller's routes are unknown.
-        return { 503, "text/plain", "" };
-    }
     const std::string port = ":" + std::to_string(this->settings.callers.port);
     std::vector<Steering::EntryVm> vms;
     for (const auto &member : this->cluster->members().members()) {
@@ -508,20 +500,60 @@
                             this->processorShareOf(member->vm), isLeaving });
         }
     }
-    const bool allVmsKnown = Common::monotonicNow() - this->startedAt >= maxLinkTime;
-    const auto result = Steering::entriesFor(
-            { query->zone, query->region, configuration->homesOf(query->host), allVmsKnown }, vms,
-            maxLookupEntries);
+    return vms;
+}
+
+bool EntryDaemon::isRegionLost(const Common::RegionName &region, Common::Instant now) const
+{
+    // Before, the VMs of the region may not have been heard yet.
+    if (now - this->clusterStartedAt < regionLossTime) {
+        return false;
+    }
+    const auto &members = this->cluster->members().members();
+    return std::none_of(members.begin(), members.end(), [&](const auto &member) {
+        return member->region == region && now - member->lastHeard < regionLossTime;
+    });
+}
+
+void EntryDaemon::recordLookup(const Steering::Lookup &lookup, std::size_t knownVms,
+                               const Steering::LookupResult &result)
+{
     this->metrics.addToCounter("currantfall_lookups_total",
                                { { "scope", Steering::toString(result.scope) } });
-    const bool outside = result.scope == Steering::LookupScope::AllRegions
-                         || result.scope == Steering::LookupScope::Homes;
-    if (outside && this->log.admits()) {
-        this->log.write("lookup_outside_region", { { "zone", query->zone.value() },
-                                                   { "region", query->region.value() },
-                                                   { "known_vms", vms.size() },
-                                                   { "named_vms", result.vms.size() } });
+    const bool usual = result.scope == Steering::LookupScope::Zone
+                       || result.scope == Steering::LookupScope::Region;
+    if (usual || !this->log.admits()) {
+        return;
+    }
+    auto named = nlohmann::ordered_json::array();
+    for (const Steering::EntryVm &vm : result.vms) {
+        named.push_back(vm.vm.value());
+    }
+    this->log.write("lookup_outside_region", { { "zone", lookup.zone.value() },
+                                               { "region", lookup.region.value() },
+                                               { "scope", Steering::toString(result.scope) },
+                                               { "known_vms", knownVms },
+                                               { "named_vms", std::move(named) } });
+}
+
+EndpointAnswer EntryDaemon::answerDirectory(const std::string &target)
+{
+    const auto query = Adapter::readDirectoryQuestion(target);
+    if (!query) {
+        return { 404, "text/plain", "" };
+    }
+    const auto &configuration = this->steering.configuration();
+    if (configuration == nullptr) {
+        // The homes of the caller's routes are unknown.
+        this->metrics.addToCounter("currantfall_lookups_total",
+                                   { { "scope", "no-configuration" } });
+        return { 503, "text/plain", "" };
     }
+    const Steering::Lookup lookup { query->zone, query->region, configuration->homesOf(query->host),
+                                    this->isRegionLost(query->region, Common::monotonicNow()) };
+    const std::vector<Steering::EntryVm> vms = this->servingVms();
+    const auto result = Steering::entriesFor(lookup, vms, maxLookupEntries);
+    this->recordLookup(lookup, vms.size(), result);
     if (result.vms.empty()) {
         return { 503, "text/plain", "" };
     }
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -9,6 +9,7 @@
 
 #include "currantfall/Common/EventLog.h"
 #include "currantfall/Common/TimerService.h"
+#include "currantfall/Steering/EntryDirectory.h"
 #include "currantfall/Steering/RowWriteSchedule.h"
 #include "currantfall/Telemetry/MetricsRegistry.h"
 
@@ -80,6 +81,12 @@
     double processorShareOf(const Common::VmName &vm) const;
 
     bool ready() const;
+    /// VMs that accept requests of callers, as far as this VM knows.
+    std::vector<Steering::EntryVm> servingVms() const;
+    /// Whether no VM of the region has been heard for longer than a restart takes.
+    bool isRegionLost(const Common::RegionName &region, Common::Instant now) const;
+    void recordLookup(const Steering::Lookup &lookup, std::size_t knownVms,
+                      const Steering::LookupResult &result);
     EndpointAnswer answerDirectory(const std::string &target);
     std::string renderMetrics();
 
@@ -106,7 +113,8 @@
     std::unique_ptr<HttpEndpoint> readinessEndpoint;
     std::unique_ptr<HttpEndpoint> directoryEndpoint;
     std::unique_ptr<HttpEndpoint> metricsEndpoint;
-    Common::Instant startedAt;
+    /// When the members of the cluster were last unknown.
+    Common::Instant clusterStartedAt;
     bool leaving = false;
     /// Requests of callers are refused; peers are told that no configuration is in force.
     bool refusingNew = false;
--- a/Source/UnitTests/Steering/RoutingTest.cpp
+++ b/Source/UnitTests/Steering/RoutingTest.cpp
@@ -122,27 +122,28 @@
     const auto west = HomeRegions::fromList({ RegionName("west") });
     std::vector<EntryVm> vms { vm("a1", "a", "west"), vm("c1", "c", "east"), vm("d1", "d", "south"),
                                vm("d2", "d", "south") };
-    const auto named = [&vms](const HomeRegions &homes, bool allVmsKnown) {
+    const auto named = [&vms](const HomeRegions &homes, bool regionLost) {
         std::string result;
         const auto found
-                = entriesFor({ ZoneName("d"), RegionName("south"), homes, allVmsKnown }, vms, 64);
+                = entriesFor({ ZoneName("d"), RegionName("south"), homes, regionLost }, vms, 64);
         for (const EntryVm &entry : found.vms) {
             result += entry.vm.value() + " ";
         }
         return result + toString(found.scope);
     };
     vms[2].leaving = true;
-    CHECK(named(apart, true) == "d2 homes");
-    CHECK(named(west, true) == "a1 d2 homes");
+    CHECK(named(apart, false) == "d2 homes");
+    CHECK(named(west, false) == "a1 d2 homes");
     // A planned restart of the region: its VMs serve until they end.
     vms[3].leaving = true;
-    CHECK(named(apart, true) == "d1 d2 leaving");
-    CHECK(named(west, true) == "a1 homes");
-    // The region is lost.
+    CHECK(named(apart, false) == "d1 d2 leaving");
+    CHECK(named(west, false) == "a1 homes");
+    // They have ended and are expected back.
     vms.resize(2);
+    CHECK(named(apart, false) == "none");
+    CHECK(named(west, false) == "a1 homes");
     CHECK(named(apart, true) == "a1 c1 all-regions");
-    // A VM that has just started may not know the VMs of the region yet.
-    CHECK(named(apart, false) == "homes");
+    CHECK(named(west, true) == "a1 homes");
 }
 
 TEST_CASE("The homes of a host are those of all of its routes")
--- a/include/currantfall/Steering/EntryDirectory.h
+++ b/include/currantfall/Steering/EntryDirectory.h
@@ -29,8 +29,8 @@
     Common::RegionName region;
     /// Homes of the routes that the caller asks for.
     HomeRegions homes;
-    /// Whether all VMs that serve are known. A VM that has just started knows few.
-    bool allVmsKnown = true;
+    /// Whether no VM of the region has been heard for longer than a restart takes.
+    bool regionLost = false;
 
     friend bool operator==(const Lookup &left, const Lookup &right) = default;
 };
@@ -42,6 +42,7 @@
     Homes,      ///< Those of the caller's region and of the homes.
     Leaving,    ///< Those of the caller's region that are being shut down.
     AllRegions, ///< All VMs.
+    None,       ///< No VM.
 };
 
 std::string toString(LookupScope scope);
@@ -57,10 +58,10 @@
 /// Returns at most `maxEntries` entry VMs for a caller, which picks one of them at random: those of
 /// its zone if there are several, else those of its region, else all that may hold the bodies of
 /// its requests, which are those of its region and of the homes. If there is none, those of its
-/// region that are being shut down are returned. A region without any VM is lost; its callers get
-/// all VMs, because most of their routes may have no homes. If the VMs differ in size, only the
-/// larger ones are returned: with fewer VMs, each one reuses its connections to backend servers
-/// more often and knows more about the load of the servers.
+/// region that are being shut down are returned. Callers of a lost region get all VMs, because most
+/// of their routes may have no homes; while the VMs of a region restart, its callers get none. If
+/// the VMs differ in size, only the larger ones are returned: with fewer VMs, each one reuses its
+/// connections to backend servers more often and knows more about the load of the servers.
 LookupResult entriesFor(const Lookup &lookup, const std::vector<EntryVm> &vms,
                         std::size_t maxEntries);
 
