Send no request whose caller already has its response; say why a request was withheld

Could be seen, found by review of: after a 504 an attempt that was still connecting sent the request although nobody waited for it; and an exception in a request would have left attempts with a reference to a connection that is gone. On call, "not sent because its caller had left" could not be told from other reasons. Change: a caller with a response waits no longer; the reference to its connection ends with the request, however that ends; currantfall_withheld_requests_total has the reason "caller-gone" or "server-ineligible". Evidence: "A caller waits until it has its response or has closed its connection" failed before, CHECK_FALSE( caller.waits() ), !true. "A request whose caller left before it was read ..." now also requires the reason; the withheld request of RequestSteeringTest is counted under its reason, as strictly as before. entry-tests pass.

--- a/Source/Entry/BackendPool.cpp
+++ b/Source/Entry/BackendPool.cpp
@@ -360,7 +360,7 @@
         }
         ExchangeResult result;
         result.end = AttemptEnd::Withheld;
-        result.detail = "the server may not get the request any more";
+        result.detail = "not sent: the caller has left or the server became ineligible";
         co_return result;
     }
     connection->stream.expires_after(toChrono(remaining));
--- a/Source/Entry/CallerListener.cpp
+++ b/Source/Entry/CallerListener.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 #include <utility>
 
+#include <absl/cleanup/cleanup.h>
 #include <boost/beast/http.hpp>
 
 namespace Currantfall::Entry {
@@ -200,6 +201,11 @@
     stream.expires_never();
     ++this->inProgress;
     caller->isOpen = [&stream] { return isOpen(stream); };
+    // Attempts may outlive the request, also one that ends with an exception.
+    const auto release = absl::MakeCleanup([caller] {
+        caller->responded = true;
+        caller->isOpen = nullptr;
+    });
     this->watchForDisconnect(stream, caller);
     auto response = co_await this->steering.handle(request, caller);
     caller->responded = true;
--- a/Source/Entry/RequestSteering.h
+++ b/Source/Entry/RequestSteering.h
@@ -44,11 +44,11 @@
         if (!this->responded && !this->disconnected && this->isOpen && !this->isOpen()) {
             this->onDisconnected();
         }
-        return !this->disconnected;
+        return !this->disconnected && !this->responded;
     }
 
     boost::asio::steady_timer wakeTimer;
-    /// Whether the caller's connection is open. Called only until the response has been determined.
+    /// Whether the caller's connection is open. Unset once the connection may have been destroyed.
     std::function<bool()> isOpen;
     bool disconnected = false;
     /// The response has been determined. The caller's connection may have been destroyed since.
--- a/Source/Entry/RequestSteeringServers.cpp
+++ b/Source/Entry/RequestSteeringServers.cpp
@@ -112,6 +112,8 @@
 {
     exchange.mayBeSent = [this, &exchange, caller, homesAtArrival] {
         if (!caller->waits()) {
+            this->metrics.addToCounter("currantfall_withheld_requests_total",
+                                       { { "reason", "caller-gone" } });
             return false;
         }
         const Steering::ServerRecord *record = this->table.find(exchange.server.name);
@@ -120,7 +122,8 @@
                                       *record, this->homesNow(exchange.request, homesAtArrival),
                                       Common::monotonicNow());
         if (!eligible) {
-            this->metrics.addToCounter("currantfall_withheld_requests_total");
+            this->metrics.addToCounter("currantfall_withheld_requests_total",
+                                       { { "reason", "server-ineligible" } });
         }
         return eligible;
     };
--- a/Source/UnitTests/Entry/CallerListenerTest.cpp
+++ b/Source/UnitTests/Entry/CallerListenerTest.cpp
@@ -60,6 +60,10 @@
     const auto listener = CallerListener::start(fixture.context, fixture.settings, fixture.steering,
                                                 fixture.log);
     REQUIRE(listener);
+    const auto callersGone = [&fixture] {
+        return fixture.metrics.counter("currantfall_withheld_requests_total",
+                                       { { "reason", "caller-gone" } });
+    };
     const std::string head = "Host: h.example\r\nRequest-Id: id-2\r\nDeadline-Ms: 4000\r\n";
     SECTION("over a new connection to the server")
     {
@@ -67,6 +71,7 @@
                      "POST /write/1 HTTP/1.1\r\n" + head + "Content-Length: 0\r\n\r\n");
         fixture.runFor(absl::Milliseconds(200));
         CHECK(requests == 0);
+        CHECK(callersGone() == 1);
     }
     SECTION("over an idle connection to the server")
     {
@@ -75,5 +80,29 @@
         callAndLeave(fixture.settings.callers.port, "GET /read/1 HTTP/1.1\r\n" + head + "\r\n");
         fixture.runFor(absl::Milliseconds(200));
         CHECK(requests == 1);
+        CHECK(callersGone() == 1);
+    }
+}
+
+// Guards against requests that are sent after their caller got its response, because a connection
+// to the server was established late.
+TEST_CASE("A caller waits until it has its response or has closed its connection")
+{
+    boost::asio::io_context context;
+    CallerState caller(context);
+    bool open = true;
+    caller.isOpen = [&open] { return open; };
+    CHECK(caller.waits());
+    SECTION("response")
+    {
+        caller.responded = true;
+        CHECK_FALSE(caller.waits());
+        CHECK_FALSE(caller.disconnected);
+    }
+    SECTION("closed connection")
+    {
+        open = false;
+        CHECK_FALSE(caller.waits());
+        CHECK(caller.disconnected);
     }
 }
--- a/Source/UnitTests/Entry/RequestSteeringTest.cpp
+++ b/Source/UnitTests/Entry/RequestSteeringTest.cpp
@@ -218,7 +218,9 @@
     REQUIRE(*response);
     CHECK((*response)->result_int() == 503);
     CHECK(requests == 0);
-    CHECK(fixture.metrics.counter("currantfall_withheld_requests_total") == 1);
+    CHECK(fixture.metrics.counter("currantfall_withheld_requests_total",
+                                  { { "reason", "server-ineligible" } })
+          == 1);
 }
 
 // Guards against requests that wait until their deadline for a server that has failed without
--- a/include/currantfall/Steering/ServerTable.h
+++ b/include/currantfall/Steering/ServerTable.h
@@ -34,7 +34,8 @@
     Unreachable, ///< No connection was made and nothing was sent.
     Broken,      ///< The connection or the response failed after the request was sent.
     Abandoned,   ///< This VM cancelled the attempt. The server is not judged by it.
-    Withheld,    ///< This VM sent nothing: the server asked for no requests while it connected.
+    /// This VM sent nothing: the server became ineligible or the caller left while it connected.
+    Withheld,
 };
 
 std::string toString(AttemptEnd end);
