Bound a pause that may have been asked for by the previous run of a server

Could be seen, found by review of: a server asks for no requests for an hour by mistake, is restarted within five seconds, and stays without requests and health checks from that VM for the hour, or for ever if the value has no bound. Cause: a pause whose request was sent near the start of the new run counts for that run as well, for its whole length. Change: for 30 s at most.

--- a/Source/Core/Steering/ServerNotices.cpp
+++ b/Source/Core/Steering/ServerNotices.cpp
@@ -15,8 +15,11 @@
 constexpr absl::Duration removedRetention = absl::Minutes(10);
 // Maximum number of removed servers with notices. Listed servers are bounded by the store.
 constexpr std::size_t maxRemovedEntries = 1024;
-// Requests in flight at the start of a pause are refused with about the same end.
+// Responses to requests in flight extend a pause slightly. Extensions up to this are not reported.
 constexpr absl::Duration minReportedExtension = absl::Seconds(1);
+// A pause that may have been asked for by the previous incarnation lasts at most this long: a
+// server that asked for hours by mistake is restarted to be used again.
+constexpr absl::Duration maxUncertainPause = absl::Seconds(30);
 // Assumed limit of the difference between the wall clocks of a VM and a server.
 constexpr absl::Duration maxClockDifference = absl::Seconds(5);
 
@@ -75,6 +78,7 @@
                 = !effect.pauseStarted && pauseEnd - entry.pausedUntil > minReportedExtension;
         entry.pausedUntil = pauseEnd;
         entry.pauseSentAt = sentAt;
+        entry.pauseReceivedAt = now;
     }
     ++this->generationCount;
     return effect;
@@ -106,6 +110,8 @@
     if (entry.pauseSentAt < startTime - maxClockDifference) {
         result.pausedUntil = Entry().pausedUntil;
         result.pauseSentAt = absl::InfinitePast();
+    } else if (entry.pauseSentAt < startTime + maxClockDifference) {
+        result.pausedUntil = std::min(entry.pausedUntil, entry.pauseReceivedAt + maxUncertainPause);
     }
     const bool empty = !result.leavingSince && result.pausedUntil == Entry().pausedUntil;
     return empty ? std::nullopt : std::optional(result);
--- a/Source/UnitTests/Steering/ServerNoticesTest.cpp
+++ b/Source/UnitTests/Steering/ServerNoticesTest.cpp
@@ -346,6 +346,22 @@
     CHECK(notices.use(after, at(61000)) == ServerUse::LastResort);
 }
 
+// Guards against a server that stays out of use for hours after its restart, because its previous
+// run asked for that by mistake shortly before.
+TEST_CASE("A pause that may be of the previous run lasts for a bounded time")
+{
+    ServerNotices notices(drainTime);
+    const ServerTable servers;
+    const ServerIncarnation before = incarnation("s1", 1);
+    const ServerIncarnation after = incarnation("s1", 50000);
+    const std::string value = GENERATE("7200", "99999999999999999999");
+    notices.apply(before, pause(value), wall(49000), servers, at(1000));
+    CHECK(notices.use(before, at(60000)) == ServerUse::None);
+    CHECK(notices.use(after, at(2000)) == ServerUse::None);
+    CHECK(notices.use(after, at(30999)) == ServerUse::None);
+    CHECK(notices.use(after, at(31000)) == ServerUse::Unrestricted);
+}
+
 // Guards against an announcement that decides about a new run by the time of its response, which a
 // VM that was suspended receives late.
 TEST_CASE("The time of the request decides to which run a notice belongs")
--- a/include/currantfall/Steering/ServerNotices.h
+++ b/include/currantfall/Steering/ServerNotices.h
@@ -63,8 +63,8 @@
 /// A server may give a notice after it has started again and before its new entry is known here.
 /// Such a notice is recorded for the previous incarnation and is attributed to the new one by the
 /// time of the request and the start time of the server, whose clocks may differ: a pause also if
-/// it may be of the previous incarnation, an announcement that the server leaves only if it can't
-/// be. A wrong pause ends by itself; a wrong announcement would keep a live server out of use.
+/// it may be of the previous incarnation, then for a bounded time, an announcement that the server
+/// leaves only if it can't be. A wrong announcement would keep a live server out of use.
 class ServerNotices
 {
 public:
@@ -122,6 +122,7 @@
         absl::Time leavingSentAt = absl::InfinitePast();
         /// Wall-clock time of the request whose response asked for the pause.
         absl::Time pauseSentAt = absl::InfinitePast();
+        Common::Instant pauseReceivedAt;
         Common::Instant pausedUntil = Common::Instant::fromOrigin(-absl::InfiniteDuration());
         /// When the server was first seen to be missing from the store's list.
         std::optional<Common::Instant> removedAt;
