--- a/Source/UnitTests/Common/JsonTest.cpp
+++ b/Source/UnitTests/Common/JsonTest.cpp
@@ -39,6 +39,7 @@
     CHECK(parseJson("[\"\\\\\"," + nested(maxJsonDepth + 1) + "]").is_discarded());
 }
 
+// Guards against malformed JSON that is taken for a value.
 TEST_CASE("Text that is not JSON is refused")
 {
     for (const char *text : { "", "]", "\"", "\"\\", "{]", "1e999", "NaN", "[Infinity]",
--- a/Source/UnitTests/Daemon/BackendConnectionTest.cpp
+++ b/Source/UnitTests/Daemon/BackendConnectionTest.cpp
@@ -203,6 +203,7 @@
     CHECK(sent < std::size_t { 40 } * 1024 * 1024);
 }
 
+// Guards against a body limit that cuts valid answers.
 TEST_CASE("A large answer arrives whole")
 {
     const std::string body(std::size_t { 10 } * 1024 * 1024, 'y');
--- a/Source/UnitTests/Entry/ResponseMemoryTest.cpp
+++ b/Source/UnitTests/Entry/ResponseMemoryTest.cpp
@@ -46,6 +46,7 @@
     CHECK_FALSE(next->growTo(mebibyte));
 }
 
+// Guards against memory that is never returned, so that later responses are refused.
 TEST_CASE("The memory of a body is returned")
 {
     ResponseMemory memory(processBytes);
--- a/Source/UnitTests/Entry/VmRowTest.cpp
+++ b/Source/UnitTests/Entry/VmRowTest.cpp
@@ -43,6 +43,7 @@
     CHECK_FALSE(readVmRow("vm-1", with(from, to)));
 }
 
+// Guards against bounds that refuse the own row, which would be written again without end.
 TEST_CASE("A VM reads the row that it wrote")
 {
     const auto row = readVmRow("vm-1", goodRow);
--- a/Source/UnitTests/Steering/RoutingTest.cpp
+++ b/Source/UnitTests/Steering/RoutingTest.cpp
@@ -146,6 +146,7 @@
     CHECK(named(west, true) == "a1 homes");
 }
 
+// Guards against a lookup that takes the homes of one route for those of its host.
 TEST_CASE("The homes of a host are those of all of its routes")
 {
     const auto homed = [](const std::string &prefix, const std::vector<RegionName> &homes) {
--- a/Source/UnitTests/Steering/ServerNoticesTest.cpp
+++ b/Source/UnitTests/Steering/ServerNoticesTest.cpp
@@ -91,6 +91,7 @@
     CHECK(ServerNotice::read({}, { "3" }, false) == ServerNotice());
 }
 
+// Guards against a header value whose meaning depends on the parser.
 TEST_CASE("Every form of a leaving header has a defined meaning")
 {
     using Values = std::vector<std::string>;
--- a/Source/UnitTests/Steering/StoreEraTest.cpp
+++ b/Source/UnitTests/Steering/StoreEraTest.cpp
@@ -83,6 +83,7 @@
 
 } // namespace
 
+// Guards against versions of different eras that are compared.
 TEST_CASE("Positions are ordered by era, then by version")
 {
     CHECK(StorePosition(1, 100) < StorePosition(2, 3));
