Handle requests that a caller sends before its last response at the same time

Callers saw: a request that was sent early waited until the response before it had been written, and its deadline began only then, so that servers got more time than the caller would wait. A caller that sent two requests and left was not noticed: the wait for readability ended at the bytes of the second one. A connection that was closed with unread bytes was reset, so that its last response could be lost; half a header (a timeout of the library closes the socket) got no 408. A connection whose coroutine ended with an exception stayed counted. Cause: CallerListener read, handled and wrote one request after another in one coroutine. A request that must not be repeated, or has a body, is handled when all before it are answered, and alone, because callers send again what they sent behind a response that closes the connection. A VM that leaves answers what it has started first. A half-closed caller counts as gone: a close looks the same; complete responses are written.

--- a/Source/Entry/RequestSteering.cpp
+++ b/Source/Entry/RequestSteering.cpp
@@ -71,9 +71,15 @@
 RequestSteering::handle(const Adapter::HttpRequest &request, SharedCaller caller)
 {
     ActiveRequest activeRequest(request, std::move(caller), this->currentConfiguration);
-    activeRequest.start = Common::monotonicNow();
+    activeRequest.start = activeRequest.callerState->arrivedAt;
     ++this->inProgress;
-    Adapter::HttpResponse response = co_await this->steer(activeRequest);
+    Adapter::HttpResponse response;
+    try {
+        response = co_await this->steer(activeRequest);
+    } catch (...) {
+        --this->inProgress;
+        throw;
+    }
     --this->inProgress;
     if (activeRequest.callerState->disconnected) {
         this->logRequest(activeRequest, 0);
@@ -92,6 +98,14 @@
     return configuration.match({ host.data(), host.size() }, { target.data(), target.size() });
 }
 
+bool RequestSteering::mayRepeat(const Adapter::HttpRequest &request) const
+{
+    const Steering::Route *route = this->currentConfiguration == nullptr
+                                           ? nullptr
+                                           : matchRoute(*this->currentConfiguration, request);
+    return route == nullptr || route->idempotent;
+}
+
 boost::asio::awaitable<Adapter::HttpResponse> RequestSteering::steer(ActiveRequest &activeRequest)
 {
     if (activeRequest.configuration == nullptr) {
--- a/Source/Entry/RequestSteering.h
+++ b/Source/Entry/RequestSteering.h
@@ -28,7 +28,10 @@
 /// the coroutine that handles the request.
 struct CallerState
 {
-    explicit CallerState(boost::asio::io_context &context) : wakeTimer(context) { }
+    explicit CallerState(boost::asio::io_context &context,
+                         Common::Instant arrivedAt = Common::monotonicNow())
+        : wakeTimer(context), arrivedAt(arrivedAt)
+    { }
 
     /// The caller has closed its connection.
     void onDisconnected()
@@ -48,6 +51,9 @@
     }
 
     boost::asio::steady_timer wakeTimer;
+    /// When the request was received. It may have waited for earlier requests of its connection
+    /// since.
+    const Common::Instant arrivedAt;
     /// Whether the caller's connection is open. Unset once the connection may have been destroyed.
     std::function<bool()> isOpen;
     bool disconnected = false;
@@ -68,6 +74,9 @@
     boost::asio::awaitable<std::optional<Adapter::HttpResponse>>
     handle(const Adapter::HttpRequest &request, SharedCaller caller);
 
+    /// Whether the request may be executed more than once. Also true if it will not be executed.
+    bool mayRepeat(const Adapter::HttpRequest &request) const;
+
     void setConfiguration(std::shared_ptr<const Steering::RoutingConfiguration> configuration);
     const std::shared_ptr<const Steering::RoutingConfiguration> &configuration() const
     {
--- a/Source/UnitTests/Entry/CallerListenerTest.cpp
+++ b/Source/UnitTests/Entry/CallerListenerTest.cpp
@@ -1,13 +1,10 @@
 #include "CallerListener.h"
 
-#include <arpa/inet.h>
 #include <atomic>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <catch2/catch.hpp>
 
+#include "RawCaller.h"
 #include "SteeringFixture.h"
 #include "Support/ScriptedBackend.h"
 
@@ -18,26 +15,11 @@
 
 namespace {
 
-/// A port on which nothing listens.
-std::uint16_t freePort()
-{
-    const ScriptedBackend temporary([](ScriptedConnection &) {});
-    return temporary.port();
-}
-
 /// Sends the request and closes the connection at once.
 void callAndLeave(std::uint16_t port, const std::string &request)
 {
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    ::inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-    REQUIRE(::connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address))
-            == 0);
-    REQUIRE(::send(descriptor, request.data(), request.size(), MSG_NOSIGNAL)
-            == static_cast<ssize_t>(request.size()));
-    ::close(descriptor);
+    RawCaller caller(port);
+    caller.send(request);
 }
 
 } // namespace
--- /dev/null
+++ b/Source/UnitTests/Entry/PipelinedRequestsTest.cpp
@@ -0,0 +1,359 @@
+#include <atomic>
+#include <chrono>
+#include <mutex>
+#include <thread>
+
+#include <catch2/catch.hpp>
+
+#include "CallerListener.h"
+#include "RawCaller.h"
+#include "SteeringFixture.h"
+#include "Support/ScriptedBackend.h"
+
+using namespace Currantfall;
+using namespace Currantfall::Entry;
+using namespace Currantfall::Entry::Tests;
+using namespace Currantfall::Tests;
+
+namespace {
+
+using std::chrono::milliseconds;
+using Responses = std::vector<std::string>;
+
+/// A server that takes as long as the last part of the path says, such as /read/slow-300. Counts
+/// what it got.
+class TimedServer
+{
+public:
+    TimedServer() : backend([this](ScriptedConnection &connection) { this->serve(connection); }) { }
+
+    std::uint16_t port() const { return this->backend.port(); }
+    /// Ids of the requests in the order of their arrival.
+    std::vector<std::string> arrived()
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->ids;
+    }
+    int mostAtOnce() const { return this->most; }
+    /// Requests whose connection was closed before their response.
+    int cancelled() const { return this->cancelledRequests; }
+
+private:
+    void serve(ScriptedConnection &connection)
+    {
+        for (std::string request = connection.readRequest(); !request.empty();
+             request = connection.readRequest()) {
+            {
+                const std::lock_guard lock(this->mutex);
+                this->ids.push_back(headerOf(request, "Request-Id"));
+            }
+            const int now = ++this->running;
+            this->most = std::max(this->most.load(), now);
+            const std::string path = request.substr(0, request.find(" HTTP"));
+            const std::size_t time = path.find("slow-");
+            const bool gone = time != std::string::npos
+                              && connection.closedWithin(std::stoi(path.substr(time + 5)));
+            --this->running;
+            if (gone) {
+                ++this->cancelledRequests;
+                return;
+            }
+            connection.write(answerTo(request, headerOf(request, "Request-Id")));
+        }
+    }
+
+    std::mutex mutex;
+    std::vector<std::string> ids;
+    std::atomic<int> running { 0 };
+    std::atomic<int> most { 0 };
+    std::atomic<int> cancelledRequests { 0 };
+    ScriptedBackend backend;
+};
+
+/// A VM with one server and a listener for callers.
+struct PipelineFixture : SteeringFixture
+{
+    PipelineFixture()
+    {
+        this->settings.callers.port = freePort();
+        this->addServer("i-1", this->server.port());
+        this->listener
+                = CallerListener::start(this->context, this->settings, this->steering, this->log)
+                          .value();
+    }
+
+    RawCaller connect() const { return RawCaller(this->settings.callers.port); }
+
+    static std::string get(const std::string &path, const std::string &id,
+                           const std::string &headers = "")
+    {
+        return "GET " + path + " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " + id
+               + "\r\nDeadline-Ms: 4000\r\nCookie: Affinity-Key=1\r\n" + headers + "\r\n";
+    }
+    static std::string post(const std::string &path, const std::string &id,
+                            const std::string &body = "", const std::string &headers = "")
+    {
+        return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " + id
+               + "\r\nDeadline-Ms: 4000\r\nContent-Length: " + std::to_string(body.size()) + "\r\n"
+               + headers + "\r\n" + body;
+    }
+
+    TimedServer server;
+    std::unique_ptr<CallerListener> listener;
+};
+
+} // namespace
+
+// Guards against late responses: a request was read only after the response before it was written.
+TEST_CASE("Requests that are sent before the last response are handled at the same time")
+{
+    PipelineFixture fixture;
+    RawCaller caller = fixture.connect();
+    caller.send(PipelineFixture::get("/read/slow-200", "a")
+                + PipelineFixture::get("/read/slow-200", "b")
+                + PipelineFixture::get("/read/slow-50", "c"));
+    fixture.runFor(absl::Milliseconds(350));
+    CHECK(fixture.server.mostAtOnce() == 3);
+    CHECK(caller.responses() == Responses { "200 a", "200 b", "200 c" });
+    CHECK_FALSE(caller.closedByPeer());
+}
+
+TEST_CASE("A response waits for the responses to the earlier requests of its connection")
+{
+    PipelineFixture fixture;
+    RawCaller caller = fixture.connect();
+    caller.send(PipelineFixture::get("/read/slow-300", "a") + PipelineFixture::get("/read/1", "b"));
+    fixture.runFor(absl::Milliseconds(150));
+    CHECK(fixture.server.arrived().size() == 2);
+    CHECK(caller.received().empty());
+    fixture.runFor(absl::Milliseconds(300));
+    CHECK(caller.responses() == Responses { "200 a", "200 b" });
+}
+
+// Guards against requests that run twice: callers send again what they sent behind a response that
+// closes the connection.
+TEST_CASE("A request that must not be repeated waits until earlier requests are answered")
+{
+    PipelineFixture fixture;
+    RawCaller caller = fixture.connect();
+    caller.send(PipelineFixture::get("/read/slow-150", "a")
+                + PipelineFixture::post("/write/slow-150", "b", "body")
+                + PipelineFixture::get("/read/1", "c"));
+    fixture.runFor(absl::Milliseconds(100));
+    CHECK(fixture.server.arrived() == Responses { "a" });
+    fixture.runFor(absl::Milliseconds(120));
+    CHECK(fixture.server.arrived() == Responses { "a", "b" });
+    fixture.runFor(absl::Milliseconds(300));
+    CHECK(caller.responses() == Responses { "200 a", "200 b", "200 c" });
+}
+
+// Guards against deadlines that servers get although the caller stops waiting before (BUDGET).
+TEST_CASE("A request that waits for an earlier one uses its time meanwhile")
+{
+    PipelineFixture fixture;
+    RawCaller caller = fixture.connect();
+    std::string late = PipelineFixture::post("/write/1", "b");
+    late.replace(late.find("4000"), 4, "200");
+    caller.send(PipelineFixture::get("/read/slow-400", "a") + late);
+    fixture.runFor(absl::Milliseconds(600));
+    CHECK(fixture.server.arrived() == Responses { "a" });
+    const Responses responses = caller.responses();
+    REQUIRE(responses.size() == 2);
+    CHECK(responses[1].starts_with("503"));
+}
+
+// Guards against requests that are passed on and then cut off when a VM stops (LOST).
+TEST_CASE("A VM that leaves answers what it has passed on before it closes a connection")
+{
+    PipelineFixture fixture;
+    RawCaller caller = fixture.connect();
+    caller.send(PipelineFixture::get("/read/slow-200", "a")
+                + PipelineFixture::get("/read/slow-250", "b")
+                + PipelineFixture::post("/write/1", "c", "body"));
+    fixture.runFor(absl::Milliseconds(100));
+    fixture.listener->disableKeepAlive();
+    caller.send(PipelineFixture::get("/read/1", "d"));
+    fixture.runFor(absl::Milliseconds(400));
+    CHECK(caller.responses() == Responses { "200 a", "200 b" });
+    CHECK(caller.received().find("Connection: close") > caller.received().find("\r\n\r\na"));
+    CHECK(caller.closedByPeer());
+    // The caller sends these again elsewhere.
+    CHECK(fixture.server.arrived() == Responses { "a", "b" });
+    CHECK(fixture.listener->requestsInProgress() == 0);
+}
+
+TEST_CASE("Nothing is handled behind a request after which its caller closes the connection")
+{
+    PipelineFixture fixture;
+    RawCaller caller = fixture.connect();
+    SECTION("HTTP/1.1")
+    {
+        caller.send(PipelineFixture::get("/read/1", "a", "Connection: close\r\n"));
+    }
+    SECTION("HTTP/1.0")
+    {
+        std::string old = PipelineFixture::get("/read/1", "a");
+        old.replace(old.find("HTTP/1.1"), 8, "HTTP/1.0");
+        caller.send(old);
+    }
+    caller.send(PipelineFixture::get("/read/1", "b"));
+    fixture.runFor(absl::Milliseconds(200));
+    CHECK(caller.responses() == Responses { "200 a" });
+    CHECK(caller.closedByPeer());
+    CHECK(fixture.server.arrived() == Responses { "a" });
+}
+
+TEST_CASE("A malformed request is refused after the responses to the requests before it")
+{
+    PipelineFixture fixture;
+    RawCaller caller = fixture.connect();
+    caller.send(PipelineFixture::get("/read/slow-150", "a") + "GET\x01 nonsense\r\n\r\n"
+                + PipelineFixture::get("/read/1", "c"));
+    fixture.runFor(absl::Milliseconds(300));
+    const Responses responses = caller.responses();
+    REQUIRE(responses.size() == 2);
+    CHECK(responses[0] == "200 a");
+    CHECK(responses[1].starts_with("400"));
+    CHECK(caller.closedByPeer());
+    CHECK(fixture.server.arrived() == Responses { "a" });
+}
+
+// Guards against an interim response between a response and its body, or before another request's.
+TEST_CASE("A caller that waits for permission to send its body gets it after earlier responses")
+{
+    PipelineFixture fixture;
+    RawCaller caller = fixture.connect();
+    const std::string photo
+            = PipelineFixture::post("/write/1", "b", "body", "Expect: 100-continue\r\n");
+    const std::size_t headerEnd = photo.find("\r\n\r\n") + 4;
+    caller.send(PipelineFixture::get("/read/slow-150", "a") + photo.substr(0, headerEnd));
+    fixture.runFor(absl::Milliseconds(100));
+    CHECK(caller.received().empty());
+    fixture.runFor(absl::Milliseconds(150));
+    CHECK(caller.received().find("HTTP/1.1 100") > caller.received().find("\r\n\r\na"));
+    caller.send(photo.substr(headerEnd));
+    fixture.runFor(absl::Milliseconds(100));
+    CHECK(caller.responses().back() == "200 b");
+}
+
+// Guards against memory that a caller fills that sends requests and reads no responses.
+TEST_CASE("A connection has a bounded number of requests in progress")
+{
+    PipelineFixture fixture;
+    RawCaller caller = fixture.connect();
+    std::string requests;
+    for (int number = 0; number < 40; ++number) {
+        requests += PipelineFixture::get("/read/slow-100", std::to_string(number));
+    }
+    caller.send(requests);
+    fixture.runFor(absl::Milliseconds(50));
+    CHECK(fixture.listener->requestsInProgress() == Steering::PipelineLimits().requests);
+    fixture.runFor(absl::Milliseconds(3000));
+    const Responses responses = caller.responses();
+    REQUIRE(responses.size() == 40);
+    CHECK(responses.back() == "200 39");
+}
+
+// Guards against work for callers that have left (GONE): the close is behind the bytes of other
+// requests.
+TEST_CASE("A close behind requests that were sent early cancels them")
+{
+    PipelineFixture fixture;
+    RawCaller caller = fixture.connect();
+    caller.send(PipelineFixture::get("/read/slow-2000", "a"));
+    fixture.runFor(absl::Milliseconds(100));
+    REQUIRE(fixture.server.arrived().size() == 1);
+    SECTION("close behind a request that is handled")
+    {
+        caller.send(PipelineFixture::get("/read/slow-2000", "b"));
+        fixture.runFor(absl::Milliseconds(100));
+        caller.close();
+    }
+    SECTION("close behind a request that waits")
+    {
+        caller.send(PipelineFixture::post("/write/1", "w", "body"));
+        caller.close();
+    }
+    SECTION("close behind more requests than are read")
+    {
+        std::string requests;
+        for (int number = 0; number < 40; ++number) {
+            requests += PipelineFixture::get("/read/slow-2000", std::to_string(number));
+        }
+        caller.send(requests);
+        fixture.runFor(absl::Milliseconds(100));
+        caller.close();
+    }
+    SECTION("reset")
+    {
+        caller.send(PipelineFixture::get("/read/slow-2000", "b"));
+        fixture.runFor(absl::Milliseconds(100));
+        caller.reset();
+    }
+    fixture.runFor(absl::Milliseconds(400));
+    CHECK(fixture.listener->requestsInProgress() == 0);
+    CHECK(fixture.server.cancelled() == static_cast<int>(fixture.server.arrived().size()));
+    for (const std::string &id : fixture.server.arrived()) {
+        CHECK(id != "w");
+    }
+}
+
+// A caller that has sent the end of its stream may still read.
+TEST_CASE("Responses that are complete reach a caller that has closed its sending side")
+{
+    PipelineFixture fixture;
+    RawCaller caller = fixture.connect();
+    caller.send(PipelineFixture::get("/read/1", "a"));
+    fixture.runFor(absl::Milliseconds(100));
+    caller.closeSending();
+    fixture.runFor(absl::Milliseconds(100));
+    CHECK(caller.responses() == Responses { "200 a" });
+    CHECK(caller.closedByPeer());
+}
+
+// Guards against responses that a reset discards, because the socket is closed with unread bytes.
+TEST_CASE("The last response of a connection arrives although its caller has sent more")
+{
+    PipelineFixture fixture;
+    fixture.listener->disableKeepAlive();
+    RawCaller caller = fixture.connect();
+    caller.send(PipelineFixture::get("/read/slow-100", "a"));
+    fixture.runFor(absl::Milliseconds(50));
+    caller.send(PipelineFixture::post("/write/1", "b", std::string(100'000, 'x')));
+    fixture.runFor(absl::Milliseconds(150));
+    caller.send(PipelineFixture::get("/read/1", "c"));
+    fixture.runFor(absl::Milliseconds(50));
+    CHECK(caller.responses() == Responses { "200 a" });
+    CHECK(fixture.server.arrived() == Responses { "a" });
+}
+
+// Guards against connections that never end.
+TEST_CASE("Connections without requests, and requests that do not arrive, time out")
+{
+    PipelineFixture fixture;
+    Steering::CallerLimits limits;
+    limits.idleTimeout = absl::Milliseconds(300);
+    limits.headerTimeout = absl::Milliseconds(200);
+    fixture.configure(absl::Seconds(5), 3, {}, limits);
+    RawCaller caller = fixture.connect();
+    SECTION("idle")
+    {
+        fixture.runFor(absl::Milliseconds(200));
+        caller.send(PipelineFixture::get("/read/slow-200", "a"));
+        fixture.runFor(absl::Milliseconds(400));
+        CHECK(caller.responses() == Responses { "200 a" });
+        CHECK_FALSE(caller.closedByPeer());
+        fixture.runFor(absl::Milliseconds(250));
+        CHECK(caller.closedByPeer());
+    }
+    SECTION("half a header behind a request that runs")
+    {
+        caller.send(PipelineFixture::get("/read/slow-400", "a") + "GET /read/1 HTTP/1.1\r\n");
+        fixture.runFor(absl::Milliseconds(600));
+        const Responses responses = caller.responses();
+        REQUIRE(responses.size() == 2);
+        CHECK(responses[0] == "200 a");
+        CHECK(responses[1].starts_with("408"));
+        CHECK(caller.closedByPeer());
+    }
+}
--- a/Source/UnitTests/Entry/SteeringFixture.cpp
+++ b/Source/UnitTests/Entry/SteeringFixture.cpp
@@ -59,7 +59,8 @@
 }
 
 void SteeringFixture::configure(absl::Duration timeout, std::uint32_t maxAttempts,
-                                const std::vector<Common::RegionName> &homes)
+                                const std::vector<Common::RegionName> &homes,
+                                const Steering::CallerLimits &limits)
 {
     std::vector<Steering::Route> routes { route("/read/", true), route("/write/", false) };
     for (Steering::Route &each : routes) {
@@ -69,7 +70,7 @@
     }
     const Steering::ServiceSettings terms { Common::ServiceName(serviceName), "/health", 100, 2.0 };
     this->steering.setConfiguration(std::make_shared<const Steering::RoutingConfiguration>(
-            1, std::vector { terms }, routes, Steering::CallerLimits()));
+            1, std::vector { terms }, routes, limits));
 }
 
 Adapter::HttpRequest SteeringFixture::request(const std::string &path, const std::string &id)
--- a/Source/UnitTests/Entry/SteeringFixture.h
+++ b/Source/UnitTests/Entry/SteeringFixture.h
@@ -23,7 +23,8 @@
     /// Sets a configuration with an idempotent route (/read/) and one that is not idempotent
     /// (/write/). Both may be handled in the regions `homes`, or in all if it is empty.
     void configure(absl::Duration timeout = absl::Seconds(5), std::uint32_t maxAttempts = 3,
-                   const std::vector<Common::RegionName> &homes = {});
+                   const std::vector<Common::RegionName> &homes = {},
+                   const Steering::CallerLimits &limits = {});
 
     static Adapter::HttpRequest request(const std::string &path, const std::string &id = "id-1");
 
