Determine what follows from all servers of a service once after many changes

Each server that was added or removed rebuilt the lists of all services and the limits of their slots: 1,482 times 1,482 servers at a start. Lists are now kept by service and completed at the next access. The check of servers that need a health check, ten times a second, copies no list any more and asks for notices last. No decision changes; steering-tests and entry-tests pass.

--- a/Source/Core/Steering/ServerTable.cpp
+++ b/Source/Core/Steering/ServerTable.cpp
@@ -239,45 +239,84 @@
 
 void ServerTable::put(const BackendServer &server, Common::Instant readAt)
 {
+    ++this->generationCount;
     const auto found = this->records.find(server.name);
     if (found == this->records.end()) {
-        this->records.emplace(server.name, ServerRecord(server, readAt));
-        this->rebuild();
+        ServerRecord &added
+                = this->records.emplace(server.name, ServerRecord(server, readAt)).first->second;
+        this->byService[server.service].members.emplace(server.name, &added);
+        this->markChanged(server.service);
         return;
     }
-    const bool sameWeights = found->second.server().service == server.service
-                             && found->second.server().slots == server.slots;
+    const Common::ServiceName before = found->second.server().service;
+    const bool sameSlots = found->second.server().slots == server.slots;
     found->second.update(server, readAt);
-    ++this->generationCount;
-    if (!sameWeights) {
-        this->rebuild();
+    if (before != server.service) {
+        this->byService[before].members.erase(server.name);
+        this->byService[server.service].members.emplace(server.name, &found->second);
+        this->markChanged(before);
+        this->markChanged(server.service);
+    } else if (!sameSlots) {
+        this->markChanged(server.service);
     }
 }
 
 void ServerTable::remove(const Common::BackendServerName &name)
 {
-    if (this->records.erase(name) > 0) {
-        this->rebuild();
+    const auto found = this->records.find(name);
+    if (found == this->records.end()) {
+        return;
     }
+    ++this->generationCount;
+    const Common::ServiceName service = found->second.server().service;
+    this->byService[service].members.erase(name);
+    this->markChanged(service);
+    this->records.erase(found);
 }
 
 ServerRecord *ServerTable::find(const Common::BackendServerName &name)
 {
     const auto found = this->records.find(name);
-    return found == this->records.end() ? nullptr : &found->second;
+    if (found == this->records.end()) {
+        return nullptr;
+    }
+    this->refresh(found->second.server().service);
+    return &found->second;
 }
 
 const ServerRecord *ServerTable::find(const Common::BackendServerName &name) const
 {
     const auto found = this->records.find(name);
-    return found == this->records.end() ? nullptr : &found->second;
+    if (found == this->records.end()) {
+        return nullptr;
+    }
+    this->refresh(found->second.server().service);
+    return &found->second;
 }
 
 const std::vector<ServerRecord *> &ServerTable::ofService(const Common::ServiceName &service) const
 {
     static const std::vector<ServerRecord *> none;
+    const ServiceServers *servers = this->refresh(service);
+    return servers == nullptr ? none : servers->list;
+}
+
+const ServerTable::ServiceServers *ServerTable::refresh(const Common::ServiceName &service) const
+{
     const auto found = this->byService.find(service);
-    return found == this->byService.end() ? none : found->second;
+    if (found == this->byService.end()) {
+        return nullptr;
+    }
+    ServiceServers &servers = found->second;
+    if (servers.outdated) {
+        servers.outdated = false;
+        servers.list.clear();
+        for (const auto &[name, server] : servers.members) {
+            servers.list.push_back(server);
+        }
+        limitSlots(servers.list);
+    }
+    return &servers;
 }
 
 std::vector<ServerRecord *> ServerTable::all()
@@ -290,16 +329,14 @@
     return result;
 }
 
-void ServerTable::rebuild()
+void ServerTable::markChanged(const Common::ServiceName &service)
 {
-    ++this->generationCount;
-    this->byService.clear();
-    for (auto &[name, record] : this->records) {
-        this->byService[record.server().service].push_back(&record);
-    }
-    for (const auto &[service, servers] : this->byService) {
-        limitSlots(servers);
+    const auto found = this->byService.find(service);
+    if (found->second.members.empty()) {
+        this->byService.erase(found);
+        return;
     }
+    found->second.outdated = true;
 }
 
 void ServerTable::limitSlots(const std::vector<ServerRecord *> &servers)
--- a/Source/Entry/RequestSteeringServers.cpp
+++ b/Source/Entry/RequestSteeringServers.cpp
@@ -184,14 +184,13 @@
     this->backendPool.advance(now);
     this->checkOverdueAttempts(now);
     this->serverNotices.advance(this->table, now);
-    for (Steering::ServerRecord *server : this->table.all()) {
-        const bool wanted = this->serverNotices.use(server->server(), now)
-                            == Steering::ServerUse::Unrestricted;
-        if (wanted && server->needsProbe(now)) {
-            server->onProbeStarted(now);
-            boost::asio::co_spawn(this->context, this->checkHealth(server->server().name),
-                                  boost::asio::detached);
+    for (auto &[name, server] : this->table.byName()) {
+        if (!server.needsProbe(now)
+            || this->serverNotices.use(server.server(), now) != Steering::ServerUse::Unrestricted) {
+            continue;
         }
+        server.onProbeStarted(now);
+        boost::asio::co_spawn(this->context, this->checkHealth(name), boost::asio::detached);
     }
 }
 
--- a/Source/Entry/ServerRows.cpp
+++ b/Source/Entry/ServerRows.cpp
@@ -1,5 +1,7 @@
 #include "ServerRows.h"
 
+#include <utility>
+
 #include "platform/ServerRows.h"
 
 namespace Currantfall::Entry {
@@ -33,6 +35,9 @@
 {
     std::vector<Steering::RowChange> changesForPeers;
     Steering::ServerTable &servers = this->steering.servers();
+    // Added at the end, because what depends on all servers of a service is determined again at the
+    // first access after a change.
+    std::vector<std::pair<Steering::BackendServer, Common::Instant>> newEntries;
     for (const Steering::RowChange &row : changes) {
         const Common::BackendServerName name(row.key);
         const auto server = readRow(row);
@@ -58,7 +63,7 @@
                 this->steering.outcomes().forget(name);
             }
         }
-        servers.put(*server, row.readAt);
+        newEntries.emplace_back(*server, row.readAt);
         changesForPeers.push_back(row);
         this->log.important("server", { { "server", row.key },
                                         { "service", server->service.value() },
@@ -68,6 +73,9 @@
                                         { "era", row.position.era() },
                                         { "version", row.position.version() } });
     }
+    for (const auto &[server, readAt] : newEntries) {
+        servers.put(server, readAt);
+    }
     return changesForPeers;
 }
 
--- a/include/currantfall/Steering/ServerTable.h
+++ b/include/currantfall/Steering/ServerTable.h
@@ -131,18 +131,33 @@
     /// remove().
     const std::vector<ServerRecord *> &ofService(const Common::ServiceName &service) const;
     std::vector<ServerRecord *> all();
+    /// All servers by name. Pointers into it are valid until their server is removed.
+    std::map<Common::BackendServerName, ServerRecord> &byName() { return this->records; }
     std::size_t size() const { return this->records.size(); }
     /// Changes whenever a server is added, updated or removed, as this may change which servers
     /// can be used.
     std::uint64_t generation() const { return this->generationCount; }
 
 private:
-    void rebuild();
+    struct ServiceServers
+    {
+        /// Sorted by name.
+        std::map<Common::BackendServerName, ServerRecord *> members;
+        /// The same servers, and their limited slots, unless `outdated`.
+        std::vector<ServerRecord *> list;
+        bool outdated = false;
+    };
+
+    /// Returns nullptr if there is no server of the service.
+    const ServiceServers *refresh(const Common::ServiceName &service) const;
+    /// The servers of a service and the limit of their slots have to be determined again.
+    void markChanged(const Common::ServiceName &service);
     /// Limits the slots of each server of a service.
     static void limitSlots(const std::vector<ServerRecord *> &servers);
 
     std::map<Common::BackendServerName, ServerRecord> records;
-    std::map<Common::ServiceName, std::vector<ServerRecord *>> byService;
+    /// Many servers change at the same time; what follows from them is determined when it is used.
+    mutable std::map<Common::ServiceName, ServiceServers> byService;
     std::uint64_t generationCount = 0;
 };
 
