--- a/Source/Core/Peering/PeerLoop.cpp
+++ b/Source/Core/Peering/PeerLoop.cpp
@@ -84,12 +84,11 @@
     this->poller.wake();
 }
 
-bool PeerLoop::send(const Common::VmName &peer, LinkClass linkClass, const Wire::MessageT &message)
+bool PeerLoop::send(const Common::VmName &peer, LinkClass linkClass, SharedFrame frame)
 {
     const SendDirectory::Entry entry = this->directory.find(peer, linkClass);
     if (entry.queue != nullptr) {
-        std::string frame = encodeFrame(protocolVersion, linkClass, message);
-        const bool fits = frame.size() <= frameHeaderBytes + maxMessageBytes;
+        const bool fits = frame->size() <= frameHeaderBytes + maxMessageBytes;
         const SendQueue::Push pushed
                 = fits ? entry.queue->push(std::move(frame)) : SendQueue::Push::Refused;
         if (pushed == SendQueue::Push::QueuedFirst && this->mailbox.flushLink(entry.link)) {
@@ -377,7 +376,8 @@
     hello.known_incarnation = this->links.knownIncarnation(receiver);
     Wire::MessageT message;
     message.body.Set(std::move(hello));
-    link.queue()->push(encodeFrame(protocolVersion, linkClass, message));
+    link.queue()->push(
+            std::make_shared<const std::string>(encodeFrame(protocolVersion, linkClass, message)));
 }
 
 void PeerLoop::closeLink(LinkId id, const Common::Error &reason, Instant now)
--- a/Source/Core/Peering/PeerLoop.h
+++ b/Source/Core/Peering/PeerLoop.h
@@ -30,7 +30,7 @@
 
     void stop();
     void setPeers(std::vector<PeerAddress> peers);
-    bool send(const Common::VmName &peer, LinkClass linkClass, const Wire::MessageT &message);
+    bool send(const Common::VmName &peer, LinkClass linkClass, SharedFrame frame);
     TransportCounters counters() const;
 
 private:
--- a/Source/Core/Peering/PeerTransport.cpp
+++ b/Source/Core/Peering/PeerTransport.cpp
@@ -68,7 +68,17 @@
 bool PeerTransport::send(const Common::VmName &peer, LinkClass linkClass,
                          std::unique_ptr<Wire::MessageT> message)
 {
-    return this->implementation->loop.send(peer, linkClass, *message);
+    return this->send(peer, linkClass, encode(linkClass, *message));
+}
+
+SharedFrame PeerTransport::encode(LinkClass linkClass, const Wire::MessageT &message)
+{
+    return std::make_shared<const std::string>(encodeFrame(protocolVersion, linkClass, message));
+}
+
+bool PeerTransport::send(const Common::VmName &peer, LinkClass linkClass, SharedFrame frame)
+{
+    return this->implementation->loop.send(peer, linkClass, std::move(frame));
 }
 
 std::uint16_t PeerTransport::port() const
--- a/Source/Core/Peering/SendQueue.cpp
+++ b/Source/Core/Peering/SendQueue.cpp
@@ -4,14 +4,14 @@
 
 namespace Currantfall::Peering {
 
-SendQueue::Push SendQueue::push(std::string frame)
+SendQueue::Push SendQueue::push(std::shared_ptr<const std::string> frame)
 {
     const std::lock_guard lock(this->mutex);
-    if (this->closed || this->pending + frame.size() > this->byteLimit) {
+    if (this->closed || this->pending + frame->size() > this->byteLimit) {
         return Push::Refused;
     }
     const bool wasEmpty = this->frames.empty();
-    this->pending += frame.size();
+    this->pending += frame->size();
     this->frames.push_back(std::move(frame));
     return wasEmpty ? Push::QueuedFirst : Push::Queued;
 }
@@ -26,12 +26,13 @@
 {
     const std::lock_guard lock(this->mutex);
     std::size_t offset = this->frontSent;
-    for (std::string &frame : this->frames) {
+    for (const auto &frame : this->frames) {
         if (buffers.size() == maxBuffers) {
             return;
         }
-        // Elements of a deque stay in place while other threads append.
-        buffers.push_back({ frame.data() + offset, frame.size() - offset });
+        // Frames stay in place while other threads append.
+        // writev() takes the buffers as not constant, but does not change them.
+        buffers.push_back({ const_cast<char *>(frame->data()) + offset, frame->size() - offset });
         offset = 0;
     }
 }
@@ -42,8 +43,8 @@
     this->pending -= bytes;
     std::size_t finished = 0;
     bytes += this->frontSent;
-    while (!this->frames.empty() && bytes >= this->frames.front().size()) {
-        bytes -= this->frames.front().size();
+    while (!this->frames.empty() && bytes >= this->frames.front()->size()) {
+        bytes -= this->frames.front()->size();
         this->frames.pop_front();
         ++finished;
     }
--- a/Source/Core/Peering/SendQueue.h
+++ b/Source/Core/Peering/SendQueue.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <sys/uio.h>
@@ -24,7 +25,7 @@
     explicit SendQueue(std::size_t byteLimit) : byteLimit(byteLimit) { }
 
     /// Refuses if the limit would be exceeded or the queue was closed.
-    Push push(std::string frame);
+    Push push(std::shared_ptr<const std::string> frame);
 
     /// Refuses further frames; queued ones can still be sent.
     void close();
@@ -40,7 +41,7 @@
 private:
     const std::size_t byteLimit;
     mutable std::mutex mutex;
-    std::deque<std::string> frames;
+    std::deque<std::shared_ptr<const std::string>> frames; // Shared by the links of a broadcast.
     std::size_t frontSent = 0; // Bytes of the first frame that were sent.
     std::size_t pending = 0;
     bool closed = false;
--- a/Source/Core/Steering/ReadSchedule.cpp
+++ b/Source/Core/Steering/ReadSchedule.cpp
@@ -5,6 +5,33 @@
 
 namespace Currantfall::Steering {
 
+namespace {
+
+// Time in which links to peers are established and a table arrives, for each VM that may start at
+// the same time as this one.
+constexpr absl::Duration delayPerVm = absl::Milliseconds(20);
+constexpr absl::Duration maxDelay = absl::Seconds(2);
+// At the first start each VM finds those that were listed before it read the list.
+constexpr absl::Duration maxFirstListDelay = absl::Seconds(1);
+constexpr absl::Duration linkTime = absl::Milliseconds(500);
+
+} // namespace
+
+absl::Duration firstReadDelay(const FirstRead &first)
+{
+    if (first.listsVms) {
+        return first.firstStart ? maxFirstListDelay * first.share : absl::ZeroDuration();
+    }
+    if (first.firstStart) {
+        return maxFirstListDelay + linkTime + maxDelay * first.share;
+    }
+    const absl::Duration range
+            = first.listedVms
+                      ? std::min(delayPerVm * static_cast<double>(*first.listedVms), maxDelay)
+                      : maxDelay;
+    return range * first.share;
+}
+
 bool ReadSchedule::due(Common::Instant now, std::size_t rank, bool loaded,
                        Common::Instant confirmedAt) const
 {
--- a/Source/Entry/Cluster.cpp
+++ b/Source/Entry/Cluster.cpp
@@ -26,9 +26,24 @@
 // Limits how long the entry thread waits for queued messages when the links close. Losing them is
 // acceptable.
 constexpr absl::Duration flushTimeout = absl::Milliseconds(200);
+// Partners of zones whose VMs are all silent change with time, without a change of any member.
+constexpr absl::Duration maxPeersAge = absl::Seconds(1);
 
 } // namespace
 
+std::string toString(PeerDistance distance)
+{
+    switch (distance) {
+    case PeerDistance::SameZone:
+        return "zone";
+    case PeerDistance::SameRegion:
+        return "region";
+    case PeerDistance::OtherRegion:
+        return "other-region";
+    }
+    return "unknown";
+}
+
 Common::Result<std::unique_ptr<Cluster>> Cluster::start(boost::asio::io_context &context,
                                                         const EntrySettings &settings,
                                                         Common::Incarnation minIncarnation,
@@ -129,42 +144,65 @@
         this->table.setOwnState(now, this->hooks.ownState());
     }
     const Membership::Outgoing outgoing = this->table.advance(now);
-    const auto sendToAll
-            = [this](const std::vector<Common::VmName> &receivers, const auto &message) {
-                  for (const Common::VmName &peer : receivers) {
-                      Wire::BodyUnion body;
-                      auto copy = message;
-                      body.Set(std::move(copy));
-                      this->send(peer, std::move(body));
-                  }
-              };
     if (outgoing.heartbeat) {
-        sendToAll(outgoing.heartbeat->to, Daemon::toWire(outgoing.heartbeat->heartbeat));
+        Wire::BodyUnion body;
+        body.Set(Daemon::toWire(outgoing.heartbeat->heartbeat));
+        this->send(outgoing.heartbeat->to, std::move(body));
     }
     for (const Membership::OutgoingDigest &digest : outgoing.digests) {
-        sendToAll(digest.to, Daemon::toWire(digest.digest));
+        Wire::BodyUnion body;
+        body.Set(Daemon::toWire(digest.digest));
+        this->send(digest.to, std::move(body));
     }
-    this->updateView();
+    this->updateView(now);
 }
 
 void Cluster::setListedVms(std::vector<Membership::ListedVm> vms, Common::Instant now)
 {
     this->table.applyPlatformList(now, vms);
-    this->updateView();
+    this->updateView(now);
 }
 
-void Cluster::send(const Common::VmName &peer, Wire::BodyUnion body)
+void Cluster::send(const std::vector<Common::VmName> &peers, Wire::BodyUnion body)
 {
-    auto message = std::make_unique<Wire::MessageT>();
-    message->body = std::move(body);
-    // A failed send can be ignored: the state is sent again when the link to the peer is
-    // re-established.
-    (void)this->transport->send(peer, Peering::LinkClass::Control, std::move(message));
+    if (peers.empty()) {
+        return;
+    }
+    Wire::MessageT message;
+    message.body = std::move(body);
+    const Peering::SharedFrame frame
+            = Peering::PeerTransport::encode(Peering::LinkClass::Control, message);
+    for (const Common::VmName &peer : peers) {
+        // A failed send can be ignored: the state is sent again when the link to the peer is
+        // re-established.
+        if (this->transport->send(peer, Peering::LinkClass::Control, frame)) {
+            PeerTraffic &sent = this->traffic[{ message.body.type, this->distanceTo(peer) }];
+            ++sent.messages;
+            sent.bytes += frame->size();
+        }
+    }
 }
 
-std::vector<Common::VmName> Cluster::linkedPeers() const
+void Cluster::spread(const std::vector<Membership::SpreadTarget> &targets,
+                     const std::function<Wire::BodyUnion(Membership::SpreadDuty)> &message)
 {
-    return { this->linked.begin(), this->linked.end() };
+    std::map<Membership::SpreadDuty, std::vector<Common::VmName>> byDuty;
+    for (const Membership::SpreadTarget &target : targets) {
+        byDuty[target.duty].push_back(target.vm);
+    }
+    for (const auto &[duty, peers] : byDuty) {
+        this->send(peers, message(duty));
+    }
+}
+
+PeerDistance Cluster::distanceTo(const Common::VmName &peer) const
+{
+    const auto found = this->linked.find(peer);
+    if (found == this->linked.end() || found->second.zone == this->self.zone) {
+        return PeerDistance::SameZone;
+    }
+    return found->second.region == this->self.region ? PeerDistance::SameRegion
+                                                     : PeerDistance::OtherRegion;
 }
 
 void Cluster::onMessage(const Common::VmName &from, Common::Incarnation incarnation,
@@ -185,29 +223,49 @@
 
 void Cluster::onLinkUp(const Peering::PeerIdentity &peer)
 {
-    this->table.applyLinkUp(
-            Common::monotonicNow(),
-            { peer.vm, peer.zone, peer.region, peer.incarnation, peer.address, peer.portBase });
-    this->linked.insert(peer.vm);
+    const Common::Instant now = Common::monotonicNow();
+    this->table.applyLinkUp(now, { peer.vm, peer.zone, peer.region, peer.incarnation, peer.address,
+                                   peer.portBase });
+    this->linked.insert_or_assign(peer.vm,
+                                  Membership::LinkedPeer { peer.vm, peer.zone, peer.region });
     this->log.important("peer_link_up", { { "peer", peer.vm.value() } });
-    this->updateView();
+    this->updateView(now);
+    this->updateSpreadPlan();
     this->hooks.onLinkUp(peer.vm);
 }
 
 void Cluster::onLinkDown(const Common::VmName &peer, Common::Incarnation incarnation,
                          const Common::Error &reason)
 {
-    this->table.applyLinkDown(Common::monotonicNow(), peer, incarnation);
+    const Common::Instant now = Common::monotonicNow();
+    this->table.applyLinkDown(now, peer, incarnation);
     this->linked.erase(peer);
     nlohmann::ordered_json fields { { "peer", peer.value() } };
     fields["reason"] = reason.toString();
     this->log.important("peer_link_down", std::move(fields));
-    this->updateView();
+    this->updateView(now);
+    this->updateSpreadPlan();
 }
 
-void Cluster::updateView()
+void Cluster::updateView(Common::Instant now)
 {
     this->view = this->table.view();
+    const bool changed = this->topologyVersion != this->view->topologyVersion();
+    if (changed || now - this->peersUpdatedAt >= maxPeersAge) {
+        this->peersUpdatedAt = now;
+        this->updatePeers();
+    }
+    if (!changed) {
+        return;
+    }
+    this->topologyVersion = this->view->topologyVersion();
+    this->updateRank();
+    this->updateSpreadPlan();
+    this->hooks.onMembersChanged();
+}
+
+void Cluster::updatePeers()
+{
     std::vector<Peering::PeerAddress> desiredPeers;
     for (const Membership::Endpoint &endpoint : this->table.peersToConnect()) {
         desiredPeers.push_back(
@@ -217,10 +275,10 @@
         this->peers = desiredPeers;
         this->transport->setPeers(std::move(desiredPeers));
     }
-    if (this->topologyVersion == this->view->topologyVersion()) {
-        return;
-    }
-    this->topologyVersion = this->view->topologyVersion();
+}
+
+void Cluster::updateRank()
+{
     std::vector<std::string> live { this->self.vm.value() };
     for (const auto &member : this->view->members()) {
         if (member->state == MemberState::Live && member->vm != this->self.vm) {
@@ -232,7 +290,23 @@
             [](const std::string &name) -> const std::string & { return name; });
     this->rank = static_cast<std::size_t>(
             std::find(order.begin(), order.end(), this->self.vm.value()) - order.begin());
-    this->hooks.onMembersChanged();
+}
+
+void Cluster::updateSpreadPlan()
+{
+    std::map<Common::ZoneName, Common::RegionName> zones;
+    for (const auto &member : this->view->members()) {
+        if (member->state == MemberState::Live || member->state == MemberState::Leaving) {
+            zones.try_emplace(member->zone, member->region);
+        }
+    }
+    std::vector<Membership::LinkedPeer> linkedPeers;
+    linkedPeers.reserve(this->linked.size());
+    for (const auto &[vm, peer] : this->linked) {
+        linkedPeers.push_back(peer);
+    }
+    this->plan = Membership::SpreadPlan({ this->self.vm, this->self.zone, this->self.region },
+                                        std::move(linkedPeers), zones);
 }
 
 } // namespace Currantfall::Entry
--- a/Source/Entry/Cluster.h
+++ b/Source/Entry/Cluster.h
@@ -1,13 +1,15 @@
 #pragma once
 
+#include <array>
 #include <functional>
+#include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "currantfall/Common/EventLog.h"
 #include "currantfall/Membership/MemberTable.h"
+#include "currantfall/Membership/SpreadPlan.h"
 #include "currantfall/Peering/PeerTransport.h"
 
 #include "Asio.h"
@@ -15,6 +17,26 @@
 
 namespace Currantfall::Entry {
 
+/// Where the receiver of a message is, as seen by its sender.
+enum class PeerDistance {
+    SameZone,
+    SameRegion,
+    OtherRegion
+};
+constexpr std::size_t peerDistanceCount = 3;
+std::string toString(PeerDistance distance);
+
+/// Messages that were sent to peers, without those that their links could not take.
+struct PeerTraffic
+{
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0; ///< With the headers of frames, without those of TCP and IP.
+
+    friend bool operator==(const PeerTraffic &left, const PeerTraffic &right) = default;
+};
+/// By the type of the message's body and the distance.
+using PeerTrafficTable = std::map<std::pair<Peering::Wire::Body, PeerDistance>, PeerTraffic>;
+
 /// Maintains the membership of this VM among the entry VMs: peer links, heartbeats and the view of
 /// live members. Runs on the entry thread.
 class Cluster
@@ -44,8 +66,14 @@
     /// Sets the VMs that are registered in the platform's store.
     void setListedVms(std::vector<Membership::ListedVm> vms, Common::Instant now);
 
-    void send(const Common::VmName &peer, Peering::Wire::BodyUnion body);
-    std::vector<Common::VmName> linkedPeers() const;
+    /// The message is lost if there is no link to a peer, or if its buffer is full.
+    void send(const std::vector<Common::VmName> &peers, Peering::Wire::BodyUnion body);
+    /// Sends a message with the duty of each target.
+    void spread(const std::vector<Membership::SpreadTarget> &targets,
+                const std::function<Peering::Wire::BodyUnion(Membership::SpreadDuty)> &message);
+    /// To whom messages are sent that all VMs, or those of the region, are to get.
+    const Membership::SpreadPlan &spreadPlan() const { return this->plan; }
+    const PeerTrafficTable &sentTraffic() const { return this->traffic; }
     const Membership::MemberView &members() const { return *this->view; }
     /// Position of this VM among the live VMs in the order of store readers, which all VMs share.
     std::size_t readerRank() const { return this->rank; }
@@ -63,9 +91,13 @@
     void onLinkUp(const Peering::PeerIdentity &peer);
     void onLinkDown(const Common::VmName &peer, Common::Incarnation incarnation,
                     const Common::Error &reason);
-    /// Takes the current view of the member table and updates the peers to connect and the reader
-    /// rank.
-    void updateView();
+    /// Takes the current view of the member table. If members have changed, updates what depends on
+    /// them: the peers to connect, the reader rank and the spread plan.
+    void updateView(Common::Instant now);
+    void updatePeers();
+    void updateRank();
+    void updateSpreadPlan();
+    PeerDistance distanceTo(const Common::VmName &peer) const;
 
     boost::asio::io_context &context;
     Membership::Identity self;
@@ -75,7 +107,11 @@
     std::shared_ptr<const Membership::MemberView> view;
     std::uint64_t topologyVersion = 0;
     std::size_t rank = 0;
-    std::set<Common::VmName> linked;
+    /// Identities of the peers with an established link.
+    std::map<Common::VmName, Membership::LinkedPeer> linked;
+    Membership::SpreadPlan plan;
+    PeerTrafficTable traffic;
+    Common::Instant peersUpdatedAt = Common::Instant::fromOrigin(-absl::InfiniteDuration());
     std::vector<Peering::PeerAddress> peers;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     std::unique_ptr<Peering::PeerTransport> transport;
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -156,7 +156,7 @@
         } else if (const auto *moves = message.body.AsObjectMoves()) {
             this->objectMoveSync->onMessage(peer, *moves);
         } else if (const auto *outcomes = message.body.AsOutcomeReport()) {
-            this->outcomeSync->onMessage(*outcomes, now);
+            this->outcomeSync->onMessage(peer, *outcomes, now);
         } else if (const auto *returned = message.body.AsReturnedZones()) {
             this->onReturnedZones(*returned, now);
         }
@@ -210,24 +210,24 @@
 
 void EntryDaemon::startPeerSync()
 {
-    const auto peers = [this] { return this->cluster->linkedPeers(); };
-    const auto send = [this](const Common::VmName &peer, Peering::Wire::BodyUnion body) {
-        this->cluster->send(peer, std::move(body));
+    this->objectMoveSync
+            = std::make_unique<ObjectMoveSync>(this->steering, this->peerChannel(), this->log);
+    this->outcomeSync = std::make_unique<OutcomeSync>(this->steering, this->peerChannel());
+}
+
+PeerChannel EntryDaemon::peerChannel()
+{
+    // The cluster may be replaced.
+    PeerChannel channel;
+    channel.plan
+            = [this]() -> const Membership::SpreadPlan & { return this->cluster->spreadPlan(); };
+    channel.send = [this](const auto &peers, Peering::Wire::BodyUnion body) {
+        this->cluster->send(peers, std::move(body));
     };
-    this->objectMoveSync = std::make_unique<ObjectMoveSync>(
-            this->steering, ObjectMoveSync::Hooks { peers, send }, this->log);
-    // Outcomes are shared only within the region: its VMs send requests to the same servers, mostly
-    // those of the region, and traffic between regions is expensive.
-    const auto regionPeers = [this] {
-        std::vector<Common::VmName> result = this->cluster->linkedPeers();
-        std::erase_if(result, [this](const Common::VmName &peer) {
-            const Membership::Member *member = this->cluster->members().find(peer);
-            return member == nullptr || member->region != this->settings.region;
-        });
-        return result;
+    channel.spread = [this](const auto &targets, const auto &message) {
+        this->cluster->spread(targets, message);
     };
-    this->outcomeSync = std::make_unique<OutcomeSync>(
-            this->steering, OutcomeSync::Hooks { this->settings.vm, regionPeers, send });
+    return channel;
 }
 
 void EntryDaemon::sendReturnedZones(const Common::VmName &peer)
@@ -242,7 +242,7 @@
     }
     Peering::Wire::BodyUnion body;
     body.Set(std::move(message));
-    this->cluster->send(peer, std::move(body));
+    this->cluster->send({ peer }, std::move(body));
 }
 
 void EntryDaemon::onReturnedZones(const Peering::Wire::ReturnedZonesT &message, Common::Instant now)
@@ -259,15 +259,19 @@
 void EntryDaemon::startStore()
 {
     StoreSync::Hooks hooks;
-    hooks.self = this->settings.vm;
     hooks.onChanges = [this](const std::string &table, const auto &changes) {
         return this->onTableChanges(table, changes);
     };
-    hooks.peers = [this] { return this->cluster->linkedPeers(); };
-    hooks.send = [this](const Common::VmName &peer, Peering::Wire::BodyUnion body) {
-        this->cluster->send(peer, std::move(body));
-    };
+    hooks.peers = this->peerChannel();
     hooks.readerRank = [this] { return this->cluster->readerRank(); };
+    hooks.firstReadDelay = [this, share = shareOf(this->settings.vm)](const std::string &table) {
+        const Steering::TableReplica &vms = this->storeSync->replica(vmTable);
+        const Steering::FirstRead first { this->settings.firstStart, table == vmTable,
+                                          vms.loaded() ? std::optional(vms.rows().size())
+                                                       : std::nullopt,
+                                          share };
+        return Steering::firstReadDelay(first);
+    };
     this->storeSync
             = std::make_unique<StoreSync>(this->context, this->settings.store, storeTables(),
                                           std::move(hooks), this->log, this->metrics);
@@ -462,16 +466,30 @@
 void EntryDaemon::onMembersChanged()
 {
     std::vector<Common::VmName> vms { this->settings.vm };
-    nlohmann::ordered_json states;
+    std::map<Common::VmName, Membership::MemberState> states;
+    nlohmann::ordered_json changes;
     for (const auto &member : this->cluster->members().members()) {
-        states[member->vm.value()] = Membership::toString(member->state);
+        states.emplace(member->vm, member->state);
+        const auto before = this->memberStates.find(member->vm);
+        if (before == this->memberStates.end() || before->second != member->state) {
+            changes[member->vm.value()] = Membership::toString(member->state);
+        }
         // A VM that is unreachable from here may still send requests to backend servers.
         if (member->vm != this->settings.vm && member->incarnation != 0) {
             vms.push_back(member->vm);
         }
     }
+    for (const auto &[vm, state] : this->memberStates) {
+        if (!states.contains(vm)) {
+            changes[vm.value()] = "removed";
+        }
+    }
+    this->memberStates = std::move(states);
     this->steering.selector().setVms(std::move(vms));
-    this->log.important("members", { { "states", std::move(states) } });
+    if (!changes.empty()) {
+        this->log.important("members", { { "count", this->memberStates.size() },
+                                         { "changes", std::move(changes) } });
+    }
 }
 
 double EntryDaemon::processorShareOf(const Common::VmName &vm) const
@@ -583,6 +601,14 @@
     }
     this->metrics.setGauge("currantfall_requests_in_progress",
                            static_cast<double>(this->steering.requestsInProgress()));
+    for (const auto &[kind, sent] : this->cluster->sentTraffic()) {
+        const Telemetry::Labels labels { { "type", Peering::Wire::EnumNameBody(kind.first) },
+                                         { "distance", toString(kind.second) } };
+        this->metrics.setGauge("currantfall_peer_messages_sent", static_cast<double>(sent.messages),
+                               labels);
+        this->metrics.setGauge("currantfall_peer_bytes_sent", static_cast<double>(sent.bytes),
+                               labels);
+    }
     const Steering::NoticeSummary notices = this->steering.notices().summary(now);
     this->metrics.setGauge("currantfall_servers_leaving", static_cast<double>(notices.leaving));
     this->metrics.setGauge("currantfall_servers_pausing", static_cast<double>(notices.pausing));
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -23,6 +23,7 @@
 #include "RequestSteering.h"
 #include "ServerRows.h"
 #include "StoreSync.h"
+#include "VmRow.h"
 
 namespace Currantfall::Entry {
 
@@ -71,9 +72,10 @@
     onTableChanges(const std::string &table, const std::vector<Steering::RowChange> &changes);
     void onOperatorRows(const std::vector<Steering::RowChange> &changes);
     void onVmRows();
-    /// Counts and logs each version of a row that names no VM once.
-    void noteIgnoredVmRow(const Steering::RowChange &row, const Common::Error &reason);
+    /// Counts and logs a version of a row that names no VM.
+    void noteIgnoredVmRow(const Common::Error &reason);
     void onMembersChanged();
+    PeerChannel peerChannel();
     /// Applies the configuration in the row if it is valid and newer than the current one.
     void applyConfiguration(const Steering::RowChange &row);
     /// Writes the row of this VM if the store does not have it.
@@ -106,8 +108,15 @@
     std::unique_ptr<StoreWorker> storeWriter;
     /// Registered processor share of each VM.
     std::map<Common::VmName, double> processorShares;
-    /// Versions of the VM rows that were noted as ignored.
-    std::map<std::string, Steering::StorePosition> ignoredVmRows;
+    struct ParsedVmRow
+    {
+        Steering::StorePosition position;
+        Common::Result<RegisteredVm> vm;
+    };
+    /// Rows of VMs as they were read last, because few of them change at once.
+    std::map<std::string, ParsedVmRow> parsedVmRows;
+    /// States that the members had when they last changed.
+    std::map<Common::VmName, Membership::MemberState> memberStates;
     Steering::RowWriteSchedule registration;
     std::unique_ptr<CallerListener> callerListener;
     std::unique_ptr<HttpEndpoint> readinessEndpoint;
--- a/Source/Entry/EntryDaemonRows.cpp
+++ b/Source/Entry/EntryDaemonRows.cpp
@@ -71,29 +71,30 @@
 void EntryDaemon::onVmRows()
 {
     const auto &rows = this->storeSync->replica(vmTable).rows();
-    std::erase_if(this->ignoredVmRows,
-                  [&rows](const auto &ignored) { return !rows.contains(ignored.first); });
+    std::erase_if(this->parsedVmRows,
+                  [&rows](const auto &parsed) { return !rows.contains(parsed.first); });
     std::vector<Membership::ListedVm> vms;
     for (const auto &[name, row] : rows) {
-        auto vm = readVmRow(name, row.value);
-        if (vm) {
+        auto parsed = this->parsedVmRows.find(name);
+        if (parsed == this->parsedVmRows.end() || parsed->second.position != row.position) {
+            parsed = this->parsedVmRows
+                             .insert_or_assign(
+                                     name, ParsedVmRow { row.position, readVmRow(name, row.value) })
+                             .first;
+            if (!parsed->second.vm) {
+                this->noteIgnoredVmRow(parsed->second.vm.error());
+            }
+        }
+        if (const auto &vm = parsed->second.vm) {
             this->processorShares[vm->vm.vm] = vm->processorShare;
-            vms.push_back(std::move(vm->vm));
-        } else {
-            this->noteIgnoredVmRow(row, vm.error());
+            vms.push_back(vm->vm);
         }
     }
     this->cluster->setListedVms(std::move(vms), Common::monotonicNow());
 }
 
-void EntryDaemon::noteIgnoredVmRow(const Steering::RowChange &row, const Common::Error &reason)
+void EntryDaemon::noteIgnoredVmRow(const Common::Error &reason)
 {
-    // All rows are read at each change of one of them.
-    Steering::StorePosition &noted = this->ignoredVmRows[row.key];
-    if (noted == row.position) {
-        return;
-    }
-    noted = row.position;
     this->metrics.addToCounter("currantfall_store_rows_ignored_total", { { "table", vmTable } });
     if (this->log.admits()) {
         this->log.write("vm_row_ignored", Common::errorFields(reason));
--- a/Source/Entry/EntrySettings.cpp
+++ b/Source/Entry/EntrySettings.cpp
@@ -107,6 +107,13 @@
     settings.processorShare
             = reader.number("/processor_share", minProcessorShare, maxProcessorShare);
     settings.shutdownGrace = absl::Seconds(reader.number("/shutdown_grace_s", 0.5, 600));
+    if (const json *first = reader.find("/first_start"); first != nullptr) {
+        if (!first->is_boolean()) {
+            reader.fail("/first_start", "true or false");
+        } else {
+            settings.firstStart = first->get<bool>();
+        }
+    }
     settings.lookupTtlMax = absl::Seconds(reader.number("/lookup_ttl_max_s", 0.1, 600));
     // Without a known bound, no request is sent to a server that leaves.
     if (reader.find("/server_drain_ms") != nullptr) {
--- a/Source/Entry/EntrySettings.h
+++ b/Source/Entry/EntrySettings.h
@@ -39,6 +39,8 @@
     double processorShare = 1.0;
     /// Time from SIGTERM until the process is killed with SIGKILL.
     absl::Duration shutdownGrace;
+    /// All VMs start for the first time.
+    bool firstStart = false;
     absl::Duration lookupTtlMax;
     /// Time for which a backend server may get requests after it has announced that it leaves. Zero
     /// if the file does not say.
--- a/Source/Entry/ObjectMoveSync.cpp
+++ b/Source/Entry/ObjectMoveSync.cpp
@@ -2,19 +2,43 @@
 
 #include <memory>
 #include <utility>
+#include <vector>
 
 namespace Currantfall::Entry {
 
 namespace Wire = Peering::Wire;
+using Membership::SpreadDuty;
 
-ObjectMoveSync::ObjectMoveSync(RequestSteering &steering, Hooks hooks, Common::EventLog &log)
-    : steering(steering), hooks(std::move(hooks)), log(log)
+namespace {
+
+Wire::ObjectMovesT toWire(const std::vector<Steering::ObjectMove> &moves)
+{
+    Wire::ObjectMovesT message;
+    for (const Steering::ObjectMove &move : moves) {
+        auto entry = std::make_unique<Wire::ObjectMoveT>();
+        entry->service = move.service.value();
+        entry->object = move.object;
+        entry->server = move.server.value();
+        entry->from = move.from.value();
+        entry->sequence = move.sequence;
+        message.moves.push_back(std::move(entry));
+    }
+    return message;
+}
+
+} // namespace
+
+ObjectMoveSync::ObjectMoveSync(RequestSteering &steering, PeerChannel peers, Common::EventLog &log)
+    : steering(steering), peers(std::move(peers)), log(log)
 { }
 
 void ObjectMoveSync::sendNewMoves()
 {
     const auto moves = this->steering.selector().takeMoves();
-    this->sendMoves(moves, this->hooks.peers());
+    if (moves.empty()) {
+        return;
+    }
+    this->peers.spread(this->peers.plan().targets(SpreadDuty::Fleet), withDuty(toWire(moves)));
     for (const Steering::ObjectMove &move : moves) {
         this->log.important("object_moved", { { "service", move.service.value() },
                                               { "object", move.object },
@@ -25,31 +49,14 @@
 
 void ObjectMoveSync::onLinkUp(const Common::VmName &peer)
 {
-    this->sendMoves(this->steering.selector().moves(), { peer });
-}
-
-void ObjectMoveSync::sendMoves(const std::vector<Steering::ObjectMove> &moves,
-                               const std::vector<Common::VmName> &peers) const
-{
+    const auto moves = this->steering.selector().moves();
     if (moves.empty()) {
         return;
     }
-    Wire::ObjectMovesT message;
-    for (const Steering::ObjectMove &move : moves) {
-        auto entry = std::make_unique<Wire::ObjectMoveT>();
-        entry->service = move.service.value();
-        entry->object = move.object;
-        entry->server = move.server.value();
-        entry->from = move.from.value();
-        entry->sequence = move.sequence;
-        message.moves.push_back(std::move(entry));
-    }
-    for (const Common::VmName &peer : peers) {
-        auto copy = message;
-        Wire::BodyUnion body;
-        body.Set(std::move(copy));
-        this->hooks.send(peer, std::move(body));
-    }
+    Wire::ObjectMovesT message = toWire(moves);
+    // A peer of another zone may be the only one of its zone with a link to this one.
+    message.duty = static_cast<std::uint8_t>(SpreadDuty::Zone);
+    this->peers.send({ peer }, toBody(std::move(message)));
 }
 
 void ObjectMoveSync::onMessage(const Common::VmName &peer, const Wire::ObjectMovesT &message)
@@ -66,9 +73,10 @@
             appliedMoves.push_back(std::move(move));
         }
     }
-    std::vector<Common::VmName> others = this->hooks.peers();
-    std::erase(others, peer);
-    this->sendMoves(appliedMoves, others);
+    if (!appliedMoves.empty()) {
+        const auto duty = Membership::spreadDutyOf(message.duty);
+        this->peers.spread(this->peers.plan().targets(peer, duty), withDuty(toWire(appliedMoves)));
+    }
 }
 
 } // namespace Currantfall::Entry
--- a/Source/Entry/ObjectMoveSync.h
+++ b/Source/Entry/ObjectMoveSync.h
@@ -1,11 +1,8 @@
 #pragma once
 
-#include <functional>
-#include <vector>
-
 #include "currantfall/Common/EventLog.h"
-#include "currantfall/Peering/PeerTransport.h"
 
+#include "PeerChannel.h"
 #include "RequestSteering.h"
 
 namespace Currantfall::Entry {
@@ -15,13 +12,7 @@
 class ObjectMoveSync
 {
 public:
-    struct Hooks
-    {
-        std::function<std::vector<Common::VmName>()> peers;
-        std::function<void(const Common::VmName &peer, Peering::Wire::BodyUnion body)> send;
-    };
-
-    ObjectMoveSync(RequestSteering &steering, Hooks hooks, Common::EventLog &log);
+    ObjectMoveSync(RequestSteering &steering, PeerChannel peers, Common::EventLog &log);
 
     /// Sends the moves that were made since the last call.
     void sendNewMoves();
@@ -29,11 +20,8 @@
     void onMessage(const Common::VmName &peer, const Peering::Wire::ObjectMovesT &message);
 
 private:
-    void sendMoves(const std::vector<Steering::ObjectMove> &moves,
-                   const std::vector<Common::VmName> &peers) const;
-
     RequestSteering &steering;
-    Hooks hooks;
+    PeerChannel peers;
     Common::EventLog &log;
 };
 
--- a/Source/Entry/OutcomeSync.cpp
+++ b/Source/Entry/OutcomeSync.cpp
@@ -1,30 +1,17 @@
 #include "OutcomeSync.h"
 
-#include <algorithm>
 #include <memory>
 #include <utility>
 
 namespace Currantfall::Entry {
 
 namespace Wire = Peering::Wire;
+using Membership::SpreadDuty;
 
-OutcomeSync::OutcomeSync(RequestSteering &steering, Hooks hooks)
-    : steering(steering), hooks(std::move(hooks))
-{ }
+namespace {
 
-void OutcomeSync::sendChanges(Common::Instant now)
+Wire::OutcomeReportT toWire(const Steering::OutcomeReport &report)
 {
-    this->sendReport(this->steering.outcomes().takeReport(now), {});
-}
-
-void OutcomeSync::sendReport(const Steering::OutcomeReport &report,
-                             Membership::Recipients recipients) const
-{
-    if (report.servers.empty()) {
-        return;
-    }
-    recipients.add(this->hooks.self);
-    const auto peers = recipients.addMissing(this->hooks.peers());
     Wire::OutcomeReportT message;
     message.vm = report.vm.value();
     message.sequence = report.sequence;
@@ -35,16 +22,26 @@
         entry->failed = static_cast<float>(outcomes.counts.failed);
         message.servers.push_back(std::move(entry));
     }
-    message.recipients = recipients.hashes();
-    for (const Common::VmName &peer : peers) {
-        auto copy = message;
-        Wire::BodyUnion body;
-        body.Set(std::move(copy));
-        this->hooks.send(peer, std::move(body));
+    return message;
+}
+
+} // namespace
+
+OutcomeSync::OutcomeSync(RequestSteering &steering, PeerChannel peers)
+    : steering(steering), peers(std::move(peers))
+{ }
+
+void OutcomeSync::sendChanges(Common::Instant now)
+{
+    const Steering::OutcomeReport report = this->steering.outcomes().takeReport(now);
+    if (!report.servers.empty()) {
+        this->peers.spread(this->peers.plan().targets(SpreadDuty::Region),
+                           withDuty(toWire(report)));
     }
 }
 
-void OutcomeSync::onMessage(const Wire::OutcomeReportT &message, Common::Instant now)
+void OutcomeSync::onMessage(const Common::VmName &peer, const Wire::OutcomeReportT &message,
+                            Common::Instant now)
 {
     Steering::OutcomeReport report;
     report.vm = Common::VmName(message.vm);
@@ -55,8 +52,12 @@
                                        { entry->answered, entry->failed } });
         }
     }
+    const auto duty = Membership::spreadDutyOf(message.duty);
+    // VMs of earlier versions send to all their peers, also those of other regions.
+    const bool known = duty != SpreadDuty::Everyone;
     if (this->steering.outcomes().apply(report, now)) {
-        this->sendReport(report, Membership::Recipients(message.recipients));
+        this->peers.spread(this->peers.plan().targets(peer, known ? duty : SpreadDuty::Region),
+                           withDuty(toWire(report)));
     }
 }
 
--- a/Source/Entry/StoreSync.cpp
+++ b/Source/Entry/StoreSync.cpp
@@ -16,6 +16,9 @@
 // later than at the last relayed update.
 constexpr absl::Duration minConfirmationAdvance = absl::Milliseconds(300);
 
+// Interval at which versions are compared with peers.
+constexpr absl::Duration versionInterval = absl::Milliseconds(500);
+
 // Interval between log lines about discarded updates of one table.
 constexpr absl::Duration discardLogInterval = absl::Seconds(1);
 
@@ -67,6 +70,16 @@
     return update;
 }
 
+/// Whether `rows` has a row whose key is not among `others`.
+bool hasRowsBeyond(const std::vector<Steering::RowChange> &rows,
+                   const std::vector<Steering::RowChange> &others)
+{
+    return std::any_of(rows.begin(), rows.end(), [&others](const auto &row) {
+        return std::none_of(others.begin(), others.end(),
+                            [&row](const auto &other) { return other.key == row.key; });
+    });
+}
+
 /// Adds rows whose keys are not among `rows`.
 void addMissing(std::vector<Steering::RowChange> &rows,
                 const std::vector<Steering::RowChange> &others)
@@ -81,20 +94,13 @@
     }
 }
 
-template<typename Message>
-Wire::BodyUnion toBody(Message message)
-{
-    Wire::BodyUnion result;
-    result.Set(std::move(message));
-    return result;
-}
-
 } // namespace
 
 StoreSync::StoreSync(boost::asio::io_context &context, const Platform::HostPort &store,
                      const std::vector<Table> &tables, Hooks hooks, Common::EventLog &log,
                      Telemetry::MetricsRegistry &metrics)
-    : context(context), hooks(std::move(hooks)), log(log), metrics(metrics)
+    : context(context), hooks(std::move(hooks)), log(log), metrics(metrics),
+      startedAt(Common::monotonicNow()), versionsSentAt(startedAt), random(std::random_device()())
 {
     for (const Table &table : tables) {
         this->states.emplace(table.name,
@@ -121,10 +127,17 @@
     }
     const std::size_t rank = this->hooks.readerRank();
     for (auto &[name, state] : this->states) {
+        if (!state.replica.loaded() && now - this->startedAt < this->hooks.firstReadDelay(name)) {
+            continue;
+        }
         if (state.schedule.due(now, rank, state.replica.loaded(), state.replica.confirmedAt())) {
             this->startRead(state);
         }
     }
+    if (now - this->versionsSentAt >= versionInterval) {
+        this->versionsSentAt = now;
+        this->sendVersions(now);
+    }
 }
 
 void StoreSync::startRead(State &state)
@@ -193,6 +206,12 @@
     this->log.important(reachable ? "dependency_regained" : "dependency_lost", std::move(fields));
 }
 
+bool StoreSync::mayRequestTable(const Common::VmName &peer) const
+{
+    const auto &mates = this->hooks.peers.plan().zonePeers();
+    return mates.empty() || std::find(mates.begin(), mates.end(), peer) != mates.end();
+}
+
 void StoreSync::noteEra(const State &state, Steering::StorePosition before,
                         const std::optional<Source> &source)
 {
@@ -246,14 +265,15 @@
     const bool loadedBefore = state.replica.loaded();
     const auto outcome = state.replica.apply(update);
     if (outcome.status == Steering::TableReplica::Status::Gap && source
-        && now - state.requestedAt >= requestTimeout) {
+        && now - state.requestedAt >= requestTimeout
+        && (loadedBefore || this->mayRequestTable(source->peer))) {
         state.requestedAt = now;
         Wire::StoreRequestT request;
         request.table = state.table.name;
         request.loaded = state.replica.loaded();
         request.version = before.version();
         request.era = before.era();
-        this->hooks.send(source->peer, toBody(std::move(request)));
+        this->hooks.peers.send({ source->peer }, toBody(std::move(request)));
     }
     if (!outcome.localChanges.empty()
         && outcome.status != Steering::TableReplica::Status::Applied) {
@@ -294,31 +314,39 @@
         relayedUpdate.rows.clear();
     }
     if (newEra) {
-        // This VM may be the only one that knows these rows.
         relayedUpdate.rows = state.replica.retainedRows();
-        if (source && !relayedUpdate.rows.empty()) {
-            this->hooks.send(source->peer, toBody(toWire(state.table.name, relayedUpdate, now)));
-        }
     }
-    this->relay(state, relayedUpdate, source, now);
+    // This VM may be the only one that knows rows that the source did not send.
+    const bool ownRows = !source || hasRowsBeyond(relayedUpdate.rows, update.rows);
+    const Membership::SpreadPlan &plan = this->hooks.peers.plan();
+    this->hooks.peers.spread(ownRows ? plan.targets(Membership::SpreadDuty::Fleet)
+                                     : plan.targets(source->peer, source->duty),
+                             withDuty(toWire(state.table.name, relayedUpdate, now)));
     return true;
 }
 
-void StoreSync::relay(const State &state, const Steering::TableUpdate &update,
-                      const std::optional<Source> &source, Common::Instant now) const
+Wire::StoreUpdateT StoreSync::versionOf(const State &state, Common::Instant now)
+{
+    Steering::TableUpdate version;
+    version.from = state.replica.position();
+    version.to = version.from;
+    version.confirmedAt = state.replica.confirmedAt();
+    version.rows = state.replica.retainedRows();
+    Wire::StoreUpdateT message = toWire(state.table.name, version, now);
+    message.duty = static_cast<std::uint8_t>(Membership::SpreadDuty::Zone);
+    return message;
+}
+
+void StoreSync::sendVersions(Common::Instant now)
 {
-    Wire::StoreUpdateT message = toWire(state.table.name, update, now);
-    std::vector<Common::VmName> peers = this->hooks.peers();
-    if (update.rows.empty()) {
-        Membership::Recipients recipients = source ? source->recipients : Membership::Recipients();
-        recipients.add(this->hooks.self);
-        peers = recipients.addMissing(peers);
-        message.recipients = recipients.hashes();
+    const Membership::SpreadPlan &plan = this->hooks.peers.plan();
+    std::vector<Common::VmName> peers = plan.repairPeers();
+    if (const auto &mates = plan.zonePeers(); !mates.empty()) {
+        peers.push_back(mates[this->random() % mates.size()]);
     }
-    for (const Common::VmName &peer : peers) {
-        if (!source || peer != source->peer) {
-            auto copy = message;
-            this->hooks.send(peer, toBody(std::move(copy)));
+    for (const auto &[name, state] : this->states) {
+        if (state.replica.loaded()) {
+            this->hooks.peers.send(peers, toBody(versionOf(state, now)));
         }
     }
 }
@@ -326,17 +354,9 @@
 void StoreSync::onLinkUp(const Common::VmName &peer, Common::Instant now)
 {
     for (const auto &[name, state] : this->states) {
-        if (!state.replica.loaded()) {
-            continue;
+        if (state.replica.loaded()) {
+            this->hooks.peers.send({ peer }, toBody(versionOf(state, now)));
         }
-        // Sends the version and what the store does not list; a peer with an older version requests
-        // the changes.
-        Steering::TableUpdate version;
-        version.from = state.replica.position();
-        version.to = version.from;
-        version.confirmedAt = state.replica.confirmedAt();
-        version.rows = state.replica.retainedRows();
-        this->hooks.send(peer, toBody(toWire(name, version, now)));
     }
 }
 
@@ -346,7 +366,7 @@
     const auto state = this->states.find(message.table);
     if (state != this->states.end()) {
         this->apply(state->second, fromWire(message, now),
-                    Source { peer, Membership::Recipients(message.recipients) }, now);
+                    Source { peer, Membership::spreadDutyOf(message.duty) }, now);
     }
 }
 
@@ -360,7 +380,10 @@
     const Steering::StorePosition known(message.era, message.version);
     const auto update = state->second.replica.changesSince(
             message.loaded ? known : Steering::StorePosition());
-    this->hooks.send(peer, toBody(toWire(message.table, update, now)));
+    Wire::StoreUpdateT reply = toWire(message.table, update, now);
+    // What the peer lacks, its whole zone may lack.
+    reply.duty = static_cast<std::uint8_t>(Membership::SpreadDuty::Zone);
+    this->hooks.peers.send({ peer }, toBody(std::move(reply)));
 }
 
 } // namespace Currantfall::Entry
--- a/Source/Entry/StoreSync.h
+++ b/Source/Entry/StoreSync.h
@@ -4,17 +4,17 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
 #include "currantfall/Common/EventLog.h"
-#include "currantfall/Membership/Recipients.h"
-#include "currantfall/Peering/FrameCodec.h"
 #include "currantfall/Steering/ReadSchedule.h"
 #include "currantfall/Steering/TableReplica.h"
 #include "currantfall/Telemetry/MetricsRegistry.h"
 
 #include "Asio.h"
+#include "PeerChannel.h"
 #include "StoreWorker.h"
 
 namespace Currantfall::Entry {
@@ -26,16 +26,16 @@
 public:
     struct Hooks
     {
-        Common::VmName self;
         /// Applies changes; returns those that peers need to know.
         std::function<std::vector<Steering::RowChange>(const std::string &table,
                                                        const std::vector<Steering::RowChange> &)>
                 onChanges;
-        /// Peers with an established link.
-        std::function<std::vector<Common::VmName>()> peers;
-        std::function<void(const Common::VmName &peer, Peering::Wire::BodyUnion body)> send;
+        PeerChannel peers;
         /// Position of this VM in the order of readers. The VM at position 0 reads the store.
         std::function<std::size_t()> readerRank;
+        /// Time from the start of this VM for which it expects to get a table from peers instead of
+        /// the store.
+        std::function<absl::Duration(const std::string &table)> firstReadDelay;
     };
     struct Table
     {
@@ -52,7 +52,7 @@
               Telemetry::MetricsRegistry &metrics);
     ~StoreSync();
 
-    /// Starts reads that are due.
+    /// Starts reads that are due, and compares versions with peers.
     void advance(Common::Instant now);
     void onLinkUp(const Common::VmName &peer, Common::Instant now);
     void onUpdate(const Common::VmName &peer, const Peering::Wire::StoreUpdateT &message,
@@ -85,17 +85,21 @@
     struct Source
     {
         Common::VmName peer;
-        /// VMs to which the update was sent already; used if it only confirms a version.
-        Membership::Recipients recipients;
+        /// To whom the update is passed on.
+        Membership::SpreadDuty duty = Membership::SpreadDuty::None;
     };
     /// Applies an update from `source`, or from the store if it is not set, and relays it to the
     /// other peers. Returns false if it was discarded because the replica is newer.
     bool apply(State &state, const Steering::TableUpdate &update,
                const std::optional<Source> &source, Common::Instant now);
-    /// Sends row changes to all peers, each of which may be the only path to some VM. Sends a
-    /// confirmation of the version only to peers that are not among its recipients.
-    void relay(const State &state, const Steering::TableUpdate &update,
-               const std::optional<Source> &source, Common::Instant now) const;
+    /// Sends the versions of all tables to some peers, which request the changes that they lack.
+    /// They may have missed an update whose sender or link has failed.
+    void sendVersions(Common::Instant now);
+    /// The version of a table and what this VM knows that the store does not list.
+    static Peering::Wire::StoreUpdateT versionOf(const State &state, Common::Instant now);
+    /// Whether a whole table may be requested from the peer. Tables are large, and the first VM of
+    /// a zone that needs one reads the store soon.
+    bool mayRequestTable(const Common::VmName &peer) const;
     /// Logs and counts that the replica has followed the store into another era.
     void noteEra(const State &state, Steering::StorePosition before,
                  const std::optional<Source> &source);
@@ -110,6 +114,9 @@
     Common::EventLog &log;
     Telemetry::MetricsRegistry &metrics;
     std::map<std::string, State> states;
+    Common::Instant startedAt;
+    Common::Instant versionsSentAt;
+    std::minstd_rand random;
     /// Set to false by the destructor; later results are ignored.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     bool stopped = false;
--- a/Source/UnitTests/Entry/StoreSyncTest.cpp
+++ b/Source/UnitTests/Entry/StoreSyncTest.cpp
@@ -29,20 +29,36 @@
     StoreSync sync { context,       store, { { table, {}, absl::ZeroDuration(), {} } },
                      this->hooks(), log,   metrics };
 
+    Membership::SpreadPlan plan {
+        { Common::VmName("vm-1"), Common::ZoneName("a"), Common::RegionName("west") },
+        { { Common::VmName("vm-2"), Common::ZoneName("b"), Common::RegionName("west") },
+          { Common::VmName("vm-3"), Common::ZoneName("a"), Common::RegionName("west") } },
+        { { Common::ZoneName("a"), Common::RegionName("west") },
+          { Common::ZoneName("b"), Common::RegionName("west") } }
+    };
+
     StoreSync::Hooks hooks()
     {
         StoreSync::Hooks result;
-        result.self = Common::VmName("vm-1");
         result.onChanges = [](const std::string &, const auto &changes) { return changes; };
-        result.peers = [] {
-            return std::vector<Common::VmName> { Common::VmName("vm-2"), Common::VmName("vm-3") };
-        };
-        result.send = [this](const Common::VmName &peer, Wire::BodyUnion body) {
+        const auto send = [this](const Common::VmName &peer, const Wire::BodyUnion &body) {
             if (const auto *update = body.AsStoreUpdate()) {
                 this->sent.push_back({ peer.value(), *update });
             }
         };
+        result.peers.plan = [this]() -> const Membership::SpreadPlan & { return this->plan; };
+        result.peers.send = [send](const auto &peers, const Wire::BodyUnion &body) {
+            for (const Common::VmName &peer : peers) {
+                send(peer, body);
+            }
+        };
+        result.peers.spread = [send](const auto &targets, const auto &message) {
+            for (const Membership::SpreadTarget &target : targets) {
+                send(target.vm, message(target.duty));
+            }
+        };
         result.readerRank = [] { return std::size_t { 1 }; };
+        result.firstReadDelay = [](const std::string &) { return absl::ZeroDuration(); };
         return result;
     }
 
@@ -54,6 +70,7 @@
         message.era = 1;
         message.to = version;
         message.complete = true;
+        message.duty = static_cast<std::uint8_t>(Membership::SpreadDuty::Zone);
         for (const std::string &key : keys) {
             auto row = std::make_unique<Wire::StoreRowT>();
             row->key = key;
--- a/include/currantfall/Peering/Messages_generated.h
+++ b/include/currantfall/Peering/Messages_generated.h
@@ -3471,6 +3471,7 @@
   std::vector<std::unique_ptr<Currantfall::Peering::Wire::StoreRowT>> rows{};
   std::vector<uint32_t> recipients{};
   uint64_t era = 0;
+  uint8_t duty = 0;
   StoreUpdateT() = default;
   StoreUpdateT(const StoreUpdateT &o);
   StoreUpdateT(StoreUpdateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3488,7 +3489,8 @@
     VT_AGE_MS = 12,
     VT_ROWS = 14,
     VT_RECIPIENTS = 16,
-    VT_ERA = 18
+    VT_ERA = 18,
+    VT_DUTY = 20
   };
   const flatbuffers::String *table() const {
     return GetPointer<const flatbuffers::String *>(VT_TABLE);
@@ -3514,6 +3516,9 @@
   uint64_t era() const {
     return GetField<uint64_t>(VT_ERA, 0);
   }
+  uint8_t duty() const {
+    return GetField<uint8_t>(VT_DUTY, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_TABLE) &&
@@ -3528,6 +3533,7 @@
            VerifyOffset(verifier, VT_RECIPIENTS) &&
            verifier.VerifyVector(recipients()) &&
            VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
+           VerifyField<uint8_t>(verifier, VT_DUTY, 1) &&
            verifier.EndTable();
   }
   StoreUpdateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3563,6 +3569,9 @@
   void add_era(uint64_t era) {
     fbb_.AddElement<uint64_t>(StoreUpdate::VT_ERA, era, 0);
   }
+  void add_duty(uint8_t duty) {
+    fbb_.AddElement<uint8_t>(StoreUpdate::VT_DUTY, duty, 0);
+  }
   explicit StoreUpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3583,7 +3592,8 @@
     uint32_t age_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::StoreRow>>> rows = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> recipients = 0,
-    uint64_t era = 0) {
+    uint64_t era = 0,
+    uint8_t duty = 0) {
   StoreUpdateBuilder builder_(_fbb);
   builder_.add_era(era);
   builder_.add_to(to);
@@ -3592,6 +3602,7 @@
   builder_.add_rows(rows);
   builder_.add_age_ms(age_ms);
   builder_.add_table(table);
+  builder_.add_duty(duty);
   builder_.add_complete(complete);
   return builder_.Finish();
 }
@@ -3605,7 +3616,8 @@
     uint32_t age_ms = 0,
     const std::vector<flatbuffers::Offset<Currantfall::Peering::Wire::StoreRow>> *rows = nullptr,
     const std::vector<uint32_t> *recipients = nullptr,
-    uint64_t era = 0) {
+    uint64_t era = 0,
+    uint8_t duty = 0) {
   auto table__ = table ? _fbb.CreateString(table) : 0;
   auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<Currantfall::Peering::Wire::StoreRow>>(*rows) : 0;
   auto recipients__ = recipients ? _fbb.CreateVector<uint32_t>(*recipients) : 0;
@@ -3618,7 +3630,8 @@
       age_ms,
       rows__,
       recipients__,
-      era);
+      era,
+      duty);
 }
 
 flatbuffers::Offset<StoreUpdate> CreateStoreUpdate(flatbuffers::FlatBufferBuilder &_fbb, const StoreUpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3847,6 +3860,7 @@
 struct ObjectMovesT : public flatbuffers::NativeTable {
   typedef ObjectMoves TableType;
   std::vector<std::unique_ptr<Currantfall::Peering::Wire::ObjectMoveT>> moves{};
+  uint8_t duty = 0;
   ObjectMovesT() = default;
   ObjectMovesT(const ObjectMovesT &o);
   ObjectMovesT(ObjectMovesT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3857,16 +3871,21 @@
   typedef ObjectMovesT NativeTableType;
   typedef ObjectMovesBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_MOVES = 4
+    VT_MOVES = 4,
+    VT_DUTY = 6
   };
   const flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::ObjectMove>> *moves() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::ObjectMove>> *>(VT_MOVES);
   }
+  uint8_t duty() const {
+    return GetField<uint8_t>(VT_DUTY, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_MOVES) &&
            verifier.VerifyVector(moves()) &&
            verifier.VerifyVectorOfTables(moves()) &&
+           VerifyField<uint8_t>(verifier, VT_DUTY, 1) &&
            verifier.EndTable();
   }
   ObjectMovesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3881,6 +3900,9 @@
   void add_moves(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::ObjectMove>>> moves) {
     fbb_.AddOffset(ObjectMoves::VT_MOVES, moves);
   }
+  void add_duty(uint8_t duty) {
+    fbb_.AddElement<uint8_t>(ObjectMoves::VT_DUTY, duty, 0);
+  }
   explicit ObjectMovesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3894,19 +3916,23 @@
 
 inline flatbuffers::Offset<ObjectMoves> CreateObjectMoves(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::ObjectMove>>> moves = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::ObjectMove>>> moves = 0,
+    uint8_t duty = 0) {
   ObjectMovesBuilder builder_(_fbb);
   builder_.add_moves(moves);
+  builder_.add_duty(duty);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<ObjectMoves> CreateObjectMovesDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<Currantfall::Peering::Wire::ObjectMove>> *moves = nullptr) {
+    const std::vector<flatbuffers::Offset<Currantfall::Peering::Wire::ObjectMove>> *moves = nullptr,
+    uint8_t duty = 0) {
   auto moves__ = moves ? _fbb.CreateVector<flatbuffers::Offset<Currantfall::Peering::Wire::ObjectMove>>(*moves) : 0;
   return Currantfall::Peering::Wire::CreateObjectMoves(
       _fbb,
-      moves__);
+      moves__,
+      duty);
 }
 
 flatbuffers::Offset<ObjectMoves> CreateObjectMoves(flatbuffers::FlatBufferBuilder &_fbb, const ObjectMovesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4005,6 +4031,7 @@
   uint64_t sequence = 0;
   std::vector<std::unique_ptr<Currantfall::Peering::Wire::ServerOutcomesT>> servers{};
   std::vector<uint32_t> recipients{};
+  uint8_t duty = 0;
   OutcomeReportT() = default;
   OutcomeReportT(const OutcomeReportT &o);
   OutcomeReportT(OutcomeReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4018,7 +4045,8 @@
     VT_VM = 4,
     VT_SEQUENCE = 6,
     VT_SERVERS = 8,
-    VT_RECIPIENTS = 10
+    VT_RECIPIENTS = 10,
+    VT_DUTY = 12
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -4032,6 +4060,9 @@
   const flatbuffers::Vector<uint32_t> *recipients() const {
     return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_RECIPIENTS);
   }
+  uint8_t duty() const {
+    return GetField<uint8_t>(VT_DUTY, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VM) &&
@@ -4042,6 +4073,7 @@
            verifier.VerifyVectorOfTables(servers()) &&
            VerifyOffset(verifier, VT_RECIPIENTS) &&
            verifier.VerifyVector(recipients()) &&
+           VerifyField<uint8_t>(verifier, VT_DUTY, 1) &&
            verifier.EndTable();
   }
   OutcomeReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4065,6 +4097,9 @@
   void add_recipients(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> recipients) {
     fbb_.AddOffset(OutcomeReport::VT_RECIPIENTS, recipients);
   }
+  void add_duty(uint8_t duty) {
+    fbb_.AddElement<uint8_t>(OutcomeReport::VT_DUTY, duty, 0);
+  }
   explicit OutcomeReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4081,12 +4116,14 @@
     flatbuffers::Offset<flatbuffers::String> vm = 0,
     uint64_t sequence = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::ServerOutcomes>>> servers = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> recipients = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> recipients = 0,
+    uint8_t duty = 0) {
   OutcomeReportBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_recipients(recipients);
   builder_.add_servers(servers);
   builder_.add_vm(vm);
+  builder_.add_duty(duty);
   return builder_.Finish();
 }
 
@@ -4095,7 +4132,8 @@
     const char *vm = nullptr,
     uint64_t sequence = 0,
     const std::vector<flatbuffers::Offset<Currantfall::Peering::Wire::ServerOutcomes>> *servers = nullptr,
-    const std::vector<uint32_t> *recipients = nullptr) {
+    const std::vector<uint32_t> *recipients = nullptr,
+    uint8_t duty = 0) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<Currantfall::Peering::Wire::ServerOutcomes>>(*servers) : 0;
   auto recipients__ = recipients ? _fbb.CreateVector<uint32_t>(*recipients) : 0;
@@ -4104,7 +4142,8 @@
       vm__,
       sequence,
       servers__,
-      recipients__);
+      recipients__,
+      duty);
 }
 
 flatbuffers::Offset<OutcomeReport> CreateOutcomeReport(flatbuffers::FlatBufferBuilder &_fbb, const OutcomeReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5556,7 +5595,8 @@
         complete(o.complete),
         age_ms(o.age_ms),
         recipients(o.recipients),
-        era(o.era) {
+        era(o.era),
+        duty(o.duty) {
   rows.reserve(o.rows.size());
   for (const auto &rows_ : o.rows) { rows.emplace_back((rows_) ? new Currantfall::Peering::Wire::StoreRowT(*rows_) : nullptr); }
 }
@@ -5570,6 +5610,7 @@
   std::swap(rows, o.rows);
   std::swap(recipients, o.recipients);
   std::swap(era, o.era);
+  std::swap(duty, o.duty);
   return *this;
 }
 
@@ -5590,6 +5631,7 @@
   { auto _e = rows(); if (_e) { _o->rows.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rows[_i] = std::unique_ptr<Currantfall::Peering::Wire::StoreRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = recipients(); if (_e) { _o->recipients.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->recipients[_i] = _e->Get(_i); } } }
   { auto _e = era(); _o->era = _e; }
+  { auto _e = duty(); _o->duty = _e; }
 }
 
 inline flatbuffers::Offset<StoreUpdate> StoreUpdate::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StoreUpdateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5608,6 +5650,7 @@
   auto _rows = _o->rows.size() ? _fbb.CreateVector<flatbuffers::Offset<Currantfall::Peering::Wire::StoreRow>> (_o->rows.size(), [](size_t i, _VectorArgs *__va) { return CreateStoreRow(*__va->__fbb, __va->__o->rows[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _recipients = _o->recipients.size() ? _fbb.CreateVector(_o->recipients) : 0;
   auto _era = _o->era;
+  auto _duty = _o->duty;
   return Currantfall::Peering::Wire::CreateStoreUpdate(
       _fbb,
       _table,
@@ -5617,7 +5660,8 @@
       _age_ms,
       _rows,
       _recipients,
-      _era);
+      _era,
+      _duty);
 }
 
 inline StoreRequestT *StoreRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5693,13 +5737,15 @@
       _sequence);
 }
 
-inline ObjectMovesT::ObjectMovesT(const ObjectMovesT &o) {
+inline ObjectMovesT::ObjectMovesT(const ObjectMovesT &o)
+      : duty(o.duty) {
   moves.reserve(o.moves.size());
   for (const auto &moves_ : o.moves) { moves.emplace_back((moves_) ? new Currantfall::Peering::Wire::ObjectMoveT(*moves_) : nullptr); }
 }
 
 inline ObjectMovesT &ObjectMovesT::operator=(ObjectMovesT o) FLATBUFFERS_NOEXCEPT {
   std::swap(moves, o.moves);
+  std::swap(duty, o.duty);
   return *this;
 }
 
@@ -5713,6 +5759,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = moves(); if (_e) { _o->moves.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->moves[_i] = std::unique_ptr<Currantfall::Peering::Wire::ObjectMoveT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = duty(); _o->duty = _e; }
 }
 
 inline flatbuffers::Offset<ObjectMoves> ObjectMoves::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ObjectMovesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5724,9 +5771,11 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ObjectMovesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _moves = _o->moves.size() ? _fbb.CreateVector<flatbuffers::Offset<Currantfall::Peering::Wire::ObjectMove>> (_o->moves.size(), [](size_t i, _VectorArgs *__va) { return CreateObjectMove(*__va->__fbb, __va->__o->moves[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _duty = _o->duty;
   return Currantfall::Peering::Wire::CreateObjectMoves(
       _fbb,
-      _moves);
+      _moves,
+      _duty);
 }
 
 inline ServerOutcomesT *ServerOutcomes::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5764,7 +5813,8 @@
 inline OutcomeReportT::OutcomeReportT(const OutcomeReportT &o)
       : vm(o.vm),
         sequence(o.sequence),
-        recipients(o.recipients) {
+        recipients(o.recipients),
+        duty(o.duty) {
   servers.reserve(o.servers.size());
   for (const auto &servers_ : o.servers) { servers.emplace_back((servers_) ? new Currantfall::Peering::Wire::ServerOutcomesT(*servers_) : nullptr); }
 }
@@ -5774,6 +5824,7 @@
   std::swap(sequence, o.sequence);
   std::swap(servers, o.servers);
   std::swap(recipients, o.recipients);
+  std::swap(duty, o.duty);
   return *this;
 }
 
@@ -5790,6 +5841,7 @@
   { auto _e = sequence(); _o->sequence = _e; }
   { auto _e = servers(); if (_e) { _o->servers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->servers[_i] = std::unique_ptr<Currantfall::Peering::Wire::ServerOutcomesT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = recipients(); if (_e) { _o->recipients.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->recipients[_i] = _e->Get(_i); } } }
+  { auto _e = duty(); _o->duty = _e; }
 }
 
 inline flatbuffers::Offset<OutcomeReport> OutcomeReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OutcomeReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5804,12 +5856,14 @@
   auto _sequence = _o->sequence;
   auto _servers = _o->servers.size() ? _fbb.CreateVector<flatbuffers::Offset<Currantfall::Peering::Wire::ServerOutcomes>> (_o->servers.size(), [](size_t i, _VectorArgs *__va) { return CreateServerOutcomes(*__va->__fbb, __va->__o->servers[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _recipients = _o->recipients.size() ? _fbb.CreateVector(_o->recipients) : 0;
+  auto _duty = _o->duty;
   return Currantfall::Peering::Wire::CreateOutcomeReport(
       _fbb,
       _vm,
       _sequence,
       _servers,
-      _recipients);
+      _recipients,
+      _duty);
 }
 
 inline ReturnedZoneT *ReturnedZone::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/include/currantfall/Peering/PeerTransport.h
+++ b/include/currantfall/Peering/PeerTransport.h
@@ -97,6 +97,9 @@
     std::uint64_t sendsRefused = 0; ///< Calls of send() that returned false.
 };
 
+/// An encoded message, shared by the links over which it is sent.
+using SharedFrame = std::shared_ptr<const std::string>;
+
 /// The links to all peers, run by one thread.
 class PeerTransport
 {
@@ -120,6 +123,11 @@
     [[nodiscard]] bool send(const Common::VmName &peer, LinkClass linkClass,
                             std::unique_ptr<Wire::MessageT> message);
 
+    /// Encodes a message that is sent to several peers.
+    static SharedFrame encode(LinkClass linkClass, const Wire::MessageT &message);
+    /// As above, for a message that was encoded for the same class.
+    [[nodiscard]] bool send(const Common::VmName &peer, LinkClass linkClass, SharedFrame frame);
+
     /// The port on which peers are accepted.
     std::uint16_t port() const;
 
--- a/include/currantfall/Steering/ReadSchedule.h
+++ b/include/currantfall/Steering/ReadSchedule.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 
 #include <absl/time/time.h>
 
@@ -27,6 +28,26 @@
     friend bool operator==(const ReadSettings &left, const ReadSettings &right) = default;
 };
 
+/// What a VM that has just started knows when it needs a table for the first time.
+struct FirstRead
+{
+    /// All VMs start for the first time: no caller waits, and no VM is listed yet.
+    bool firstStart = false;
+    /// The table is the list of VMs, which leads to the peers that have the other tables.
+    bool listsVms = false;
+    /// Number of VMs in the list, or nothing if it is not known yet.
+    std::optional<std::size_t> listedVms;
+    /// Place of this VM among all VMs, from 0 to 1.
+    double share = 0.0;
+
+    friend bool operator==(const FirstRead &left, const FirstRead &right) = default;
+};
+
+/// Time from its start for which a VM expects to get a table from peers instead of the store, so
+/// that many VMs that start at the same time do not all read the store. The first of them read
+/// early.
+absl::Duration firstReadDelay(const FirstRead &first);
+
 /// Decides when this VM reads a table. The first VM reads regularly and sends updates to the
 /// others. Each other VM reads only when its replica has become stale for any reason, so no leader
 /// election is needed.
