Refuse requests that may outlive a process that stops, and answer those in progress before it ends

Operators reported requests that came late in the grace period of a planned stop, were passed on and cut off without an answer. It could happen here: a VM refused new requests only after half of its grace period, whatever their servers need; what came just before and took longer was cut off when the process exited, 150 ms before SIGKILL. Change: during a stop, a request is refused at once as not run if twice the mean time of a first request for an object would end after the process. What still runs 600 ms before SIGKILL gets 504, which promises nothing; the process exits 400 ms before SIGKILL and closes its links within 100 ms. 'A request that may outlive the process is refused as not run' and 'Requests in progress at the end of the process ...' can't be built on the code before. Also new: 'A response that breaks off anywhere is not a success' cuts a response after each of its bytes, in the header too (report of a half head): not possible on this path, it passes without a change.

--- a/Source/Entry/Cluster.cpp
+++ b/Source/Entry/Cluster.cpp
@@ -25,7 +25,7 @@
 constexpr absl::Duration maxReconnectDelay = absl::Milliseconds(800);
 // Limits how long the entry thread waits for queued messages when the links close. Losing them is
 // acceptable.
-constexpr absl::Duration flushTimeout = absl::Milliseconds(200);
+constexpr absl::Duration flushTimeout = absl::Milliseconds(100);
 // Partners of zones whose VMs are all silent change with time, without a change of any member.
 constexpr absl::Duration maxPeersAge = absl::Seconds(1);
 
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -35,8 +35,11 @@
 // Fraction of the grace period for which the process stays even when idle, because callers still
 // send requests here until they repeat their lookup.
 constexpr double minShutdownFraction = 0.35;
-// The process exits this long before SIGKILL, even if requests are still in progress.
-constexpr absl::Duration exitMarginBeforeKill = absl::Milliseconds(150);
+// Before SIGKILL, requests that are still in progress get a final response, and then the process
+// exits. A VM with a tenth of a core needs the time to write the responses, to close its links and
+// to clean up.
+constexpr absl::Duration responseMarginBeforeKill = absl::Milliseconds(600);
+constexpr absl::Duration exitMarginBeforeKill = absl::Milliseconds(400);
 constexpr std::size_t maxQueuedWrites = 4;
 // The settings file may change without a SIGHUP. A check costs one system call.
 constexpr absl::Duration settingsCheckInterval = absl::Seconds(1);
@@ -400,6 +403,8 @@
     this->leaving = true;
     this->leavingSince = Common::monotonicNow();
     this->callerListener->disableKeepAlive();
+    this->steering.setProcessEnd(this->leavingSince + this->settings.shutdownGrace
+                                 - responseMarginBeforeKill);
     this->storeSync->stop();
     this->log.important("shutdown",
                         { { "in_progress", this->callerListener->requestsInProgress() } });
@@ -416,6 +421,9 @@
         this->refusingNew = true;
         this->callerListener->rejectNewRequests();
     }
+    if (elapsed >= grace - responseMarginBeforeKill) {
+        this->steering.endRequests();
+    }
     const bool idle = elapsed >= grace * minShutdownFraction
                       && this->steering.requestsInProgress() == 0
                       && this->callerListener->requestsInProgress() == 0;
--- a/Source/Entry/RequestSteering.cpp
+++ b/Source/Entry/RequestSteering.cpp
@@ -24,6 +24,9 @@
 // Attempts at unreachable servers do not count towards the route's maximum number of attempts, so
 // they have a limit of their own.
 constexpr std::size_t maxUnreachableAttempts = 3;
+// A request is refused before the end of the process if this multiple of the mean time of a first
+// request for an object would not be over by then.
+constexpr double shutdownTimePerMean = 2.0;
 constexpr absl::Duration noConfigurationRetryAfter = absl::Seconds(1);
 // After the end of a pause of all servers, Retry-After is spread over this fraction of the
 // remaining pause, and over at least minReturnSpread.
@@ -72,15 +75,15 @@
 {
     ActiveRequest activeRequest(request, std::move(caller), this->currentConfiguration);
     activeRequest.start = activeRequest.callerState->arrivedAt;
-    ++this->inProgress;
+    this->activeCallers.insert(activeRequest.callerState);
     Adapter::HttpResponse response;
     try {
         response = co_await this->steer(activeRequest);
     } catch (...) {
-        --this->inProgress;
+        this->activeCallers.erase(activeRequest.callerState);
         throw;
     }
-    --this->inProgress;
+    this->activeCallers.erase(activeRequest.callerState);
     if (activeRequest.callerState->disconnected) {
         this->logRequest(activeRequest, 0);
         co_return std::nullopt;
@@ -127,11 +130,14 @@
 
     while (true) {
         const Common::Instant now = Common::monotonicNow();
-        if (now >= activeRequest.responseDeadline) {
+        if (this->timeIsUp(activeRequest, now)) {
             co_return activeRequest.mayHaveRun
                     ? this->fail(activeRequest, Failure::TimedOut, "timeout-before-retry")
                     : this->refuse(activeRequest, "timeout-before-start", absl::ZeroDuration());
         }
+        if (!activeRequest.mayHaveRun && this->mayOutliveProcess(activeRequest, now)) {
+            co_return this->refuse(activeRequest, "shutting-down", absl::ZeroDuration());
+        }
         const Steering::SelectionRequest selectionRequest
                 = this->selectionRequestFor(activeRequest, now);
         const Steering::Selection selection
@@ -176,6 +182,30 @@
     }
 }
 
+bool RequestSteering::mayOutliveProcess(const ActiveRequest &activeRequest,
+                                        Common::Instant now) const
+{
+    if (this->processEnd == Common::Instant::infinite()) {
+        return false;
+    }
+    const absl::Duration firstRequestTime = this->serverSelector.meanServiceTime(
+            activeRequest.service, *activeRequest.route, false);
+    return now + firstRequestTime * shutdownTimePerMean > this->processEnd;
+}
+
+bool RequestSteering::timeIsUp(const ActiveRequest &activeRequest, Common::Instant now) const
+{
+    return this->ending || now >= activeRequest.responseDeadline;
+}
+
+void RequestSteering::endRequests()
+{
+    this->ending = true;
+    for (const SharedCaller &caller : this->activeCallers) {
+        caller->wakeTimer.cancel();
+    }
+}
+
 Steering::SelectionRequest RequestSteering::selectionRequestFor(const ActiveRequest &activeRequest,
                                                                 Common::Instant now) const
 {
@@ -229,7 +259,7 @@
             continue;
         }
         if (activeRequest.callerState->disconnected
-            || Common::monotonicNow() >= activeRequest.responseDeadline) {
+            || this->timeIsUp(activeRequest, Common::monotonicNow())) {
             break;
         }
         until = activeRequest.responseDeadline;
@@ -258,7 +288,7 @@
         return std::any_of(attempts.begin(), attempts.end(),
                            [](const auto &attempt) { return attempt->result; });
     };
-    while (!ended() && !activeRequest.callerState->disconnected) {
+    while (!ended() && !activeRequest.callerState->disconnected && !this->ending) {
         const absl::Duration remaining = until - Common::monotonicNow();
         if (remaining <= absl::ZeroDuration()) {
             break;
@@ -344,11 +374,11 @@
 
 Task RequestSteering::runAttempt(SharedAttempt attempt)
 {
-    ++this->inProgress;
+    ++this->attemptsInProgress;
     this->runningAttempts.insert(attempt);
     ExchangeResult result = co_await this->backendPool.run(attempt->exchange);
     this->runningAttempts.erase(attempt);
-    --this->inProgress;
+    --this->attemptsInProgress;
     const Common::Instant now = Common::monotonicNow();
     const bool asksForPause = this->recordNotice(*attempt->exchange, result.parsed);
     if (!asksForPause) {
--- a/Source/Entry/RequestSteering.h
+++ b/Source/Entry/RequestSteering.h
@@ -100,7 +100,16 @@
     /// been idle for too long.
     void advance(Common::Instant now);
 
-    std::size_t requestsInProgress() const { return this->inProgress; }
+    /// Requests of callers, and attempts that have not ended.
+    std::size_t requestsInProgress() const
+    {
+        return this->activeCallers.size() + this->attemptsInProgress;
+    }
+
+    /// The process ends at this time. Requests that could not finish before are refused.
+    void setProcessEnd(Common::Instant end) { this->processEnd = end; }
+    /// Gives every request in progress its final response now, because the process ends.
+    void endRequests();
 
 private:
     /// State of a request that is in progress.
@@ -109,6 +118,10 @@
     struct Attempt;
 
     boost::asio::awaitable<Adapter::HttpResponse> steer(ActiveRequest &activeRequest);
+    /// Whether a request that is sent now may still run when the process ends.
+    bool mayOutliveProcess(const ActiveRequest &activeRequest, Common::Instant now) const;
+    /// Whether the caller gets its final response now, finished or not.
+    bool timeIsUp(const ActiveRequest &activeRequest, Common::Instant now) const;
     using SharedAttempt = std::shared_ptr<Attempt>;
     /// Waits for the attempt that determines the response: `first`, or a hedge at another server if
     /// `first` is overdue. Returns nothing if the caller closes its connection or the response
@@ -187,8 +200,12 @@
     BackendPool backendPool;
     std::map<Common::ServiceName, Steering::RetryAllowance> retryAllowances;
     std::set<SharedAttempt> runningAttempts;
+    /// Callers of the requests in progress.
+    std::set<SharedCaller> activeCallers;
+    Common::Instant processEnd = Common::Instant::infinite();
+    bool ending = false;
     Common::Instant serversConfirmed;
-    std::size_t inProgress = 0;
+    std::size_t attemptsInProgress = 0;
     std::minstd_rand random;
 };
 
--- a/Source/UnitTests/Entry/RequestSteeringTest.cpp
+++ b/Source/UnitTests/Entry/RequestSteeringTest.cpp
@@ -579,3 +579,80 @@
         CHECK((*pendingResponse)->result_int() == 200);
     }
 }
+
+// Guards against requests that are cut off at the end of a planned stop (LOST): they were taken
+// late in the grace period although their server needs longer than what is left of it.
+TEST_CASE("A request that may outlive the process is refused as not run")
+{
+    std::atomic<int> runs { 0 };
+    ScriptedBackend backend([&runs](ScriptedConnection &connection) {
+        ++runs;
+        respondToAll(connection);
+    });
+    SteeringFixture fixture;
+    fixture.addServer("i-1", backend.port());
+    const std::string path = GENERATE("/read/1", "/write/1");
+    SECTION("little time left")
+    {
+        fixture.steering.setProcessEnd(Common::monotonicNow() + absl::Milliseconds(300));
+        const auto response = fixture.run(SteeringFixture::request(path));
+        REQUIRE(response);
+        CHECK(response->result_int() == 503);
+        CHECK(response->body() == "shutting-down\n");
+        CHECK(runs == 0);
+    }
+    SECTION("enough time left")
+    {
+        fixture.steering.setProcessEnd(Common::monotonicNow() + absl::Seconds(20));
+        const auto response = fixture.run(SteeringFixture::request(path));
+        REQUIRE(response);
+        CHECK(response->result_int() == 200);
+    }
+}
+
+TEST_CASE("Requests in progress at the end of the process get a response that promises nothing")
+{
+    ScriptedBackend backend([](ScriptedConnection &connection) {
+        connection.readRequest();
+        connection.closedWithin(3000);
+    });
+    SteeringFixture fixture;
+    fixture.addServer("i-1", backend.port());
+    const std::string path = GENERATE("/read/1", "/write/1");
+    const auto response = fixture.startRequest(SteeringFixture::request(path));
+    fixture.runFor(absl::Milliseconds(100));
+    REQUIRE_FALSE(*response);
+    fixture.steering.endRequests();
+    fixture.runFor(absl::Milliseconds(50));
+    REQUIRE(*response);
+    CHECK((*response)->result_int() == 504);
+}
+
+// Guards against partial responses that reach the caller as complete ones (MIXED): a server stops
+// in its header, its body or a chunk.
+TEST_CASE("A response that breaks off anywhere is not a success")
+{
+    const bool chunked = GENERATE(false, true);
+    const auto wholeResponse = [chunked](const std::string &request) {
+        return chunked ? "HTTP/1.1 200 OK\r\nRequest-Id: " + headerOf(request, "Request-Id")
+                                 + "\r\nServer-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                   "6\r\na body\r\n0\r\n\r\n"
+                       : answerTo(request, "a body");
+    };
+    const std::string sample = wholeResponse("\r\nRequest-Id: id-1\r\n");
+    std::atomic<std::size_t> length { 0 };
+    ScriptedBackend backend([&](ScriptedConnection &connection) {
+        const std::string request = connection.readRequest();
+        if (!request.empty()) {
+            connection.write(wholeResponse(request).substr(0, length));
+        }
+    });
+    for (length = 0; length <= sample.size(); ++length) {
+        SteeringFixture fixture;
+        fixture.addServer("i-1", backend.port());
+        const auto response = fixture.run(SteeringFixture::request("/write/1"));
+        INFO("bytes " << length << " of " << sample.size());
+        REQUIRE(response);
+        CHECK(response->result_int() == (length == sample.size() ? 200 : 502));
+    }
+}
