Let the tests of pipelined requests wait for what they check instead of fixed times

'Requests that are sent before the last response are handled at the same time' failed once, at a load of 14: its requests were not all answered in the 350 ms for which it ran.

--- a/Source/UnitTests/Entry/SteeringFixture.cpp
+++ b/Source/UnitTests/Entry/SteeringFixture.cpp
@@ -135,4 +135,16 @@
     this->context.run_for(toChrono(duration));
 }
 
+bool SteeringFixture::runUntil(const std::function<bool()> &condition)
+{
+    const Common::Instant end = Common::monotonicNow() + absl::Seconds(20);
+    while (!condition()) {
+        if (Common::monotonicNow() >= end) {
+            return false;
+        }
+        this->runFor(absl::Milliseconds(5));
+    }
+    return true;
+}
+
 } // namespace Currantfall::Entry::Tests
--- a/Source/UnitTests/Entry/SteeringFixture.h
+++ b/Source/UnitTests/Entry/SteeringFixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -37,6 +38,8 @@
     startRequest(const Adapter::HttpRequest &request);
     /// Runs the event loop, for attempts and timers that outlive their request.
     void runFor(absl::Duration duration);
+    /// Runs the event loop until the condition holds. Returns false if it does not in 20 s.
+    bool runUntil(const std::function<bool()> &condition);
 
     boost::asio::io_context context { 1 };
     EntrySettings settings;
