Ask for the rest of a body only after the header

The library asserts that the header has been parsed when it is asked how much of the body is missing. The question was an operand of a conditional expression inside co_await, which g++ 12 evaluates in any case; release builds compile the assertion out. Found by 'A connection has a bounded number of requests in progress' with AddressSanitizer (assertions on): aborted before, passes now.

--- a/Source/Entry/CallerConnection.cpp
+++ b/Source/Entry/CallerConnection.cpp
@@ -185,8 +185,12 @@
             }
             error = {};
         }
-        error = co_await this->receive(static_cast<std::size_t>(
-                headerOnly ? 0 : parser.content_length_remaining().value_or(0)));
+        std::size_t wanted = minReceiveBytes;
+        // The library allows the question only then.
+        if (parser.is_header_done()) {
+            wanted = static_cast<std::size_t>(parser.content_length_remaining().value_or(0));
+        }
+        error = co_await this->receive(wanted);
         if (error) {
             co_return error;
         }
