End one handler, not the process, at an unexpected error; read the operator's table at once

Errors: an exception in a handler of the event loop or in a thread of the store ended the process; one in a timer or in the reading of settings ended the coroutine behind it, so that no timer ran any more or SIGTERM had no effect (by reading; none was provoked in the daemon). Each now ends one handler or call, with a log line and a counter.

--- a/Source/Core/Steering/ReadSchedule.cpp
+++ b/Source/Core/Steering/ReadSchedule.cpp
@@ -9,10 +9,11 @@
 
 // Time in which links to peers are established and a table arrives, for each VM that may start at
 // the same time as this one.
-constexpr absl::Duration delayPerVm = absl::Milliseconds(20);
-constexpr absl::Duration maxDelay = absl::Seconds(2);
+constexpr absl::Duration delayPerVm = absl::Milliseconds(10);
+constexpr absl::Duration maxDelay = absl::Seconds(1);
 // At the first start each VM finds those that were listed before it read the list.
 constexpr absl::Duration maxFirstListDelay = absl::Seconds(1);
+constexpr absl::Duration maxFirstTableDelay = absl::Seconds(2);
 constexpr absl::Duration linkTime = absl::Milliseconds(500);
 
 } // namespace
@@ -23,7 +24,10 @@
         return first.firstStart ? maxFirstListDelay * first.share : absl::ZeroDuration();
     }
     if (first.firstStart) {
-        return maxFirstListDelay + linkTime + maxDelay * first.share;
+        return maxFirstListDelay + linkTime + maxFirstTableDelay * first.share;
+    }
+    if (first.small) {
+        return absl::ZeroDuration();
     }
     const absl::Duration range
             = first.listedVms
--- a/Source/Entry/Asio.cpp
+++ b/Source/Entry/Asio.cpp
@@ -23,6 +23,19 @@
 
 } // namespace
 
+void runEventLoop(boost::asio::io_context &context,
+                  const std::function<void(const std::exception &)> &onError)
+{
+    while (true) {
+        try {
+            context.run();
+            return;
+        } catch (const std::exception &error) {
+            onError(error);
+        }
+    }
+}
+
 Common::Result<Tcp::acceptor> listenOn(boost::asio::io_context &context,
                                        const Platform::HostPort &endpoint)
 {
--- a/Source/Entry/Asio.h
+++ b/Source/Entry/Asio.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <exception>
 #include <functional>
 #include <utility> // Boost 1.74's awaitable.hpp uses std::exchange without including it.
 
@@ -43,6 +44,11 @@
     co_await timer.async_wait(awaitInto(ignored));
 }
 
+/// Runs the event loop until it is stopped or has no work left. An exception of a handler ends only
+/// that handler; `onError` is called with it.
+void runEventLoop(boost::asio::io_context &context,
+                  const std::function<void(const std::exception &)> &onError);
+
 /// Opens a listening socket with a long accept queue.
 Common::Result<Tcp::acceptor> listenOn(boost::asio::io_context &context,
                                        const Platform::HostPort &endpoint);
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -143,10 +143,16 @@
 
 void EntryDaemon::run()
 {
-    this->context.run();
+    runEventLoop(this->context, [this](const std::exception &error) { this->noteError(error); });
     this->log.important("stop", { { "unfinished", this->steering.requestsInProgress() } });
 }
 
+void EntryDaemon::noteError(const std::exception &error)
+{
+    this->metrics.addToCounter("currantfall_internal_errors_total");
+    this->log.important("internal_error", { { "error", error.what() } });
+}
+
 Common::Result<void> EntryDaemon::startCluster(Common::Incarnation minIncarnation)
 {
     Cluster::Hooks hooks;
@@ -269,10 +275,14 @@
     hooks.readerRank = [this] { return this->cluster->readerRank(); };
     hooks.firstReadDelay = [this, share = shareOf(this->settings.vm)](const std::string &table) {
         const Steering::TableReplica &vms = this->storeSync->replica(vmTable);
-        const Steering::FirstRead first { this->settings.firstStart, table == vmTable,
-                                          vms.loaded() ? std::optional(vms.rows().size())
-                                                       : std::nullopt,
-                                          share };
+        Steering::FirstRead first;
+        first.firstStart = this->settings.firstStart;
+        first.listsVms = table == vmTable;
+        first.small = table == Adapter::operatorTable;
+        if (vms.loaded()) {
+            first.listedVms = vms.rows().size();
+        }
+        first.share = share;
         return Steering::firstReadDelay(first);
     };
     this->storeSync
@@ -348,7 +358,12 @@
     boost::asio::steady_timer timer(this->context);
     while (!this->stopped) {
         const Common::Instant now = Common::monotonicNow();
-        this->timers.advance(now);
+        try {
+            this->timers.advance(now);
+        } catch (const std::exception &error) {
+            // Without timers the process would neither serve nor end.
+            this->noteError(error);
+        }
         co_await sleepFor(timer, std::max(this->timers.nextDue() - now, absl::Milliseconds(1)));
     }
 }
@@ -361,10 +376,15 @@
         if (error) {
             co_return;
         }
-        if (received == SIGHUP) {
-            this->reloadSettings();
-        } else {
-            this->beginShutdown();
+        try {
+            if (received == SIGHUP) {
+                this->reloadSettings();
+            } else {
+                this->beginShutdown();
+            }
+        } catch (const std::exception &error) {
+            // The next signal must still be handled.
+            this->noteError(error);
         }
     }
 }
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -74,6 +74,8 @@
     void onVmRows();
     /// Counts and logs a version of a row that names no VM.
     void noteIgnoredVmRow(const Common::Error &reason);
+    /// Counts and logs an unexpected error.
+    void noteError(const std::exception &error);
     void onMembersChanged();
     PeerChannel peerChannel();
     /// Applies the configuration in the row if it is valid and newer than the current one.
--- a/Source/Entry/StoreWorker.cpp
+++ b/Source/Entry/StoreWorker.cpp
@@ -1,5 +1,6 @@
 #include "StoreWorker.h"
 
+#include <exception>
 #include <utility>
 
 #include <absl/time/time.h>
@@ -172,6 +173,16 @@
     std::string peer;
 };
 
+/// An unexpected error fails the call, not the process.
+StoreResult execute(StoreConnection &connection, const StoreCall &call)
+{
+    try {
+        return std::visit(connection, call);
+    } catch (const std::exception &error) {
+        return Common::failure(ErrorCode::InvalidInput, "call store", {}, error.what());
+    }
+}
+
 } // namespace
 
 StoreWorker::StoreWorker(Platform::HostPort store, std::size_t maxQueuedCalls)
@@ -195,7 +206,7 @@
     while (true) {
         auto job = this->jobs.popWithin(absl::Seconds(60));
         if (job) {
-            job->callback(std::visit(connection, job->call));
+            job->callback(execute(connection, job->call));
         } else if (this->jobs.closed()) {
             return;
         }
--- a/include/currantfall/Steering/ReadSchedule.h
+++ b/include/currantfall/Steering/ReadSchedule.h
@@ -35,6 +35,8 @@
     bool firstStart = false;
     /// The table is the list of VMs, which leads to the peers that have the other tables.
     bool listsVms = false;
+    /// The table has few rows, and lookups are refused without it.
+    bool small = false;
     /// Number of VMs in the list, or nothing if it is not known yet.
     std::optional<std::size_t> listedVms;
     /// Place of this VM among all VMs, from 0 to 1.
