Read requests with the library's own read operation

The library's operation is used instead, with a stream that counts the reads: a request that was in the buffer already arrived with the last read. It also needs no question for the rest of a body any more.

--- a/Source/Entry/CallerConnection.cpp
+++ b/Source/Entry/CallerConnection.cpp
@@ -26,8 +26,7 @@
 // Interval of checks whether a caller has closed its connection while nothing is read from it.
 constexpr absl::Duration openCheckInterval = absl::Milliseconds(100);
 constexpr absl::Duration busyCheckInterval = absl::Milliseconds(100);
-constexpr std::size_t minReceiveBytes = 4096;
-constexpr std::size_t maxReceiveBytes = std::size_t { 16 } * 1024;
+constexpr std::size_t receiveBytes = 4096;
 
 Failure failureOf(const IoError &error)
 {
@@ -46,6 +45,22 @@
            && error != http::error::end_of_stream && error != http::error::partial_message;
 }
 
+/// Counts the reads of a socket. The library reads only if its buffer does not suffice.
+struct CountingStream
+{
+    using executor_type = Tcp::socket::executor_type;
+    executor_type get_executor() { return this->socket.get_executor(); }
+    template<typename Buffers, typename Handler>
+    auto async_read_some(const Buffers &buffers, Handler &&handler)
+    {
+        ++this->reads;
+        return this->socket.async_read_some(buffers, std::forward<Handler>(handler));
+    }
+
+    Tcp::socket &socket;
+    int reads = 0;
+};
+
 /// Counts the bytes of a request body towards the total while the body is in memory.
 class BodyReservation
 {
@@ -133,7 +148,7 @@
         // Bytes behind the last request are ignored.
         while (!self->disconnected) {
             self->buffer.clear();
-            if (const IoError error = co_await self->receive(minReceiveBytes);
+            if (const IoError error = co_await self->receive();
                 error && error != boost::asio::error::timed_out) {
                 self->onDisconnected();
             }
@@ -149,53 +164,50 @@
     this->closeSocket();
 }
 
-boost::asio::awaitable<IoError> CallerConnection::receive(std::size_t wanted)
+void CallerConnection::beginReceive()
 {
-    IoError error;
     this->readTimedOut = false;
     this->scheduleDeadlines();
-    const std::size_t received = co_await this->socket.async_read_some(
-            this->buffer.prepare(std::clamp(wanted, minReceiveBytes, maxReceiveBytes)),
-            awaitInto(error));
-    if (error && this->readTimedOut) {
-        co_return boost::asio::error::timed_out;
-    }
-    if (!error) {
-        this->buffer.commit(received);
-        this->receivedAt = Common::monotonicNow();
+}
+
+IoError CallerConnection::endReceive(const IoError &error)
+{
+    if (error) {
+        return this->readTimedOut ? IoError(boost::asio::error::timed_out) : error;
     }
-    co_return error;
+    this->receivedAt = Common::monotonicNow();
+    return {};
 }
 
-boost::asio::awaitable<IoError> CallerConnection::parse(Parser &parser, bool headerOnly)
+boost::asio::awaitable<IoError> CallerConnection::receive()
 {
     IoError error;
+    this->beginReceive();
+    const std::size_t received = co_await this->socket.async_read_some(
+            this->buffer.prepare(receiveBytes), awaitInto(error));
+    this->buffer.commit(error ? 0 : received);
+    co_return this->endReceive(error);
+}
+
+boost::asio::awaitable<IoError> CallerConnection::parse(Parser &parser, bool headerOnly)
+{
     // The library forgets a violation of the body limit if it parses the header and the first bytes
     // of the body in one step.
     parser.eager(!headerOnly);
     while (headerOnly ? !parser.is_header_done() : !parser.is_done()) {
-        if (this->buffer.size() > 0) {
-            const std::size_t used = parser.put(this->buffer.data(), error);
-            this->buffer.consume(used);
-            if (!error && used > 0) {
-                continue;
-            }
-            if (error && error != http::error::need_more) {
-                co_return error;
-            }
-            error = {};
-        }
-        std::size_t wanted = minReceiveBytes;
-        // The library allows the question only then.
-        if (parser.is_header_done()) {
-            wanted = static_cast<std::size_t>(parser.content_length_remaining().value_or(0));
+        IoError error;
+        CountingStream stream { this->socket };
+        this->beginReceive();
+        co_await http::async_read_some(stream, this->buffer, parser, awaitInto(error));
+        // Bytes that were in the buffer already arrived before.
+        if (error || stream.reads > 0) {
+            error = this->endReceive(error);
         }
-        error = co_await this->receive(wanted);
         if (error) {
             co_return error;
         }
     }
-    co_return error;
+    co_return IoError();
 }
 
 boost::asio::awaitable<bool> CallerConnection::waitForPipeline(bool roomSuffices)
@@ -220,7 +232,7 @@
     const Steering::CallerLimits limits = this->limits();
     if (this->buffer.size() == 0) {
         this->awaitingRequest = true;
-        const IoError error = co_await this->receive(minReceiveBytes);
+        const IoError error = co_await this->receive();
         this->awaitingRequest = false;
         if (error) {
             this->onDisconnected();
--- a/Source/Entry/CallerConnection.h
+++ b/Source/Entry/CallerConnection.h
@@ -63,8 +63,11 @@
     boost::asio::awaitable<bool> readRequest();
     /// Reads until the parser has the header, or the whole request.
     boost::asio::awaitable<IoError> parse(Parser &parser, bool headerOnly);
-    /// Receives about `wanted` bytes of the caller, or fewer, into the buffer.
-    boost::asio::awaitable<IoError> receive(std::size_t wanted);
+    /// Receives bytes of the caller into the buffer.
+    boost::asio::awaitable<IoError> receive();
+    /// Before and after a read: its deadline, and the time of arrival.
+    void beginReceive();
+    IoError endReceive(const IoError &error);
     /// Waits until all requests in progress are answered, or, if `roomSuffices`, until another
     /// request may be read. Returns false if the caller has closed the connection before.
     boost::asio::awaitable<bool> waitForPipeline(bool roomSuffices);
