--- a/Source/Entry/CallerConnection.cpp
+++ b/Source/Entry/CallerConnection.cpp
@@ -48,6 +48,8 @@
 /// Counts the reads of a socket. The library reads only if its buffer does not suffice.
 struct CountingStream
 {
+    // The library determines these names.
+    // NOLINTBEGIN(readability-identifier-naming)
     using executor_type = Tcp::socket::executor_type;
     executor_type get_executor() { return this->socket.get_executor(); }
     template<typename Buffers, typename Handler>
@@ -56,6 +58,7 @@
         ++this->reads;
         return this->socket.async_read_some(buffers, std::forward<Handler>(handler));
     }
+    // NOLINTEND(readability-identifier-naming)
 
     Tcp::socket &socket;
     int reads = 0;
