Request tables from other zones if the own zone has none

Callers of a zone would have been refused until the store returns: if all VMs of a zone are restarted while the store can't be read, each waits for a table of its zone, which none has. Change: once the VM would read the store, it requests the table from any zone. Before: 'A whole table is requested from another zone once the store would be read' fails (nothing is requested); after: it passes, entry-tests 76 of 76.

--- a/Source/Entry/StoreSync.cpp
+++ b/Source/Entry/StoreSync.cpp
@@ -127,7 +127,7 @@
     }
     const std::size_t rank = this->hooks.readerRank();
     for (auto &[name, state] : this->states) {
-        if (!state.replica.loaded() && now - this->startedAt < this->hooks.firstReadDelay(name)) {
+        if (!state.replica.loaded() && this->expectsTable(state, now)) {
             continue;
         }
         if (state.schedule.due(now, rank, state.replica.loaded(), state.replica.confirmedAt())) {
@@ -206,10 +206,17 @@
     this->log.important(reachable ? "dependency_regained" : "dependency_lost", std::move(fields));
 }
 
-bool StoreSync::mayRequestTable(const Common::VmName &peer) const
+bool StoreSync::expectsTable(const State &state, Common::Instant now) const
+{
+    return now - this->startedAt < this->hooks.firstReadDelay(state.table.name);
+}
+
+bool StoreSync::mayRequestTable(const State &state, const Common::VmName &peer,
+                                Common::Instant now) const
 {
     const auto &mates = this->hooks.peers.plan().zonePeers();
-    return mates.empty() || std::find(mates.begin(), mates.end(), peer) != mates.end();
+    return mates.empty() || std::find(mates.begin(), mates.end(), peer) != mates.end()
+           || !this->expectsTable(state, now);
 }
 
 void StoreSync::noteEra(const State &state, Steering::StorePosition before,
@@ -266,7 +273,7 @@
     const auto outcome = state.replica.apply(update);
     if (outcome.status == Steering::TableReplica::Status::Gap && source
         && now - state.requestedAt >= requestTimeout
-        && (loadedBefore || this->mayRequestTable(source->peer))) {
+        && (loadedBefore || this->mayRequestTable(state, source->peer, now))) {
         state.requestedAt = now;
         Wire::StoreRequestT request;
         request.table = state.table.name;
--- a/Source/Entry/StoreSync.h
+++ b/Source/Entry/StoreSync.h
@@ -97,9 +97,12 @@
     void sendVersions(Common::Instant now);
     /// The version of a table and what this VM knows that the store does not list.
     static Peering::Wire::StoreUpdateT versionOf(const State &state, Common::Instant now);
-    /// Whether a whole table may be requested from the peer. Tables are large, and the first VM of
-    /// a zone that needs one reads the store soon.
-    bool mayRequestTable(const Common::VmName &peer) const;
+    /// Whether this VM has just started and expects to get the table from a VM of its zone.
+    bool expectsTable(const State &state, Common::Instant now) const;
+    /// Whether the whole table may be requested from the peer. Tables are large, so that VMs of
+    /// other zones are asked only if those of the own zone had the time to send it: the store may
+    /// be away.
+    bool mayRequestTable(const State &state, const Common::VmName &peer, Common::Instant now) const;
     /// Logs and counts that the replica has followed the store into another era.
     void noteEra(const State &state, Steering::StorePosition before,
                  const std::optional<Source> &source);
--- a/Source/UnitTests/Entry/StoreSyncTest.cpp
+++ b/Source/UnitTests/Entry/StoreSyncTest.cpp
@@ -26,6 +26,9 @@
     Common::EventLog log { "vm-1", {} };
     Telemetry::MetricsRegistry metrics;
     std::vector<Sent> sent;
+    /// Peers that were asked for changes or for the whole table.
+    std::vector<std::string> asked;
+    absl::Duration firstReadDelay = absl::ZeroDuration();
     StoreSync sync { context,       store, { { table, {}, absl::ZeroDuration(), {} } },
                      this->hooks(), log,   metrics };
 
@@ -44,6 +47,8 @@
         const auto send = [this](const Common::VmName &peer, const Wire::BodyUnion &body) {
             if (const auto *update = body.AsStoreUpdate()) {
                 this->sent.push_back({ peer.value(), *update });
+            } else if (body.AsStoreRequest() != nullptr) {
+                this->asked.push_back(peer.value());
             }
         };
         result.peers.plan = [this]() -> const Membership::SpreadPlan & { return this->plan; };
@@ -58,10 +63,21 @@
             }
         };
         result.readerRank = [] { return std::size_t { 1 }; };
-        result.firstReadDelay = [](const std::string &) { return absl::ZeroDuration(); };
+        result.firstReadDelay = [this](const std::string &) { return this->firstReadDelay; };
         return result;
     }
 
+    /// A peer tells the version of its table.
+    void receiveVersion(const std::string &peer, std::uint64_t version)
+    {
+        Wire::StoreUpdateT message;
+        message.table = table;
+        message.era = 1;
+        message.from = version;
+        message.to = version;
+        this->sync.onUpdate(Common::VmName(peer), message, Common::monotonicNow());
+    }
+
     /// A peer sends all rows of the table.
     void receiveAll(std::uint64_t version, const std::vector<std::string> &keys)
     {
@@ -98,3 +114,30 @@
     CHECK(fixture.sent.front().update.from == 110);
     CHECK(fixture.sent.front().update.rows.empty());
 }
+
+// Guards against a zone that stays without tables: all its VMs have been restarted while the store
+// can't be read, and only VMs of other zones have them.
+TEST_CASE("A whole table is requested from another zone once the store would be read")
+{
+    Fixture fixture;
+    fixture.firstReadDelay = absl::Hours(1);
+    fixture.receiveVersion("vm-2", 100);
+    CHECK(fixture.asked.empty());
+    SECTION("a VM of the zone has it")
+    {
+        fixture.receiveVersion("vm-3", 100);
+        CHECK(fixture.asked == std::vector<std::string> { "vm-3" });
+    }
+    SECTION("no VM of the zone has it")
+    {
+        fixture.firstReadDelay = absl::ZeroDuration();
+        fixture.receiveVersion("vm-2", 100);
+        CHECK(fixture.asked == std::vector<std::string> { "vm-2" });
+    }
+    SECTION("changes are requested from any zone")
+    {
+        fixture.receiveAll(100, { "a" });
+        fixture.receiveVersion("vm-2", 110);
+        CHECK(fixture.asked == std::vector<std::string> { "vm-2" });
+    }
+}
