Log the size of a configuration, and export the version that is in force

The record of HOME has the size of the operator's row only in lines about links that made no progress, and versions only as far as the log was kept. Hypothesis A of the postmortem (a large configuration arrives late) could be told from the others by these lines; with the size and a gauge it shows without them.

--- a/Source/Entry/EntryDaemonRows.cpp
+++ b/Source/Entry/EntryDaemonRows.cpp
@@ -63,7 +63,10 @@
             "configuration",
             { { "version", parsed->version() },
               { "routes", parsed->routeCount() },
+              { "bytes", row.value.size() },
               { "age_ms", absl::ToInt64Milliseconds(Common::monotonicNow() - row.readAt) } });
+    this->metrics.setGauge("currantfall_configuration_version",
+                           static_cast<double>(parsed->version()));
     this->steering.setConfiguration(
             std::make_shared<const Steering::RoutingConfiguration>(std::move(*parsed)));
 }
