--- a/Source/UnitTests/Entry/StoreSyncTest.cpp
+++ b/Source/UnitTests/Entry/StoreSyncTest.cpp
@@ -1,5 +1,7 @@
 #include "StoreSync.h"
 
+#include <random>
+
 #include <catch2/catch.hpp>
 
 using namespace Currantfall;
@@ -13,6 +15,25 @@
 // Nothing listens there, and the tests start no reads.
 const Platform::HostPort store { "127.0.0.1", 1 };
 
+/// Text of a configuration with many routes, which differ in their names. The first `routes` of two
+/// texts are the same, but for the home of the first one.
+std::string configurationText(int routes, const std::string &firstHome)
+{
+    std::minstd_rand random(1);
+    std::string text = R"({"version":"r1","virtual_hosts":[{"host":"example","paths":[)";
+    for (int route = 0; route < routes; ++route) {
+        std::string name;
+        for (int letter = 0; letter < 16; ++letter) {
+            name.push_back(static_cast<char>('a' + random() % 26));
+        }
+        text += R"({"name":"r-)" + name.substr(0, 8) + R"(","prefix":"/)" + name.substr(8)
+                + R"(/","kind":"safe","timeout_ms":1500,"target_latency_ms":500,"priority":0,)"
+                + R"("service":"catalog","max_attempts":2,"sticky":true,"allowed_regions":[")"
+                + (route == 0 ? firstHome : "east") + R"("]},)";
+    }
+    return text + "]}]}";
+}
+
 /// A VM with two peers that records what it sends.
 struct Fixture
 {
@@ -67,6 +88,37 @@
         return result;
     }
 
+    /// Bytes of the frames with the updates that were sent.
+    std::size_t sentBytes() const
+    {
+        std::size_t bytes = 0;
+        for (const Sent &message : this->sent) {
+            Wire::MessageT body;
+            body.body = toBody(message.update);
+            bytes += Peering::PeerTransport::encode(Peering::LinkClass::Control, body)->size();
+        }
+        return bytes;
+    }
+
+    /// A peer sends a row that has changed after `from`, or the whole table if `from` is 0.
+    void receiveRow(std::uint64_t from, std::uint64_t to, const std::string &value)
+    {
+        Wire::StoreUpdateT message;
+        message.table = table;
+        message.era = 1;
+        message.from = from;
+        message.to = to;
+        message.complete = from == 0;
+        message.duty = static_cast<std::uint8_t>(Membership::SpreadDuty::Zone);
+        auto row = std::make_unique<Wire::StoreRowT>();
+        row->key = "config";
+        row->version = to;
+        row->value.assign(value.begin(), value.end());
+        message.rows.push_back(std::move(row));
+        this->sent.clear();
+        this->sync.onUpdate(Common::VmName("vm-2"), message, Common::monotonicNow());
+    }
+
     /// A peer tells the version of its table.
     void receiveVersion(const std::string &peer, std::uint64_t version)
     {
@@ -141,3 +193,20 @@
         CHECK(fixture.asked == std::vector<std::string> { "vm-2" });
     }
 }
+
+// Guards against VMs that use a former configuration for seconds, because each change of a large
+// one is sent whole to all peers over links that need a second for one copy.
+TEST_CASE("A change of a large configuration takes little of the links to peers")
+{
+    // A VM with 10 Mbit/s that tells 20 peers has a quarter of the 4 s in which a change must be in
+    // force everywhere.
+    constexpr std::size_t maxBytes = 10'000'000 / 8 / 20;
+    const int routesBefore = GENERATE(4200, 2800);
+    Fixture fixture;
+    fixture.receiveRow(0, 100, configurationText(routesBefore, "east"));
+    const std::string changed = configurationText(4200, "west");
+    fixture.receiveRow(100, 110, changed);
+    CHECK(fixture.sync.replica(table).rows().at("config").value == changed);
+    REQUIRE(fixture.sent.size() == 1);
+    CHECK(fixture.sentBytes() < maxBytes);
+}
