Compress large rows for peers as the difference to what they have

Callers saw: requests of routes with homes ran in another region, up to 9 s after the operator had moved the homes; on links of 10 Mbit/s requests were late and readiness checks failed, without any disruption. Cause: each change of the operator's row, 1.1 MB with 4,222 routes, was sent whole to all peers, two or three times to each VM, at the same time. A VM with 10 Mbit/s needs 18 s for 20 copies; the write timeout of a second closed its links, what they carried was lost and was requested again. The next version waited behind the former one. A change that is passed on refers to the value before, which the peers have; its hash is in the message. A VM without that value, and one that requests changes, gets the value by itself. Each form is made once and passed on as it came. Hello says whether a VM reads compressed values; VMs of earlier versions get them as before.

--- a/Source/Core/Peering/PeerLoop.cpp
+++ b/Source/Core/Peering/PeerLoop.cpp
@@ -38,6 +38,7 @@
     peer.incarnation = hello.incarnation;
     peer.address = hello.address;
     peer.portBase = hello.port_base;
+    peer.readsCompressedValues = hello.reads_compressed_values;
     return peer;
 }
 
@@ -374,6 +375,7 @@
     hello.address = self.address;
     hello.port_base = self.portBase;
     hello.known_incarnation = this->links.knownIncarnation(receiver);
+    hello.reads_compressed_values = self.readsCompressedValues;
     Wire::MessageT message;
     message.body.Set(std::move(hello));
     link.queue()->push(
--- a/Source/Entry/Cluster.cpp
+++ b/Source/Entry/Cluster.cpp
@@ -67,8 +67,8 @@
             new Cluster(context, self, std::move(*table), std::move(hooks), log));
 
     Peering::TransportSettings transport;
-    transport.self = { environmentName,  self.vm,      self.zone,    self.region,
-                       self.incarnation, self.address, self.portBase };
+    transport.self = { environmentName,  self.vm,      self.zone,     self.region,
+                       self.incarnation, self.address, self.portBase, true };
     transport.listenAddress = settings.peers.host;
     transport.listenPort = static_cast<std::uint16_t>(settings.peers.port);
     transport.seed = self.incarnation;
@@ -195,6 +195,11 @@
     }
 }
 
+bool Cluster::readsCompressedValues(const Common::VmName &peer) const
+{
+    return this->compressedValueReaders.contains(peer);
+}
+
 PeerDistance Cluster::distanceTo(const Common::VmName &peer) const
 {
     const auto found = this->linked.find(peer);
@@ -228,6 +233,11 @@
                                    peer.portBase });
     this->linked.insert_or_assign(peer.vm,
                                   Membership::LinkedPeer { peer.vm, peer.zone, peer.region });
+    if (peer.readsCompressedValues) {
+        this->compressedValueReaders.insert(peer.vm);
+    } else {
+        this->compressedValueReaders.erase(peer.vm);
+    }
     this->log.important("peer_link_up", { { "peer", peer.vm.value() } });
     this->updateView(now);
     this->updateSpreadPlan();
@@ -240,6 +250,7 @@
     const Common::Instant now = Common::monotonicNow();
     this->table.applyLinkDown(now, peer, incarnation);
     this->linked.erase(peer);
+    this->compressedValueReaders.erase(peer);
     nlohmann::ordered_json fields { { "peer", peer.value() } };
     fields["reason"] = reason.toString();
     this->log.important("peer_link_down", std::move(fields));
--- a/Source/Entry/Cluster.h
+++ b/Source/Entry/Cluster.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -73,6 +74,8 @@
                 const std::function<Peering::Wire::BodyUnion(Membership::SpreadDuty)> &message);
     /// To whom messages are sent that all VMs, or those of the region, are to get.
     const Membership::SpreadPlan &spreadPlan() const { return this->plan; }
+    /// Whether there is a link to the peer and it reads compressed values.
+    bool readsCompressedValues(const Common::VmName &peer) const;
     const PeerTrafficTable &sentTraffic() const { return this->traffic; }
     const Membership::MemberView &members() const { return *this->view; }
     /// Position of this VM among the live VMs in the order of store readers, which all VMs share.
@@ -109,6 +112,7 @@
     std::size_t rank = 0;
     /// Identities of the peers with an established link.
     std::map<Common::VmName, Membership::LinkedPeer> linked;
+    std::set<Common::VmName> compressedValueReaders;
     Membership::SpreadPlan plan;
     PeerTrafficTable traffic;
     Common::Instant peersUpdatedAt = Common::Instant::fromOrigin(-absl::InfiniteDuration());
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -236,6 +236,8 @@
     channel.spread = [this](const auto &targets, const auto &message) {
         this->cluster->spread(targets, message);
     };
+    channel.readsCompressedValues
+            = [this](const auto &peer) { return this->cluster->readsCompressedValues(peer); };
     return channel;
 }
 
--- a/Source/Entry/PeerChannel.h
+++ b/Source/Entry/PeerChannel.h
@@ -22,6 +22,8 @@
     std::function<void(const std::vector<Membership::SpreadTarget> &targets,
                        const MessageForDuty &message)>
             spread;
+    /// Whether the peer reads compressed values.
+    std::function<bool(const Common::VmName &peer)> readsCompressedValues;
 };
 
 template<typename Message>
--- a/Source/Entry/StoreSync.cpp
+++ b/Source/Entry/StoreSync.cpp
@@ -1,6 +1,7 @@
 #include "StoreSync.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace Currantfall::Entry {
@@ -28,46 +29,16 @@
             std::clamp<std::int64_t>(absl::ToInt64Milliseconds(duration), 0, UINT32_MAX));
 }
 
-Wire::StoreUpdateT toWire(const std::string &table, const Steering::TableUpdate &update,
-                          Common::Instant now)
+/// Sets the value of a row that is sent to peers that read compressed values.
+void setCompressed(Wire::StoreRowT &entry, const Peering::CompressedValue &value)
 {
-    Wire::StoreUpdateT message;
-    message.table = table;
-    message.from = update.from.version();
-    message.to = update.to.version();
-    message.era = update.to.era();
-    message.complete = update.complete;
-    message.age_ms = toMilliseconds(now - update.confirmedAt);
-    for (const Steering::RowChange &row : update.rows) {
-        auto entry = std::make_unique<Wire::StoreRowT>();
-        entry->key = row.key;
-        entry->value.assign(row.value.begin(), row.value.end());
-        entry->version = row.position.version();
-        entry->eras_before = update.to.era() - row.position.era();
-        entry->deleted = row.deleted;
-        entry->age_ms = toMilliseconds(now - row.readAt);
-        message.rows.push_back(std::move(entry));
-    }
-    return message;
+    entry.compressed.assign(value.bytes().begin(), value.bytes().end());
+    entry.base_hash = value.baseHash();
 }
 
-Steering::TableUpdate fromWire(const Wire::StoreUpdateT &message, Common::Instant now)
+bool hasLargeRows(const Steering::TableUpdate &update)
 {
-    Steering::TableUpdate update;
-    update.from = Steering::StorePosition(message.era, message.from);
-    update.to = Steering::StorePosition(message.era, message.to);
-    update.complete = message.complete;
-    update.confirmedAt = now - absl::Milliseconds(message.age_ms);
-    for (const auto &entry : message.rows) {
-        if (entry == nullptr || entry->eras_before > message.era) {
-            continue;
-        }
-        const Steering::StorePosition position(message.era - entry->eras_before, entry->version);
-        update.rows.push_back({ entry->key, std::string(entry->value.begin(), entry->value.end()),
-                                position, entry->deleted,
-                                now - absl::Milliseconds(entry->age_ms) });
-    }
-    return update;
+    return std::any_of(update.rows.begin(), update.rows.end(), CompressedRows::isLarge);
 }
 
 /// Whether `rows` has a row whose key is not among `others`.
@@ -140,6 +111,139 @@
     }
 }
 
+Wire::StoreUpdateT StoreSync::toWire(State &state, const Steering::TableUpdate &update,
+                                     ValueForm form, Common::Instant now)
+{
+    Wire::StoreUpdateT message;
+    message.table = state.table.name;
+    message.from = update.from.version();
+    message.to = update.to.version();
+    message.era = update.to.era();
+    message.complete = update.complete;
+    message.age_ms = toMilliseconds(now - update.confirmedAt);
+    for (const Steering::RowChange &row : update.rows) {
+        auto entry = std::make_unique<Wire::StoreRowT>();
+        entry->key = row.key;
+        entry->version = row.position.version();
+        entry->eras_before = update.to.era() - row.position.era();
+        entry->deleted = row.deleted;
+        entry->age_ms = toMilliseconds(now - row.readAt);
+        const Peering::CompressedValue *compressed = nullptr;
+        if (form != ValueForm::Plain && CompressedRows::isLarge(row)) {
+            compressed = form == ValueForm::Difference ? state.compressedRows.difference(row)
+                                                       : state.compressedRows.whole(row);
+        }
+        if (compressed != nullptr) {
+            setCompressed(*entry, *compressed);
+        } else {
+            entry->value.assign(row.value.begin(), row.value.end());
+        }
+        message.rows.push_back(std::move(entry));
+    }
+    return message;
+}
+
+std::optional<Steering::TableUpdate>
+StoreSync::fromWire(State &state, const Wire::StoreUpdateT &message, Common::Instant now)
+{
+    Steering::TableUpdate update;
+    update.from = Steering::StorePosition(message.era, message.from);
+    update.to = Steering::StorePosition(message.era, message.to);
+    update.complete = message.complete;
+    update.confirmedAt = now - absl::Milliseconds(message.age_ms);
+    const auto &knownRows = state.replica.rows();
+    for (const auto &entry : message.rows) {
+        if (entry == nullptr || entry->eras_before > message.era) {
+            continue;
+        }
+        const Steering::StorePosition position(message.era - entry->eras_before, entry->version);
+        std::string value(entry->value.begin(), entry->value.end());
+        if (!entry->compressed.empty()) {
+            const auto known = knownRows.find(entry->key);
+            const std::string_view base
+                    = known == knownRows.end() ? std::string_view() : known->second.value;
+            auto compressed = Peering::CompressedValue::received(
+                    std::string(entry->compressed.begin(), entry->compressed.end()),
+                    entry->base_hash);
+            if (known != knownRows.end() && known->second.position == position) {
+                value = known->second.value;
+            } else if (auto read = compressed.decompress(base)) {
+                value = std::move(*read);
+                state.compressedRows.receive(entry->key, position, std::move(compressed));
+            } else {
+                return std::nullopt;
+            }
+        }
+        update.rows.push_back({ entry->key, std::move(value), position, entry->deleted,
+                                now - absl::Milliseconds(entry->age_ms) });
+    }
+    return update;
+}
+
+void StoreSync::sendUpdate(State &state, const std::vector<Common::VmName> &peers,
+                           const Steering::TableUpdate &update, Common::Instant now)
+{
+    std::vector<Common::VmName> compressedReaders;
+    std::vector<Common::VmName> others = peers;
+    if (hasLargeRows(update)) {
+        const auto firstReader = std::stable_partition(
+                others.begin(), others.end(), [this](const Common::VmName &peer) {
+                    return !this->hooks.peers.readsCompressedValues(peer);
+                });
+        compressedReaders.assign(firstReader, others.end());
+        others.erase(firstReader, others.end());
+    }
+    // What the peers lack, their zones may lack.
+    const auto duty = static_cast<std::uint8_t>(Membership::SpreadDuty::Zone);
+    const auto send = [&](const std::vector<Common::VmName> &receivers, ValueForm form) {
+        if (!receivers.empty()) {
+            Wire::StoreUpdateT message = toWire(state, update, form, now);
+            message.duty = duty;
+            this->hooks.peers.send(receivers, toBody(std::move(message)));
+        }
+    };
+    send(others, ValueForm::Plain);
+    send(compressedReaders, ValueForm::Whole);
+}
+
+void StoreSync::spreadUpdate(State &state, const std::vector<Membership::SpreadTarget> &targets,
+                             const Steering::TableUpdate &update, Common::Instant now)
+{
+    std::vector<Membership::SpreadTarget> compressedReaders;
+    std::vector<Membership::SpreadTarget> others = targets;
+    if (hasLargeRows(update)) {
+        const auto firstReader
+                = std::stable_partition(others.begin(), others.end(), [this](const auto &target) {
+                      return !this->hooks.peers.readsCompressedValues(target.vm);
+                  });
+        compressedReaders.assign(firstReader, others.end());
+        others.erase(firstReader, others.end());
+    }
+    const auto spread = [&](const auto &receivers, ValueForm form) {
+        if (!receivers.empty()) {
+            this->hooks.peers.spread(receivers, withDuty(toWire(state, update, form, now)));
+        }
+    };
+    spread(others, ValueForm::Plain);
+    spread(compressedReaders, ValueForm::Difference);
+}
+
+void StoreSync::requestChanges(State &state, const Common::VmName &peer, Common::Instant now)
+{
+    const bool loaded = state.replica.loaded();
+    if (now - state.requestedAt < requestTimeout
+        || (!loaded && !this->mayRequestTable(state, peer, now))) {
+        return;
+    }
+    state.requestedAt = now;
+    Wire::StoreRequestT request;
+    request.table = state.table.name;
+    request.loaded = loaded;
+    request.version = state.replica.position().version();
+    request.era = state.replica.position().era();
+    this->hooks.peers.send({ peer }, toBody(std::move(request)));
+}
+
 void StoreSync::startRead(State &state)
 {
     StoreCall call;
@@ -270,17 +374,10 @@
     const Common::Instant confirmedBefore = state.replica.confirmedAt();
     const Steering::StorePosition before = state.replica.position();
     const bool loadedBefore = state.replica.loaded();
+    state.compressedRows.prepare(state.replica, update);
     const auto outcome = state.replica.apply(update);
-    if (outcome.status == Steering::TableReplica::Status::Gap && source
-        && now - state.requestedAt >= requestTimeout
-        && (loadedBefore || this->mayRequestTable(state, source->peer, now))) {
-        state.requestedAt = now;
-        Wire::StoreRequestT request;
-        request.table = state.table.name;
-        request.loaded = state.replica.loaded();
-        request.version = before.version();
-        request.era = before.era();
-        this->hooks.peers.send({ source->peer }, toBody(std::move(request)));
+    if (outcome.status == Steering::TableReplica::Status::Gap && source) {
+        this->requestChanges(state, source->peer, now);
     }
     if (!outcome.localChanges.empty()
         && outcome.status != Steering::TableReplica::Status::Applied) {
@@ -326,22 +423,21 @@
     // This VM may be the only one that knows rows that the source did not send.
     const bool ownRows = !source || hasRowsBeyond(relayedUpdate.rows, update.rows);
     const Membership::SpreadPlan &plan = this->hooks.peers.plan();
-    this->hooks.peers.spread(ownRows ? plan.targets(Membership::SpreadDuty::Fleet)
-                                     : plan.targets(source->peer, source->duty),
-                             withDuty(toWire(state.table.name, relayedUpdate, now)));
+    this->spreadUpdate(state,
+                       ownRows ? plan.targets(Membership::SpreadDuty::Fleet)
+                               : plan.targets(source->peer, source->duty),
+                       relayedUpdate, now);
     return true;
 }
 
-Wire::StoreUpdateT StoreSync::versionOf(const State &state, Common::Instant now)
+Steering::TableUpdate StoreSync::versionOf(const State &state)
 {
     Steering::TableUpdate version;
     version.from = state.replica.position();
     version.to = version.from;
     version.confirmedAt = state.replica.confirmedAt();
     version.rows = state.replica.retainedRows();
-    Wire::StoreUpdateT message = toWire(state.table.name, version, now);
-    message.duty = static_cast<std::uint8_t>(Membership::SpreadDuty::Zone);
-    return message;
+    return version;
 }
 
 void StoreSync::sendVersions(Common::Instant now)
@@ -351,18 +447,18 @@
     if (const auto &mates = plan.zonePeers(); !mates.empty()) {
         peers.push_back(mates[this->random() % mates.size()]);
     }
-    for (const auto &[name, state] : this->states) {
+    for (auto &[name, state] : this->states) {
         if (state.replica.loaded()) {
-            this->hooks.peers.send(peers, toBody(versionOf(state, now)));
+            this->sendUpdate(state, peers, versionOf(state), now);
         }
     }
 }
 
 void StoreSync::onLinkUp(const Common::VmName &peer, Common::Instant now)
 {
-    for (const auto &[name, state] : this->states) {
+    for (auto &[name, state] : this->states) {
         if (state.replica.loaded()) {
-            this->hooks.peers.send({ peer }, toBody(versionOf(state, now)));
+            this->sendUpdate(state, { peer }, versionOf(state), now);
         }
     }
 }
@@ -370,10 +466,15 @@
 void StoreSync::onUpdate(const Common::VmName &peer, const Wire::StoreUpdateT &message,
                          Common::Instant now)
 {
-    const auto state = this->states.find(message.table);
-    if (state != this->states.end()) {
-        this->apply(state->second, fromWire(message, now),
-                    Source { peer, Membership::spreadDutyOf(message.duty) }, now);
+    const auto found = this->states.find(message.table);
+    if (found == this->states.end()) {
+        return;
+    }
+    State &state = found->second;
+    if (const auto update = this->fromWire(state, message, now)) {
+        this->apply(state, *update, Source { peer, Membership::spreadDutyOf(message.duty) }, now);
+    } else if (Steering::StorePosition(message.era, message.to) > state.replica.position()) {
+        this->requestChanges(state, peer, now);
     }
 }
 
@@ -387,10 +488,7 @@
     const Steering::StorePosition known(message.era, message.version);
     const auto update = state->second.replica.changesSince(
             message.loaded ? known : Steering::StorePosition());
-    Wire::StoreUpdateT reply = toWire(message.table, update, now);
-    // What the peer lacks, its whole zone may lack.
-    reply.duty = static_cast<std::uint8_t>(Membership::SpreadDuty::Zone);
-    this->hooks.peers.send({ peer }, toBody(std::move(reply)));
+    this->sendUpdate(state->second, { peer }, update, now);
 }
 
 } // namespace Currantfall::Entry
--- a/Source/Entry/StoreSync.h
+++ b/Source/Entry/StoreSync.h
@@ -14,6 +14,7 @@
 #include "currantfall/Telemetry/MetricsRegistry.h"
 
 #include "Asio.h"
+#include "CompressedRows.h"
 #include "PeerChannel.h"
 #include "StoreWorker.h"
 
@@ -70,6 +71,8 @@
         Steering::TableReplica replica;
         Steering::ReadSchedule schedule;
         std::unique_ptr<StoreWorker> worker;
+        /// Large values as they are sent to peers.
+        CompressedRows compressedRows = {};
         bool needsFullRead = true;
         bool reachable = true;
         /// Discarded updates since the last log line about them.
@@ -79,6 +82,13 @@
         Common::Instant relayedAt = Common::Instant::fromOrigin(-absl::InfiniteDuration());
     };
 
+    /// How the large values of an update are sent.
+    enum class ValueForm {
+        Plain,      ///< For VMs that read no compressed values.
+        Whole,      ///< Compressed by themselves.
+        Difference, ///< As the difference to the value before, if it is known.
+    };
+
     void startRead(State &state);
     void onReadFinished(State &state, const StoreResult &result, Common::Instant now);
     /// The peer that sent an update.
@@ -92,11 +102,25 @@
     /// other peers. Returns false if it was discarded because the replica is newer.
     bool apply(State &state, const Steering::TableUpdate &update,
                const std::optional<Source> &source, Common::Instant now);
+    /// Returns nothing if this VM lacks a value that a compressed one of the message refers to, or
+    /// if a value is damaged.
+    std::optional<Steering::TableUpdate>
+    fromWire(State &state, const Peering::Wire::StoreUpdateT &message, Common::Instant now);
+    static Peering::Wire::StoreUpdateT toWire(State &state, const Steering::TableUpdate &update,
+                                              ValueForm form, Common::Instant now);
+    /// Sends an update to peers, in the form that they read.
+    void sendUpdate(State &state, const std::vector<Common::VmName> &peers,
+                    const Steering::TableUpdate &update, Common::Instant now);
+    /// Sends changes to peers, which pass them on.
+    void spreadUpdate(State &state, const std::vector<Membership::SpreadTarget> &targets,
+                      const Steering::TableUpdate &update, Common::Instant now);
+    /// Requests the changes that this VM lacks, unless it has done so recently.
+    void requestChanges(State &state, const Common::VmName &peer, Common::Instant now);
     /// Sends the versions of all tables to some peers, which request the changes that they lack.
     /// They may have missed an update whose sender or link has failed.
     void sendVersions(Common::Instant now);
     /// The version of a table and what this VM knows that the store does not list.
-    static Peering::Wire::StoreUpdateT versionOf(const State &state, Common::Instant now);
+    static Steering::TableUpdate versionOf(const State &state);
     /// Whether this VM has just started and expects to get the table from a VM of its zone.
     bool expectsTable(const State &state, Common::Instant now) const;
     /// Whether the whole table may be requested from the peer. Tables are large, so that VMs of
--- a/Source/UnitTests/Entry/StoreSyncTest.cpp
+++ b/Source/UnitTests/Entry/StoreSyncTest.cpp
@@ -50,6 +50,8 @@
     /// Peers that were asked for changes or for the whole table.
     std::vector<std::string> asked;
     absl::Duration firstReadDelay = absl::ZeroDuration();
+    /// Whether the peers read compressed values.
+    bool peersReadCompressed = true;
     StoreSync sync { context,       store, { { table, {}, absl::ZeroDuration(), {} } },
                      this->hooks(), log,   metrics };
 
@@ -83,6 +85,8 @@
                 send(target.vm, message(target.duty));
             }
         };
+        result.peers.readsCompressedValues
+                = [this](const auto &) { return this->peersReadCompressed; };
         result.readerRank = [] { return std::size_t { 1 }; };
         result.firstReadDelay = [this](const std::string &) { return this->firstReadDelay; };
         return result;
@@ -102,6 +106,18 @@
 
     /// A peer sends a row that has changed after `from`, or the whole table if `from` is 0.
     void receiveRow(std::uint64_t from, std::uint64_t to, const std::string &value)
+    {
+        this->receive(rowMessage(from, to, value));
+    }
+
+    void receive(const Wire::StoreUpdateT &message)
+    {
+        this->sent.clear();
+        this->sync.onUpdate(Common::VmName("vm-2"), message, Common::monotonicNow());
+    }
+
+    static Wire::StoreUpdateT rowMessage(std::uint64_t from, std::uint64_t to,
+                                         const std::string &value)
     {
         Wire::StoreUpdateT message;
         message.table = table;
@@ -115,10 +131,23 @@
         row->version = to;
         row->value.assign(value.begin(), value.end());
         message.rows.push_back(std::move(row));
-        this->sent.clear();
-        this->sync.onUpdate(Common::VmName("vm-2"), message, Common::monotonicNow());
+        return message;
     }
 
+    /// The row in the form of a difference to `base`.
+    static Wire::StoreUpdateT differenceMessage(std::uint64_t from, std::uint64_t to,
+                                                const std::string &value, const std::string &base)
+    {
+        Wire::StoreUpdateT message = rowMessage(from, to, "");
+        const auto compressed = Peering::CompressedValue::compress(value, base).value();
+        Wire::StoreRowT &row = *message.rows.front();
+        row.compressed.assign(compressed.bytes().begin(), compressed.bytes().end());
+        row.base_hash = compressed.baseHash();
+        return message;
+    }
+
+    const std::string &value() const { return this->sync.replica(table).rows().at("config").value; }
+
     /// A peer tells the version of its table.
     void receiveVersion(const std::string &peer, std::uint64_t version)
     {
@@ -206,7 +235,85 @@
     fixture.receiveRow(0, 100, configurationText(routesBefore, "east"));
     const std::string changed = configurationText(4200, "west");
     fixture.receiveRow(100, 110, changed);
-    CHECK(fixture.sync.replica(table).rows().at("config").value == changed);
+    CHECK(fixture.value() == changed);
     REQUIRE(fixture.sent.size() == 1);
     CHECK(fixture.sentBytes() < maxBytes);
 }
+
+// Guards against a VM that takes a difference for a value, or that stays behind because it lacks
+// the value to which the difference was made.
+TEST_CASE("A difference to a value that this VM lacks leads to a request for the changes")
+{
+    const std::string first = configurationText(100, "east");
+    const std::string second = configurationText(100, "west");
+    const std::string third = configurationText(101, "west");
+    Fixture fixture;
+    fixture.receiveRow(0, 100, first);
+    SECTION("it has the value")
+    {
+        fixture.receive(Fixture::differenceMessage(100, 110, second, first));
+        CHECK(fixture.value() == second);
+        REQUIRE(fixture.sent.size() == 1);
+        // Passed on as it came.
+        CHECK(fixture.sent.front().update.rows.front()->compressed
+              == Fixture::differenceMessage(100, 110, second, first).rows.front()->compressed);
+        // The same change arrives from a second peer, and the one before it late.
+        fixture.receive(Fixture::differenceMessage(100, 110, second, first));
+        fixture.receive(Fixture::differenceMessage(100, 105, first, third));
+        CHECK(fixture.value() == second);
+        CHECK(fixture.asked.empty());
+    }
+    SECTION("it lacks the value")
+    {
+        fixture.receive(Fixture::differenceMessage(100, 120, third, second));
+        CHECK(fixture.value() == first);
+        CHECK(fixture.asked == std::vector<std::string> { "vm-2" });
+        CHECK(fixture.sent.empty());
+    }
+    SECTION("the bytes are damaged")
+    {
+        Wire::StoreUpdateT message = Fixture::differenceMessage(100, 110, second, first);
+        message.rows.front()->compressed.back() ^= 1;
+        fixture.receive(message);
+        CHECK(fixture.value() == first);
+        CHECK(fixture.asked == std::vector<std::string> { "vm-2" });
+    }
+}
+
+// Guards against a VM that requests changes and gets a difference that it can't read again.
+TEST_CASE("Requested values refer to no other value")
+{
+    Fixture fixture;
+    const std::string changed = configurationText(4200, "west");
+    fixture.receiveRow(0, 100, configurationText(4200, "east"));
+    fixture.receiveRow(100, 110, changed);
+    fixture.sent.clear();
+    Wire::StoreRequestT request;
+    request.table = table;
+    request.loaded = true;
+    request.era = 1;
+    request.version = 100;
+    fixture.sync.onRequest(Common::VmName("vm-3"), request, Common::monotonicNow());
+    REQUIRE(fixture.sent.size() == 1);
+    const Wire::StoreRowT &row = *fixture.sent.front().update.rows.front();
+    CHECK(row.value.empty());
+    CHECK(row.base_hash == 0);
+    CHECK(Peering::CompressedValue::received({ row.compressed.begin(), row.compressed.end() }, 0)
+                  .decompress("")
+                  .value()
+          == changed);
+}
+
+// Guards against VMs of an earlier version that take a compressed value for an empty one.
+TEST_CASE("Peers of earlier versions get values uncompressed")
+{
+    Fixture fixture;
+    fixture.peersReadCompressed = false;
+    const std::string changed = configurationText(100, "west");
+    fixture.receiveRow(0, 100, configurationText(100, "east"));
+    fixture.receiveRow(100, 110, changed);
+    REQUIRE(fixture.sent.size() == 1);
+    const Wire::StoreRowT &row = *fixture.sent.front().update.rows.front();
+    CHECK(std::string(row.value.begin(), row.value.end()) == changed);
+    CHECK(row.compressed.empty());
+}
--- a/Source/UnitTests/Peering/PeerTransportTest.cpp
+++ b/Source/UnitTests/Peering/PeerTransportTest.cpp
@@ -73,6 +73,7 @@
         handlers.onLinkUp = [this](const PeerIdentity &peer, LinkClass linkClass) {
             const std::lock_guard lock(this->mutex);
             ++this->up[{ peer.vm.value(), peer.incarnation, linkClass }];
+            this->compressedValueReaders[peer.vm.value()] = peer.readsCompressedValues;
         };
         handlers.onLinkDown = [this](const Common::VmName &peer, Common::Incarnation incarnation,
                                      LinkClass linkClass, const Common::Error &reason) {
@@ -113,6 +114,12 @@
                && this->linksUp(vm, incarnation, LinkClass::Bulk) == 1;
     }
 
+    bool peerReadsCompressedValues(const std::string &vm)
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->compressedValueReaders[vm];
+    }
+
     /// The later run of this VM of which peers have told it; 0 if none did.
     Common::Incarnation outdatedBy()
     {
@@ -128,6 +135,7 @@
 
 private:
     std::mutex mutex;
+    std::map<std::string, bool> compressedValueReaders;
     std::map<std::tuple<std::string, Common::Incarnation, LinkClass>, int> up;
     std::map<std::string, std::vector<std::uint64_t>> revisions;
     std::string lastReason;
@@ -220,6 +228,19 @@
     }
 }
 
+// Guards against compressed values for a VM of an earlier version, and against whole ones for all.
+TEST_CASE("Both sides of a link learn whether the other one reads compressed values")
+{
+    PeerIdentity newer = identity("b", 2);
+    newer.readsCompressedValues = true;
+    Vm a(settingsOf(identity("a", 1)));
+    Vm b(settingsOf(newer));
+    a.transport->setPeers({ b.address("b") });
+    waitUntil([&] { return a.bothUp("b", 2) && b.bothUp("a", 1); });
+    CHECK(a.peerReadsCompressedValues("b"));
+    CHECK_FALSE(b.peerReadsCompressedValues("a"));
+}
+
 TEST_CASE("A restarted peer replaces its earlier run, which can't come back")
 {
     Vm a(settingsOf(identity("a", 1)));
--- a/include/currantfall/Peering/Messages_generated.h
+++ b/include/currantfall/Peering/Messages_generated.h
@@ -859,6 +859,7 @@
   std::string address{};
   uint16_t port_base = 0;
   uint64_t known_incarnation = 0;
+  bool reads_compressed_values = false;
 };
 
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -873,7 +874,8 @@
     VT_LINK_CLASS = 14,
     VT_ADDRESS = 16,
     VT_PORT_BASE = 18,
-    VT_KNOWN_INCARNATION = 20
+    VT_KNOWN_INCARNATION = 20,
+    VT_READS_COMPRESSED_VALUES = 22
   };
   const flatbuffers::String *environment() const {
     return GetPointer<const flatbuffers::String *>(VT_ENVIRONMENT);
@@ -902,6 +904,9 @@
   uint64_t known_incarnation() const {
     return GetField<uint64_t>(VT_KNOWN_INCARNATION, 0);
   }
+  bool reads_compressed_values() const {
+    return GetField<uint8_t>(VT_READS_COMPRESSED_VALUES, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ENVIRONMENT) &&
@@ -918,6 +923,7 @@
            verifier.VerifyString(address()) &&
            VerifyField<uint16_t>(verifier, VT_PORT_BASE, 2) &&
            VerifyField<uint64_t>(verifier, VT_KNOWN_INCARNATION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_READS_COMPRESSED_VALUES, 1) &&
            verifier.EndTable();
   }
   HelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -956,6 +962,9 @@
   void add_known_incarnation(uint64_t known_incarnation) {
     fbb_.AddElement<uint64_t>(Hello::VT_KNOWN_INCARNATION, known_incarnation, 0);
   }
+  void add_reads_compressed_values(bool reads_compressed_values) {
+    fbb_.AddElement<uint8_t>(Hello::VT_READS_COMPRESSED_VALUES, static_cast<uint8_t>(reads_compressed_values), 0);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -977,7 +986,8 @@
     uint8_t link_class = 0,
     flatbuffers::Offset<flatbuffers::String> address = 0,
     uint16_t port_base = 0,
-    uint64_t known_incarnation = 0) {
+    uint64_t known_incarnation = 0,
+    bool reads_compressed_values = false) {
   HelloBuilder builder_(_fbb);
   builder_.add_known_incarnation(known_incarnation);
   builder_.add_incarnation(incarnation);
@@ -987,6 +997,7 @@
   builder_.add_vm(vm);
   builder_.add_environment(environment);
   builder_.add_port_base(port_base);
+  builder_.add_reads_compressed_values(reads_compressed_values);
   builder_.add_link_class(link_class);
   return builder_.Finish();
 }
@@ -1001,7 +1012,8 @@
     uint8_t link_class = 0,
     const char *address = nullptr,
     uint16_t port_base = 0,
-    uint64_t known_incarnation = 0) {
+    uint64_t known_incarnation = 0,
+    bool reads_compressed_values = false) {
   auto environment__ = environment ? _fbb.CreateString(environment) : 0;
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
@@ -1017,7 +1029,8 @@
       link_class,
       address__,
       port_base,
-      known_incarnation);
+      known_incarnation,
+      reads_compressed_values);
 }
 
 flatbuffers::Offset<Hello> CreateHello(flatbuffers::FlatBufferBuilder &_fbb, const HelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3340,6 +3353,8 @@
   bool deleted = false;
   uint32_t age_ms = 0;
   uint64_t eras_before = 0;
+  std::vector<uint8_t> compressed{};
+  uint64_t base_hash = 0;
 };
 
 struct StoreRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3351,7 +3366,9 @@
     VT_VERSION = 8,
     VT_DELETED = 10,
     VT_AGE_MS = 12,
-    VT_ERAS_BEFORE = 14
+    VT_ERAS_BEFORE = 14,
+    VT_COMPRESSED = 16,
+    VT_BASE_HASH = 18
   };
   const flatbuffers::String *key() const {
     return GetPointer<const flatbuffers::String *>(VT_KEY);
@@ -3371,6 +3388,12 @@
   uint64_t eras_before() const {
     return GetField<uint64_t>(VT_ERAS_BEFORE, 0);
   }
+  const flatbuffers::Vector<uint8_t> *compressed() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_COMPRESSED);
+  }
+  uint64_t base_hash() const {
+    return GetField<uint64_t>(VT_BASE_HASH, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_KEY) &&
@@ -3381,6 +3404,9 @@
            VerifyField<uint8_t>(verifier, VT_DELETED, 1) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            VerifyField<uint64_t>(verifier, VT_ERAS_BEFORE, 8) &&
+           VerifyOffset(verifier, VT_COMPRESSED) &&
+           verifier.VerifyVector(compressed()) &&
+           VerifyField<uint64_t>(verifier, VT_BASE_HASH, 8) &&
            verifier.EndTable();
   }
   StoreRowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3410,6 +3436,12 @@
   void add_eras_before(uint64_t eras_before) {
     fbb_.AddElement<uint64_t>(StoreRow::VT_ERAS_BEFORE, eras_before, 0);
   }
+  void add_compressed(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> compressed) {
+    fbb_.AddOffset(StoreRow::VT_COMPRESSED, compressed);
+  }
+  void add_base_hash(uint64_t base_hash) {
+    fbb_.AddElement<uint64_t>(StoreRow::VT_BASE_HASH, base_hash, 0);
+  }
   explicit StoreRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3428,10 +3460,14 @@
     uint64_t version = 0,
     bool deleted = false,
     uint32_t age_ms = 0,
-    uint64_t eras_before = 0) {
+    uint64_t eras_before = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> compressed = 0,
+    uint64_t base_hash = 0) {
   StoreRowBuilder builder_(_fbb);
+  builder_.add_base_hash(base_hash);
   builder_.add_eras_before(eras_before);
   builder_.add_version(version);
+  builder_.add_compressed(compressed);
   builder_.add_age_ms(age_ms);
   builder_.add_value(value);
   builder_.add_key(key);
@@ -3446,9 +3482,12 @@
     uint64_t version = 0,
     bool deleted = false,
     uint32_t age_ms = 0,
-    uint64_t eras_before = 0) {
+    uint64_t eras_before = 0,
+    const std::vector<uint8_t> *compressed = nullptr,
+    uint64_t base_hash = 0) {
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
+  auto compressed__ = compressed ? _fbb.CreateVector<uint8_t>(*compressed) : 0;
   return Currantfall::Peering::Wire::CreateStoreRow(
       _fbb,
       key__,
@@ -3456,7 +3495,9 @@
       version,
       deleted,
       age_ms,
-      eras_before);
+      eras_before,
+      compressed__,
+      base_hash);
 }
 
 flatbuffers::Offset<StoreRow> CreateStoreRow(flatbuffers::FlatBufferBuilder &_fbb, const StoreRowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4569,6 +4610,7 @@
   { auto _e = address(); if (_e) _o->address = _e->str(); }
   { auto _e = port_base(); _o->port_base = _e; }
   { auto _e = known_incarnation(); _o->known_incarnation = _e; }
+  { auto _e = reads_compressed_values(); _o->reads_compressed_values = _e; }
 }
 
 inline flatbuffers::Offset<Hello> Hello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4588,6 +4630,7 @@
   auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
   auto _port_base = _o->port_base;
   auto _known_incarnation = _o->known_incarnation;
+  auto _reads_compressed_values = _o->reads_compressed_values;
   return Currantfall::Peering::Wire::CreateHello(
       _fbb,
       _environment,
@@ -4598,7 +4641,8 @@
       _link_class,
       _address,
       _port_base,
-      _known_incarnation);
+      _known_incarnation,
+      _reads_compressed_values);
 }
 
 inline ServiceLoadT *ServiceLoad::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5562,6 +5606,8 @@
   { auto _e = deleted(); _o->deleted = _e; }
   { auto _e = age_ms(); _o->age_ms = _e; }
   { auto _e = eras_before(); _o->eras_before = _e; }
+  { auto _e = compressed(); if (_e) { _o->compressed.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->compressed.begin()); } }
+  { auto _e = base_hash(); _o->base_hash = _e; }
 }
 
 inline flatbuffers::Offset<StoreRow> StoreRow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StoreRowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5578,6 +5624,8 @@
   auto _deleted = _o->deleted;
   auto _age_ms = _o->age_ms;
   auto _eras_before = _o->eras_before;
+  auto _compressed = _o->compressed.size() ? _fbb.CreateVector(_o->compressed) : 0;
+  auto _base_hash = _o->base_hash;
   return Currantfall::Peering::Wire::CreateStoreRow(
       _fbb,
       _key,
@@ -5585,7 +5633,9 @@
       _version,
       _deleted,
       _age_ms,
-      _eras_before);
+      _eras_before,
+      _compressed,
+      _base_hash);
 }
 
 inline StoreUpdateT::StoreUpdateT(const StoreUpdateT &o)
--- a/include/currantfall/Peering/PeerTransport.h
+++ b/include/currantfall/Peering/PeerTransport.h
@@ -26,6 +26,8 @@
     Common::Incarnation incarnation = 0;
     std::string address;
     std::uint16_t portBase = 0;
+    /// Whether it reads compressed values (see ValueCodec.h). VMs of earlier versions do not.
+    bool readsCompressedValues = false;
 
     friend bool operator==(const PeerIdentity &left, const PeerIdentity &right) = default;
 };
