--- a/Source/UnitTests/Membership/ReaderOrderTest.cpp
+++ b/Source/UnitTests/Membership/ReaderOrderTest.cpp
@@ -18,8 +18,10 @@
 /// VMs 0 to 3 are large, the others small.
 std::vector<StoreReader> fleet()
 {
+    constexpr int vms = 16;
     std::vector<StoreReader> result;
-    for (int number = 0; number < 16; ++number) {
+    result.reserve(vms);
+    for (int number = 0; number < vms; ++number) {
         result.push_back(reader(number, number < 4 ? 0.5 : 0.1));
     }
     return result;
@@ -39,12 +41,12 @@
 // Guards against VMs that read the store at the same time, or leave it to each other.
 TEST_CASE("Each VM has a place of its own among the readers, whatever the order of the list")
 {
-    std::vector<StoreReader> vms = fleet();
+    const std::vector<StoreReader> vms = fleet();
     std::set<std::size_t> ranks;
+    const std::vector<StoreReader> reversed(vms.rbegin(), vms.rend());
     for (const StoreReader &vm : vms) {
         const std::size_t rank = readerRank(vm.vm, vms);
-        std::vector<StoreReader> reversed(vms.rbegin(), vms.rend());
-        CHECK(readerRank(vm.vm, std::move(reversed)) == rank);
+        CHECK(readerRank(vm.vm, reversed) == rank);
         ranks.insert(rank);
     }
     CHECK(ranks.size() == vms.size());
--- a/Source/UnitTests/Peering/ValueCodecTest.cpp
+++ b/Source/UnitTests/Peering/ValueCodecTest.cpp
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include "currantfall/Peering/FrameCodec.h"
+
 using namespace Currantfall;
 using namespace Currantfall::Peering;
 using Common::ErrorCode;
@@ -66,6 +68,8 @@
     std::string damaged = compressed.bytes();
     damaged.back() = static_cast<char>(damaged.back() + 1);
     CHECK_FALSE(CompressedValue::received(damaged, compressed.baseHash()).decompress(base));
-    const auto huge = CompressedValue::compress(std::string(30'000'000, 'a'), "").value();
+    std::string tooLarge;
+    tooLarge.resize(maxMessageBytes + 1);
+    const auto huge = CompressedValue::compress(tooLarge, "").value();
     CHECK(huge.decompress("").error().code() == make_error_code(ErrorCode::TooLarge));
 }
