Bound the head and the time of responses on the own interface

Callers saw (reports of other operators): a server sent bytes without end in a head or a body; the VM that had called it ran out of memory, and all its requests ended with it. Cause: the HTTP library keeps a status line, header lines, the size of a chunk and trailer fields for as long as the server sends them, and its read timeout starts again with each byte, so that not even the deadline ended them. The answer to a cancellation had no limit at all. The library matches a status line with a regular expression that recurses for each character. Shown by the new tests on the code before (release build): a status line of 60,000 characters, or without end, ended the process with SIGSEGV; one of 2,000 was taken for an answer; a head that came byte by byte was still being read after 100 s with a deadline of 300 ms. The other endless cases were not reached there, because the first one ended the test program. Change: BoundedClient reads at most 64 KiB without bytes of the body, status lines of at most 1 KiB, and nothing after the deadline. Bodies had a limit before. Not changed: the store's clients, the operator's tool and the load generator use the library's client as before.

--- a/Source/Daemon/BackendConnection.cpp
+++ b/Source/Daemon/BackendConnection.cpp
@@ -34,6 +34,21 @@
 // take the retry.
 constexpr absl::Duration maxRetryAfter = absl::Seconds(1);
 
+// Addresses are "IP:PORT".
+std::string hostOf(const std::string &address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
+/// Returns 0, to which no connection can be made, if there is no port.
+int portOf(const std::string &address)
+{
+    int port = 0;
+    const auto colon = address.rfind(':');
+    return colon != std::string::npos && absl::SimpleAtoi(address.substr(colon + 1), &port) ? port
+                                                                                            : 0;
+}
+
 /// False if the end of the answer can't be told from a lost connection.
 bool hasVerifiableEnd(const httplib::Request &request, const httplib::Response &response)
 {
@@ -160,7 +175,7 @@
 } // namespace
 
 BackendConnection::BackendConnection(const std::string &address)
-    : address(address), client("http://" + address)
+    : address(address), client(hostOf(address), portOf(address))
 {
     this->client.set_keep_alive(true);
     this->client.set_tcp_nodelay(true);
@@ -243,8 +258,10 @@
             return false;
         }
         body.append(data, size);
+        this->client.noteBodyReceived();
         return true;
     };
+    this->client.setDeadline(request.deadline + answerGrace);
     httplib::Response response;
     auto error = httplib::Error::Success;
     const std::uint64_t socketsBefore = this->socketCount();
@@ -275,6 +292,7 @@
     // server ends the request at its deadline.
     this->client.stop();
     this->client.set_read_timeout(cancelTimeout);
+    this->client.setDeadline(Common::monotonicNow() + absl::FromChrono(cancelTimeout));
     this->client.Post("/_control/cancel?attempt=" + attempt);
 }
 
--- a/Source/Daemon/BackendConnection.h
+++ b/Source/Daemon/BackendConnection.h
@@ -5,11 +5,10 @@
 #include <memory>
 #include <string>
 
-#include <httplib.h>
-
 #include "currantfall/Common/Mutex.h"
 #include "currantfall/Steering/ServerNotice.h"
 
+#include "HttpStream/BoundedClient.h"
 #include "Request.h"
 
 namespace Currantfall::Daemon {
@@ -63,7 +62,7 @@
     std::uint64_t socketCount() const;
 
     std::string address;
-    httplib::Client client;
+    HttpStream::BoundedClient client;
     mutable Common::Mutex mutex;
     std::string current;   // Attempt in progress.
     std::string cancelled; // Attempt cancelled last.
--- a/Source/UnitTests/Daemon/BackendConnectionTest.cpp
+++ b/Source/UnitTests/Daemon/BackendConnectionTest.cpp
@@ -203,6 +203,107 @@
     CHECK(sent < std::size_t { 40 } * 1024 * 1024);
 }
 
+// Guards against bytes that are no answer, in a head or between the parts of a body, that take the
+// memory of the VM or hold a connection beyond the request's deadline.
+TEST_CASE("Bytes without end outside a body are cut and count as unknown")
+{
+    struct Case
+    {
+        std::string name;
+        /// Without the attempt's header, which follows if it ends with a line break.
+        std::string start;
+        std::string block;
+    };
+    const std::string letters(std::size_t { 64 } * 1024, 'x');
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = ok + "Transfer-Encoding: chunked\r\n";
+    const auto odd = GENERATE_COPY(
+            Case { "status line", "HTTP/1.1 200 ", letters },
+            Case { "header line", ok + "X-Long: ", letters },
+            Case { "header lines", ok, "X-Next: value\r\n" },
+            Case { "interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+            Case { "size of a chunk", chunked + "\r\n5\r\nhello\r\n1;", letters },
+            Case { "trailer", chunked + "\r\n5\r\nhello\r\n0\r\nX-Long: ", letters });
+    const bool cancelAnswer = GENERATE(false, true);
+    INFO(odd.name << (cancelAnswer ? ", answer to the cancellation" : ""));
+    std::atomic<std::size_t> sent { 0 };
+    ScriptedBackend backend([&](ScriptedConnection &connection) {
+        const std::string text = connection.readRequest();
+        if (isControl(text) != cancelAnswer) {
+            // Without an answer to the request, its cancellation follows.
+            return;
+        }
+        connection.write(odd.start);
+        while (sent < std::size_t { 64 } * 1024 * 1024 && !connection.closedWithin(0)) {
+            connection.write(odd.block);
+            sent += odd.block.size();
+        }
+    });
+    BackendConnection connection(addressOf(backend));
+    const BackendResult result = connection.execute("a-1", request());
+    CHECK(result.answer.outcome == Outcome::OutcomeUnknown);
+    CHECK(result.verdict == ServerVerdict::Failed);
+    // What the sockets hold is not in the VM's memory.
+    CHECK(sent < std::size_t { 16 } * 1024 * 1024);
+}
+
+// Guards against a long status line that ends the process: the library's parser recurses for each
+// of its characters.
+TEST_CASE("A long status line is no answer")
+{
+    const std::size_t length = GENERATE(2'000U, 60'000U, 1'000'000U);
+    ScriptedBackend backend([length](ScriptedConnection &connection) {
+        const std::string text = connection.readRequest();
+        connection.write("HTTP/1.1 200 " + std::string(length, 'x') + "\r\n" + attemptHeader(text)
+                         + "Content-Length: 0\r\n\r\n");
+        connection.closedWithin(1000);
+    });
+    BackendConnection connection(addressOf(backend));
+    CHECK(connection.execute("a-1", request()).answer.outcome == Outcome::OutcomeUnknown);
+}
+
+// Guards against a server that sends a head so slowly that a connection is held for good.
+TEST_CASE("A head that is not complete at the request's deadline is given up")
+{
+    ScriptedBackend backend([](ScriptedConnection &connection) {
+        if (isControl(connection.readRequest())) {
+            return;
+        }
+        connection.write("HTTP/1.1 200 OK\r\nX-Slow: ");
+        while (!connection.closedWithin(20)) {
+            connection.write("x");
+        }
+    });
+    BackendConnection connection(addressOf(backend));
+    Request slow = request();
+    slow.deadline = Common::monotonicNow() + absl::Milliseconds(300);
+    const BackendResult result = connection.execute("a-1", slow);
+    CHECK(result.answer.outcome == Outcome::OutcomeUnknown);
+    CHECK(result.verdict == ServerVerdict::TimedOut);
+    CHECK(Common::monotonicNow() < slow.deadline + absl::Seconds(2));
+}
+
+// Guards against a limit of heads that counts the parts of a body.
+TEST_CASE("A body of many small chunks arrives whole")
+{
+    constexpr std::size_t chunks = 40'000;
+    ScriptedBackend backend([](ScriptedConnection &connection) {
+        const std::string text = connection.readRequest();
+        connection.write("HTTP/1.1 200 OK\r\n" + attemptHeader(text)
+                         + "Transfer-Encoding: chunked\r\n\r\n");
+        std::string body;
+        for (std::size_t chunk = 0; chunk < chunks; ++chunk) {
+            body += "1\r\nz\r\n";
+        }
+        connection.write(body + "0\r\n\r\n");
+        connection.closedWithin(2000);
+    });
+    BackendConnection connection(addressOf(backend));
+    const BackendResult result = connection.execute("a-1", request());
+    CHECK(result.answer.outcome == Outcome::Answered);
+    CHECK(result.answer.body == std::string(chunks, 'z'));
+}
+
 // Guards against a body limit that cuts valid answers.
 TEST_CASE("A large answer arrives whole")
 {
