Refer to large rows that are kept after a restore instead of sending them each time

Cause: a VM that keeps a row from before a restore of the store sends it to its peers with each comparison of versions, every 500 ms, until its writer has written a newer one. For a configuration that may take hours. With 4,200 routes that was 802 KB to each of about ten peers, and still 47 KB since large rows are compressed: three quarters of a link of 10 Mbit/s. Change: comparisons carry the row as the difference to itself, some bytes that only a VM with the same value can read. A VM that can't requests the changes, also at the same position, and gets the row. The library finds no matches in a base whose memory is that of the value, so that the codec copies it. Compressed forms are kept by key and era, because a kept row and the one that the store lists are sent together.

--- a/Source/Core/Peering/ValueCodec.cpp
+++ b/Source/Core/Peering/ValueCodec.cpp
@@ -60,8 +60,11 @@
     ZSTD_CCtx_setParameter(context.get(), ZSTD_c_windowLog, windowLog);
     // The usual matches of a fast level do not reach far enough back.
     ZSTD_CCtx_setParameter(context.get(), ZSTD_c_enableLongDistanceMatching, 1);
-    if (!base.empty()) {
-        ZSTD_CCtx_refPrefix(context.get(), base.data(), base.size());
+    // The library does not use a base whose memory is that of the value.
+    const std::string copy = base.data() == value.data() ? std::string(base) : std::string();
+    const std::string_view prefix = copy.empty() ? base : copy;
+    if (!prefix.empty()) {
+        ZSTD_CCtx_refPrefix(context.get(), prefix.data(), prefix.size());
     }
     std::string bytes(ZSTD_compressBound(value.size()), '\0');
     const std::size_t size
--- a/Source/Entry/CompressedRows.cpp
+++ b/Source/Entry/CompressedRows.cpp
@@ -32,7 +32,7 @@
 CompressedRows::Entry &CompressedRows::entryAt(const std::string &key,
                                                Steering::StorePosition position)
 {
-    Entry &entry = this->entries[key];
+    Entry &entry = this->entries[{ key, position.era() }];
     if (entry.position != position) {
         entry = {};
         entry.position = position;
@@ -46,7 +46,7 @@
     for (const Steering::RowChange &row : update.rows) {
         const auto known = replica.rows().find(row.key);
         if (!isLarge(row) || row.deleted) {
-            this->entries.erase(row.key);
+            this->entries.erase({ row.key, row.position.era() });
         } else if (known == replica.rows().end() || known->second.position < row.position) {
             Entry &entry = this->entryAt(row.key, row.position);
             if (!entry.difference && known != replica.rows().end()) {
@@ -79,4 +79,9 @@
     return compressOnce(this->entryAt(row.key, row.position).whole, row.value, {});
 }
 
+const Peering::CompressedValue *CompressedRows::reference(const Steering::RowChange &row)
+{
+    return compressOnce(this->entryAt(row.key, row.position).reference, row.value, row.value);
+}
+
 } // namespace Currantfall::Entry
--- a/Source/Entry/CompressedRows.h
+++ b/Source/Entry/CompressedRows.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "currantfall/Peering/ValueCodec.h"
 #include "currantfall/Steering/TableReplica.h"
@@ -29,6 +30,9 @@
     const Peering::CompressedValue *difference(const Steering::RowChange &row);
     /// The value by itself. Returns nullptr if it can't be compressed.
     const Peering::CompressedValue *whole(const Steering::RowChange &row);
+    /// The difference of the value to itself, which only a VM that has it can read. Returns nullptr
+    /// if it can't be compressed.
+    const Peering::CompressedValue *reference(const Steering::RowChange &row);
 
 private:
     struct Entry
@@ -38,11 +42,14 @@
         std::string base;
         std::optional<Peering::CompressedValue> difference;
         std::optional<Peering::CompressedValue> whole;
+        std::optional<Peering::CompressedValue> reference;
     };
 
     Entry &entryAt(const std::string &key, Steering::StorePosition position);
 
-    std::map<std::string, Entry> entries;
+    /// By key and era: after a return of the store from a copy, a row that is kept and the one that
+    /// the store lists are both sent.
+    std::map<std::pair<std::string, Steering::StoreEra>, Entry> entries;
 };
 
 } // namespace Currantfall::Entry
--- a/Source/Entry/StoreSync.cpp
+++ b/Source/Entry/StoreSync.cpp
@@ -111,6 +111,25 @@
     }
 }
 
+const Peering::CompressedValue *StoreSync::compressed(State &state, const Steering::RowChange &row,
+                                                      ValueForm form)
+{
+    if (!CompressedRows::isLarge(row)) {
+        return nullptr;
+    }
+    switch (form) {
+    case ValueForm::Plain:
+        return nullptr;
+    case ValueForm::Whole:
+        return state.compressedRows.whole(row);
+    case ValueForm::Difference:
+        return state.compressedRows.difference(row);
+    case ValueForm::Reference:
+        return state.compressedRows.reference(row);
+    }
+    return nullptr;
+}
+
 Wire::StoreUpdateT StoreSync::toWire(State &state, const Steering::TableUpdate &update,
                                      ValueForm form, Common::Instant now)
 {
@@ -128,13 +147,8 @@
         entry->eras_before = update.to.era() - row.position.era();
         entry->deleted = row.deleted;
         entry->age_ms = toMilliseconds(now - row.readAt);
-        const Peering::CompressedValue *compressed = nullptr;
-        if (form != ValueForm::Plain && CompressedRows::isLarge(row)) {
-            compressed = form == ValueForm::Difference ? state.compressedRows.difference(row)
-                                                       : state.compressedRows.whole(row);
-        }
-        if (compressed != nullptr) {
-            setCompressed(*entry, *compressed);
+        if (const auto *value = compressed(state, row, form)) {
+            setCompressed(*entry, *value);
         } else {
             entry->value.assign(row.value.begin(), row.value.end());
         }
@@ -169,7 +183,9 @@
                 value = known->second.value;
             } else if (auto read = compressed.decompress(base)) {
                 value = std::move(*read);
-                state.compressedRows.receive(entry->key, position, std::move(compressed));
+                if (value != base) {
+                    state.compressedRows.receive(entry->key, position, std::move(compressed));
+                }
             } else {
                 return std::nullopt;
             }
@@ -181,7 +197,7 @@
 }
 
 void StoreSync::sendUpdate(State &state, const std::vector<Common::VmName> &peers,
-                           const Steering::TableUpdate &update, Common::Instant now)
+                           const Steering::TableUpdate &update, ValueForm form, Common::Instant now)
 {
     std::vector<Common::VmName> compressedReaders;
     std::vector<Common::VmName> others = peers;
@@ -195,15 +211,15 @@
     }
     // What the peers lack, their zones may lack.
     const auto duty = static_cast<std::uint8_t>(Membership::SpreadDuty::Zone);
-    const auto send = [&](const std::vector<Common::VmName> &receivers, ValueForm form) {
+    const auto send = [&](const std::vector<Common::VmName> &receivers, ValueForm receiversForm) {
         if (!receivers.empty()) {
-            Wire::StoreUpdateT message = toWire(state, update, form, now);
+            Wire::StoreUpdateT message = toWire(state, update, receiversForm, now);
             message.duty = duty;
             this->hooks.peers.send(receivers, toBody(std::move(message)));
         }
     };
     send(others, ValueForm::Plain);
-    send(compressedReaders, ValueForm::Whole);
+    send(compressedReaders, form);
 }
 
 void StoreSync::spreadUpdate(State &state, const std::vector<Membership::SpreadTarget> &targets,
@@ -449,7 +465,7 @@
     }
     for (auto &[name, state] : this->states) {
         if (state.replica.loaded()) {
-            this->sendUpdate(state, peers, versionOf(state), now);
+            this->sendUpdate(state, peers, versionOf(state), ValueForm::Reference, now);
         }
     }
 }
@@ -458,7 +474,7 @@
 {
     for (auto &[name, state] : this->states) {
         if (state.replica.loaded()) {
-            this->sendUpdate(state, { peer }, versionOf(state), now);
+            this->sendUpdate(state, { peer }, versionOf(state), ValueForm::Reference, now);
         }
     }
 }
@@ -473,7 +489,8 @@
     State &state = found->second;
     if (const auto update = this->fromWire(state, message, now)) {
         this->apply(state, *update, Source { peer, Membership::spreadDutyOf(message.duty) }, now);
-    } else if (Steering::StorePosition(message.era, message.to) > state.replica.position()) {
+    } else if (Steering::StorePosition(message.era, message.to) >= state.replica.position()) {
+        // At the same position the peer keeps a row that the store does not list.
         this->requestChanges(state, peer, now);
     }
 }
@@ -488,7 +505,7 @@
     const Steering::StorePosition known(message.era, message.version);
     const auto update = state->second.replica.changesSince(
             message.loaded ? known : Steering::StorePosition());
-    this->sendUpdate(state->second, { peer }, update, now);
+    this->sendUpdate(state->second, { peer }, update, ValueForm::Whole, now);
 }
 
 } // namespace Currantfall::Entry
--- a/Source/Entry/StoreSync.h
+++ b/Source/Entry/StoreSync.h
@@ -87,6 +87,7 @@
         Plain,      ///< For VMs that read no compressed values.
         Whole,      ///< Compressed by themselves.
         Difference, ///< As the difference to the value before, if it is known.
+        Reference,  ///< As the difference to themselves, for peers that mostly have them.
     };
 
     void startRead(State &state);
@@ -108,12 +109,15 @@
     fromWire(State &state, const Peering::Wire::StoreUpdateT &message, Common::Instant now);
     static Peering::Wire::StoreUpdateT toWire(State &state, const Steering::TableUpdate &update,
                                               ValueForm form, Common::Instant now);
-    /// Sends an update to peers, in the form that they read.
+    /// Sends an update to peers, with large values in `form` for those that read it.
     void sendUpdate(State &state, const std::vector<Common::VmName> &peers,
-                    const Steering::TableUpdate &update, Common::Instant now);
+                    const Steering::TableUpdate &update, ValueForm form, Common::Instant now);
     /// Sends changes to peers, which pass them on.
     void spreadUpdate(State &state, const std::vector<Membership::SpreadTarget> &targets,
                       const Steering::TableUpdate &update, Common::Instant now);
+    /// The value of a large row in a form.
+    static const Peering::CompressedValue *compressed(State &state, const Steering::RowChange &row,
+                                                      ValueForm form);
     /// Requests the changes that this VM lacks, unless it has done so recently.
     void requestChanges(State &state, const Common::VmName &peer, Common::Instant now);
     /// Sends the versions of all tables to some peers, which request the changes that they lack.
--- a/Source/UnitTests/Entry/StoreSyncTest.cpp
+++ b/Source/UnitTests/Entry/StoreSyncTest.cpp
@@ -52,7 +52,7 @@
     absl::Duration firstReadDelay = absl::ZeroDuration();
     /// Whether the peers read compressed values.
     bool peersReadCompressed = true;
-    StoreSync sync { context,       store, { { table, {}, absl::ZeroDuration(), {} } },
+    StoreSync sync { context,       store, { { table, {}, absl::ZeroDuration(), retention() } },
                      this->hooks(), log,   metrics };
 
     Membership::SpreadPlan plan {
@@ -63,6 +63,17 @@
           { Common::ZoneName("b"), Common::RegionName("west") } }
     };
 
+    /// Longer values are later ones of their writer.
+    static Steering::RetentionSettings retention()
+    {
+        Steering::RetentionSettings result;
+        result.holdTime = absl::Hours(1);
+        result.order = [](const Steering::RowChange &row) {
+            return std::optional(Steering::WriterOrder(0, row.value.size()));
+        };
+        return result;
+    }
+
     StoreSync::Hooks hooks()
     {
         StoreSync::Hooks result;
@@ -317,3 +328,42 @@
     CHECK(std::string(row.value.begin(), row.value.end()) == changed);
     CHECK(row.compressed.empty());
 }
+
+// Guards against VMs that send a large row to their peers each half second for as long as a
+// restored store lists an older one.
+TEST_CASE("What a VM keeps from before a restore of the store takes little of the links to peers")
+{
+    // A tenth of 10 Mbit/s, twice a second, for 10 peers.
+    constexpr std::size_t maxBytesPerPeer = 10'000'000 / 8 / 10 / 2 / 10;
+    const std::string kept = configurationText(4200, "west");
+    Fixture fixture;
+    fixture.receiveRow(0, 100, kept);
+    Wire::StoreUpdateT restored = Fixture::rowMessage(0, 50, configurationText(4000, "east"));
+    restored.era = 2;
+    fixture.receive(restored);
+    REQUIRE(fixture.value() == kept);
+    fixture.sent.clear();
+    fixture.sync.advance(Common::monotonicNow() + absl::Seconds(1));
+    REQUIRE(fixture.sent.size() == 2);
+    CHECK(fixture.sentBytes() < 2 * maxBytesPerPeer);
+
+    // A peer that has the row asks for nothing, one that lacks it gets it.
+    const Wire::StoreUpdateT version = fixture.sent.front().update;
+    fixture.receive(version);
+    CHECK(fixture.asked.empty());
+    Fixture lacking;
+    lacking.receive(restored);
+    lacking.receive(version);
+    if (!lacking.asked.empty()) {
+        fixture.sent.clear();
+        Wire::StoreRequestT request;
+        request.table = table;
+        request.loaded = true;
+        request.era = 2;
+        request.version = 50;
+        fixture.sync.onRequest(Common::VmName("vm-3"), request, Common::monotonicNow());
+        REQUIRE(fixture.sent.size() == 1);
+        lacking.receive(fixture.sent.front().update);
+    }
+    CHECK(lacking.value() == kept);
+}
--- a/Source/UnitTests/Peering/ValueCodecTest.cpp
+++ b/Source/UnitTests/Peering/ValueCodecTest.cpp
@@ -49,6 +49,16 @@
     CHECK(compressed->decompress(base).value() == value);
 }
 
+// Guards against a reference to a value that is as large as the value.
+TEST_CASE("The difference of a value to itself is small")
+{
+    const std::string value = randomText(1'000'000);
+    const auto compressed = CompressedValue::compress(value, value);
+    REQUIRE(compressed);
+    CHECK(compressed->bytes().size() < 4096);
+    CHECK(compressed->decompress(value).value() == value);
+}
+
 // Guards against a value that is made from the wrong base, or from damaged bytes.
 TEST_CASE("A value is not read with another base, from damaged bytes or beyond the limit")
 {
