Bound the answers of the platform's store as well

Seen by a test: an answer of the store whose status line has no end ends the entry VM with SIGSEGV (exit code 139, release build), because the HTTP library matches status lines with a regular expression that recurses for each character. Header lines and bodies had no limit either. Change: the store's client reads at most 64 KiB without bytes of a body, a body of at most 16 MiB, and for at most 10 s beyond the long poll. A row of 4 MB is still read ("A row of several megabytes is read"). Not changed: the clients of the own platform, of the operator's tool and of the load generator.

--- a/Source/Entry/StoreWorker.cpp
+++ b/Source/Entry/StoreWorker.cpp
@@ -4,8 +4,8 @@
 #include <utility>
 
 #include <absl/time/time.h>
-#include <httplib.h>
 
+#include "HttpStream/BoundedClient.h"
 #include "platform/StoreCalls.h"
 
 namespace Currantfall::Entry {
@@ -17,6 +17,11 @@
 // A reachable store answers a call within a few milliseconds, and within 0.4 s when it is slow.
 constexpr absl::Duration connectTimeout = absl::Milliseconds(700);
 constexpr absl::Duration responseTimeout = absl::Milliseconds(900);
+// Longest time of one answer, however it arrives. The largest rows take over a second on the
+// smallest links.
+constexpr absl::Duration maxAnswerTime = absl::Seconds(10);
+// A page has a megabyte, or one row that is larger.
+constexpr std::size_t maxAnswerBytes = std::size_t { 16 } * 1024 * 1024;
 // A read of several pages is started again this often if the store's era changes meanwhile.
 constexpr int maxFullReads = 3;
 
@@ -129,7 +134,8 @@
     {
         this->client.set_read_timeout(absl::ToChronoMicroseconds(timeout));
         const Common::Instant start = Common::monotonicNow();
-        const auto answer = this->client.Get(target);
+        this->client.setDeadline(start + timeout + maxAnswerTime);
+        const auto answer = this->client.getBounded(target, maxAnswerBytes);
         if (const auto checked = this->checkResponse(answer, "read store"); !checked) {
             return tl::unexpected(checked.error());
         }
@@ -140,6 +146,7 @@
     StoreResult write(const std::string &body)
     {
         this->client.set_read_timeout(absl::ToChronoMicroseconds(responseTimeout));
+        this->client.setDeadline(Common::monotonicNow() + maxAnswerTime);
         const auto answer = this->client.Post(Adapter::writeTarget, body, Adapter::jsonContentType);
         if (const auto checked = this->checkResponse(answer, "write store"); !checked) {
             return tl::unexpected(checked.error());
@@ -169,7 +176,7 @@
                                "HTTP status " + std::to_string(answer->status));
     }
 
-    httplib::Client client;
+    HttpStream::BoundedClient client;
     std::string peer;
 };
 
--- a/Source/HttpStream/BoundedClient.cpp
+++ b/Source/HttpStream/BoundedClient.cpp
@@ -75,6 +75,23 @@
 
 } // namespace
 
+httplib::Result BoundedClient::getBounded(const std::string &path, std::size_t maxBodyBytes)
+{
+    std::string body;
+    httplib::Result result = this->Get(path, [&](const char *data, std::size_t size) {
+        if (body.size() + size > maxBodyBytes) {
+            return false;
+        }
+        body.append(data, size);
+        this->noteBodyReceived();
+        return true;
+    });
+    if (result) {
+        result->body = std::move(body);
+    }
+    return result;
+}
+
 bool BoundedClient::process_socket(const Socket &socket,
                                    std::function<bool(httplib::Stream &stream)> callback)
 {
--- a/Source/HttpStream/BoundedClient.h
+++ b/Source/HttpStream/BoundedClient.h
@@ -34,6 +34,9 @@
     /// calls the body counts like the head.
     void noteBodyReceived() { this->bounds.bytesWithoutBody = 0; }
 
+    /// Sends a GET request and reads a body of at most `maxBodyBytes`.
+    httplib::Result getBounded(const std::string &path, std::size_t maxBodyBytes);
+
 private:
     // NOLINTNEXTLINE(readability-identifier-naming)
     bool process_socket(const Socket &socket,
