Bound what callers and backend servers make an entry VM hold

Cause: bodies in chunks were counted once they were whole, trailers and chunk extensions not at all, complete responses without a limit, and each attempt had a copy of the body. An idle connection kept its descriptor until its timeout.

Change: MemoryBudget counts headers, bodies, buffers and responses as they grow, for the whole process (0.65 of its memory) and by caller. If it is used up, stalled holdings are given up first, then the latest large ones. Requests that are given up get 503 (not run), connections that do not take their response are closed. Bodies are kept once, in blocks, for all attempts. If all descriptors for callers are in use, the connection that has moved no bytes for the longest time and has no request in progress is closed. The C library keeps large blocks out of the heap.

Ruled out: a limit for each connection, because their number times the limit exceeds any VM; copying bodies into one block, which takes twice the size while it grows; a least rate while there is room.

--- a/Source/Entry/BackendPool.cpp
+++ b/Source/Entry/BackendPool.cpp
@@ -42,6 +42,18 @@
 // Bodies up to this size fit into the socket buffers, so the request is written completely before
 // the response is read.
 constexpr std::size_t maxBodyBytesBeforeRead = std::size_t { 8 } * 1024;
+// Fraction of the process's memory for what callers and servers make it hold. The largest body that
+// a configuration usually allows (64 MiB) still fits on a VM with 112 MiB; the rest is for the
+// tables of the VM.
+constexpr double peerMemoryFraction = 0.65;
+
+Admission::MemoryBudgetSettings budgetSettings(std::size_t processBytes)
+{
+    Admission::MemoryBudgetSettings settings;
+    settings.bytes
+            = static_cast<std::size_t>(static_cast<double>(processBytes) * peerMemoryFraction);
+    return settings;
+}
 
 absl::Duration keepAliveTimeoutOf(const Adapter::HttpResponse &response)
 {
@@ -109,8 +121,8 @@
     IoError error;
     co_await http::async_write(connection->stream, exchange->request, awaitInto(error));
     *written = !error;
-    // The server may take long to respond; meanwhile the copy of the body is not needed.
-    std::string().swap(exchange->request.body());
+    // The server may take long to respond; meanwhile the body is not needed.
+    exchange->request.body() = {};
 }
 
 ExchangeResult brokenResult(const std::string &detail)
@@ -140,7 +152,8 @@
 
 BackendPool::BackendPool(boost::asio::io_context &context, Telemetry::MetricsRegistry &metrics,
                          std::size_t processBytes)
-    : context(context), metrics(metrics), memory(processBytes)
+    : context(context), metrics(metrics), budget(budgetSettings(processBytes)),
+      memory(processBytes, this->budget)
 { }
 
 SharedConnection BackendPool::takeIdle(const Exchange &exchange)
@@ -272,7 +285,8 @@
     int responses = 0;
     while (true) {
         ResponseParser parser;
-        const auto body = this->memory.reserve([connection] { closeIgnoringErrors(*connection); });
+        const auto body = this->memory.reserve([connection] { closeIgnoringErrors(*connection); },
+                                               exchange.memoryOwner);
         if (const auto failure = co_await this->readOne(exchange, parser, *body)) {
             this->metrics.addToCounter("currantfall_backend_responses_broken_total");
             closeIgnoringErrors(*connection);
--- a/Source/Entry/BackendPool.h
+++ b/Source/Entry/BackendPool.h
@@ -58,6 +58,8 @@
     /// repeated if the server has closed the connection.
     bool idempotent = false;
     Common::Instant deadline;
+    /// The caller, whose memory the response counts for. May be unset.
+    Admission::SharedOwner memoryOwner;
     /// Wall-clock time before the request is sent.
     absl::Time startedAt = absl::Now();
 
@@ -106,6 +108,8 @@
     void advance(Common::Instant now);
 
     ResponseMemory &responseMemory() { return this->memory; }
+    /// What callers and backend servers may make the process hold.
+    const Admission::MemoryBudget &memoryBudget() const { return this->budget; }
 
 private:
     SharedConnection takeIdle(const Exchange &exchange);
@@ -122,6 +126,7 @@
 
     boost::asio::io_context &context;
     Telemetry::MetricsRegistry &metrics;
+    Admission::MemoryBudget budget;
     ResponseMemory memory;
     std::map<Common::BackendServerName, std::vector<SharedConnection>> idleConnections;
 };
--- a/Source/Entry/CallerConnection.cpp
+++ b/Source/Entry/CallerConnection.cpp
@@ -2,12 +2,15 @@
 
 #include <algorithm>
 #include <exception>
-#include <limits>
 #include <poll.h>
 #include <utility>
 
 #include <boost/beast/http.hpp>
 
+#include "CallerConnectionState.h"
+#include "ObservedStream.h"
+#include "RequestMemory.h"
+
 namespace Currantfall::Entry {
 
 namespace {
@@ -18,102 +21,17 @@
 
 // A caller that does not receive its response within this time counts as disconnected.
 constexpr absl::Duration writeTimeout = absl::Seconds(10);
-// A body that is not received within this time is not expected to be completed.
-constexpr absl::Duration bodyTimeout = absl::Seconds(20);
 constexpr absl::Duration callerSilenceTimeout = absl::Seconds(5);
 // Time that the caller has to receive the last response and to close the connection.
 constexpr absl::Duration closeTimeout = absl::Seconds(2);
-// Interval of checks whether a caller has closed its connection while nothing is read from it.
-constexpr absl::Duration openCheckInterval = absl::Milliseconds(100);
 constexpr absl::Duration busyCheckInterval = absl::Milliseconds(100);
-constexpr std::size_t receiveBytes = 4096;
-
-Failure failureOf(const IoError &error)
-{
-    if (error == http::error::header_limit) {
-        return Failure::HeaderTooLarge;
-    }
-    if (error == http::error::body_limit) {
-        return Failure::BodyTooLarge;
-    }
-    return error == boost::asio::error::timed_out ? Failure::HeaderTimeout : Failure::Malformed;
-}
-
-bool isProtocolError(const IoError &error)
-{
-    return error.category() == make_error_code(http::error::bad_method).category()
-           && error != http::error::end_of_stream && error != http::error::partial_message;
-}
-
-/// Counts the reads of a socket. The library reads only if its buffer does not suffice.
-struct CountingStream
-{
-    // The library determines these names.
-    // NOLINTBEGIN(readability-identifier-naming)
-    using executor_type = Tcp::socket::executor_type;
-    executor_type get_executor() { return this->socket.get_executor(); }
-    template<typename Buffers, typename Handler>
-    auto async_read_some(const Buffers &buffers, Handler &&handler)
-    {
-        ++this->reads;
-        return this->socket.async_read_some(buffers, std::forward<Handler>(handler));
-    }
-    // NOLINTEND(readability-identifier-naming)
-
-    Tcp::socket &socket;
-    int reads = 0;
-};
-
-/// Counts the bytes of a request body towards the total while the body is in memory.
-class BodyReservation
-{
-public:
-    BodyReservation(std::shared_ptr<CallerConnections> shared, std::size_t bytes)
-        : shared(std::move(shared)), bytes(bytes)
-    {
-        this->shared->bodyBytes += bytes;
-    }
-    /// Raises the reservation if the body is larger than expected.
-    void growTo(std::size_t size)
-    {
-        if (size > this->bytes) {
-            this->shared->bodyBytes += size - this->bytes;
-            this->bytes = size;
-        }
-    }
-    ~BodyReservation() { this->shared->bodyBytes -= this->bytes; }
-    BodyReservation(const BodyReservation &) = delete;
-    BodyReservation &operator=(const BodyReservation &) = delete;
-
-private:
-    std::shared_ptr<CallerConnections> shared;
-    std::size_t bytes;
-};
-
-/// Approximate memory of a request besides its body.
-std::size_t headerBytes(const Adapter::HttpRequest &request)
-{
-    constexpr std::size_t perField = 64;
-    std::size_t bytes = request.target().size();
-    for (const auto &field : request) {
-        bytes += field.name_string().size() + field.value().size() + perField;
-    }
-    return bytes;
-}
+// Memory of a connection and of its coroutine besides what it has received.
+constexpr std::size_t connectionMemory = std::size_t { 4 } * 1024;
+// Memory of a response besides its body.
+constexpr std::size_t responseHeaderMemory = 1024;
 
 } // namespace
 
-struct CallerConnection::PendingRequest
-{
-    Adapter::HttpRequest request;
-    SharedCaller caller;
-    std::unique_ptr<BodyReservation> body;
-    std::optional<Adapter::HttpResponse> response;
-    ResponseMemory::SharedReservation responseMemory;
-    /// The connection closes after the response.
-    bool closing = false;
-};
-
 void CallerConnection::serve(std::shared_ptr<CallerConnections> shared, Tcp::socket socket)
 {
     const std::shared_ptr<CallerConnection> connection(
@@ -124,192 +42,32 @@
 
 CallerConnection::CallerConnection(std::shared_ptr<CallerConnections> shared, Tcp::socket socket)
     : shared(std::move(shared)), socket(std::move(socket)), pipeline(Steering::PipelineLimits()),
-      receivedAt(Common::monotonicNow()), pipelineTimer(this->shared->context),
-      deadlineTimer(this->shared->context), idleSince(this->receivedAt)
+      receivedAt(Common::monotonicNow()),
+      ownMemory(this->shared->memory.openInUse(connectionMemory, this->receivedAt,
+                                               this->memoryOwner)),
+      pipelineTimer(this->shared->context), deadlineTimer(this->shared->context),
+      idleSince(this->receivedAt)
 {
     ++this->shared->open;
+    this->noteActivity();
     enableDeadPeerDetection(this->socket, callerSilenceTimeout);
 }
 
 CallerConnection::~CallerConnection()
 {
-    --this->shared->open;
+    this->closeSocket();
     this->shared->requestsInProgress -= this->requests.size();
 }
 
-Steering::CallerLimits CallerConnection::limits() const
-{
-    const auto &configuration = this->shared->steering.configuration();
-    return configuration ? configuration->limits() : Steering::CallerLimits();
-}
-
-Task CallerConnection::readRequests(std::shared_ptr<CallerConnection> self)
-{
-    try {
-        while (co_await self->readRequest()) {
-        }
-        // Bytes behind the last request are ignored.
-        while (!self->disconnected) {
-            self->buffer.clear();
-            if (const IoError error = co_await self->receive();
-                error && error != boost::asio::error::timed_out) {
-                self->onDisconnected();
-            }
-        }
-    } catch (const std::exception &error) {
-        self->fail(error);
-    }
-}
-
 void CallerConnection::fail(const std::exception &error)
 {
     this->shared->log.important("caller_connection_failed", { { "error", error.what() } });
     this->closeSocket();
 }
 
-void CallerConnection::beginReceive()
-{
-    this->readTimedOut = false;
-    this->scheduleDeadlines();
-}
-
-IoError CallerConnection::endReceive(const IoError &error)
-{
-    if (error) {
-        return this->readTimedOut ? IoError(boost::asio::error::timed_out) : error;
-    }
-    this->receivedAt = Common::monotonicNow();
-    return {};
-}
-
-boost::asio::awaitable<IoError> CallerConnection::receive()
-{
-    IoError error;
-    this->beginReceive();
-    const std::size_t received = co_await this->socket.async_read_some(
-            this->buffer.prepare(receiveBytes), awaitInto(error));
-    this->buffer.commit(error ? 0 : received);
-    co_return this->endReceive(error);
-}
-
-boost::asio::awaitable<IoError> CallerConnection::parse(Parser &parser, bool headerOnly)
-{
-    // The library forgets a violation of the body limit if it parses the header and the first bytes
-    // of the body in one step.
-    parser.eager(!headerOnly);
-    while (headerOnly ? !parser.is_header_done() : !parser.is_done()) {
-        IoError error;
-        CountingStream stream { this->socket };
-        this->beginReceive();
-        co_await http::async_read_some(stream, this->buffer, parser, awaitInto(error));
-        // Bytes that were in the buffer already arrived before.
-        if (error || stream.reads > 0) {
-            error = this->endReceive(error);
-        }
-        if (error) {
-            co_return error;
-        }
-    }
-    co_return IoError();
-}
-
-boost::asio::awaitable<bool> CallerConnection::waitForPipeline(bool roomSuffices)
-{
-    const auto ready = [this, roomSuffices] {
-        return roomSuffices ? this->pipeline.mayRead() : this->pipeline.empty();
-    };
-    while (!ready() && !this->disconnected && !this->finished) {
-        co_await sleepFor(this->pipelineTimer, openCheckInterval);
-        if (!ready() && !this->isOpen()) {
-            this->onDisconnected();
-        }
-    }
-    co_return !this->disconnected && !this->finished;
-}
-
-boost::asio::awaitable<bool> CallerConnection::readRequest()
-{
-    if (!co_await this->waitForPipeline(true)) {
-        co_return false;
-    }
-    const Steering::CallerLimits limits = this->limits();
-    if (this->buffer.size() == 0) {
-        this->awaitingRequest = true;
-        const IoError error = co_await this->receive();
-        this->awaitingRequest = false;
-        if (error) {
-            this->onDisconnected();
-            co_return false;
-        }
-    }
-    Parser parser;
-    parser.header_limit(static_cast<std::uint32_t>(
-            std::min<std::size_t>(limits.headerBytes, std::numeric_limits<std::uint32_t>::max())));
-    parser.body_limit(limits.bodyBytes);
-    this->readDeadline = Common::monotonicNow() + limits.headerTimeout;
-    IoError error = co_await this->parse(parser, true);
-    this->readDeadline = Common::Instant::infinite();
-    const bool expectsContinue
-            = !error && boost::beast::iequals(parser.get()[http::field::expect], "100-continue");
-    if (expectsContinue) {
-        // An interim response must follow the responses to the earlier requests.
-        if (!co_await this->waitForPipeline(false)) {
-            co_return false;
-        }
-        Adapter::HttpResponse proceed(http::status::continue_, 11);
-        co_await http::async_write(this->socket, proceed, awaitInto(error));
-    }
-    const std::size_t expected
-            = error ? 0 : static_cast<std::size_t>(parser.content_length().value_or(0));
-    const bool fitsInMemory = this->shared->bodyBytes + expected <= this->shared->maxBodyBytes;
-    auto body = std::make_unique<BodyReservation>(this->shared, fitsInMemory ? expected : 0);
-    if (!error && fitsInMemory) {
-        this->readDeadline = Common::monotonicNow() + bodyTimeout;
-        error = co_await this->parse(parser, false);
-        this->readDeadline = Common::Instant::infinite();
-    }
-    const std::string requestId = Adapter::readCaller(parser.get()).id;
-    if (error) {
-        if (!isProtocolError(error) && error != boost::asio::error::timed_out) {
-            this->onDisconnected();
-        } else {
-            this->reject(failureOf(error), requestId, error.message());
-        }
-        co_return false;
-    }
-    if (!fitsInMemory || this->shared->rejectingNewRequests) {
-        this->reject(Failure::NotRun, requestId, fitsInMemory ? "shutting-down" : "out-of-memory");
-        co_return false;
-    }
-    const bool hasBody = parser.chunked() || parser.content_length().value_or(0) > 0;
-    auto request = std::make_shared<PendingRequest>();
-    request->request = parser.release();
-    // The size of a chunked body is unknown until it has been read.
-    body->growTo(request->request.body().size());
-    request->body = std::move(body);
-    request->closing = !request->request.keep_alive();
-    request->caller = std::make_shared<CallerState>(this->shared->context, this->receivedAt);
-    request->caller->isOpen = [weak = this->weak_from_this()] {
-        const auto connection = weak.lock();
-        return connection && connection->isOpen();
-    };
-    const bool repeatable = this->shared->steering.mayRepeat(request->request);
-    this->add(request, repeatable && !hasBody ? PipelineMode::Parallel : PipelineMode::Alone);
-    co_return !request->closing;
-}
-
-void CallerConnection::reject(Failure failure, const std::string &requestId,
-                              const std::string &reason)
-{
-    auto request = std::make_shared<PendingRequest>();
-    request->closing = true;
-    request->response = Adapter::failureResponse(failure, requestId, absl::ZeroDuration(), reason);
-    this->add(request, PipelineMode::Parallel);
-}
-
 void CallerConnection::add(const SharedRequest &request, PipelineMode mode)
 {
-    const std::size_t bytes = headerBytes(request->request) + request->request.body().size();
+    const std::size_t bytes = headerMemory(request->request) + request->request.body().size();
     const Number number = this->pipeline.add(mode, bytes, request->closing);
     this->requests.emplace(number, request);
     ++this->shared->requestsInProgress;
@@ -346,6 +104,8 @@
 {
     RequestSteering &steering = self->shared->steering;
     std::optional<Adapter::HttpResponse> response;
+    ++self->handled;
+    self->noteActivity();
     try {
         response = co_await steering.handle(request->request, request->caller);
     } catch (const std::exception &error) {
@@ -357,17 +117,34 @@
     // Attempts may outlive the request.
     request->caller->responded = true;
     request->caller->isOpen = nullptr;
-    request->body.reset();
+    request->request.body() = {};
+    --self->handled;
+    self->noteActivity();
     if (response) {
         const std::size_t bytes = response->body().size();
-        request->responseMemory = steering.pool().responseMemory().reserveComplete(bytes);
         request->response = std::move(response);
         self->pipeline.finish(number, bytes);
+        self->holdResponse(*request);
     }
     self->advance();
     self->closeIfAbandoned();
 }
 
+void CallerConnection::holdResponse(PendingRequest &request)
+{
+    const Common::Instant now = Common::monotonicNow();
+    request.responseMemory = this->shared->memory.open(
+            [weak = this->weak_from_this()] {
+                if (const auto connection = weak.lock()) {
+                    connection->closeForOthers("response-memory");
+                }
+            },
+            now, this->memoryOwner);
+    request.responseMemory->setRevocation(Admission::Revocation::WhenStalled);
+    (void)request.responseMemory->resize(request.response->body().size() + responseHeaderMemory,
+                                         now);
+}
+
 Task CallerConnection::writeResponses(std::shared_ptr<CallerConnection> self)
 {
     try {
@@ -415,11 +192,20 @@
     IoError error;
     this->writeDeadline = Common::monotonicNow() + writeTimeout;
     this->scheduleDeadlines();
+    std::size_t left = response.body().size();
+    ObservedStream stream { this->socket };
+    stream.onWrite = [this, &request, &left](std::size_t bytes) {
+        if (bytes < left && request.responseMemory) {
+            request.responseMemory->noteProgress(left - bytes, Common::monotonicNow());
+        }
+        left = bytes;
+        this->noteActivity();
+    };
     if (request.request.method() == http::verb::head) {
         http::response_serializer<http::string_body> serializer(response);
-        co_await http::async_write_header(this->socket, serializer, awaitInto(error));
+        co_await http::async_write_header(stream, serializer, awaitInto(error));
     } else {
-        co_await http::async_write(this->socket, response, awaitInto(error));
+        co_await http::async_write(stream, response, awaitInto(error));
     }
     this->writeDeadline = Common::Instant::infinite();
     co_return error;
@@ -471,13 +257,38 @@
     this->scheduleDeadlines();
 }
 
+void CallerConnection::noteActivity()
+{
+    std::list<CallerConnection *> &closable = this->shared->closable;
+    const bool mayBeClosed = this->handled == 0 && this->socket.is_open();
+    if (this->closablePlace && mayBeClosed) {
+        closable.splice(closable.end(), closable, *this->closablePlace);
+    } else if (this->closablePlace) {
+        closable.erase(*this->closablePlace);
+        this->closablePlace.reset();
+    } else if (mayBeClosed) {
+        this->closablePlace = closable.insert(closable.end(), this);
+    }
+}
+
+void CallerConnection::closeForOthers(const std::string &reason)
+{
+    this->shared->steering.metricsRegistry().addToCounter(
+            "currantfall_caller_connections_closed_total", { { "reason", reason } });
+    this->closeSocket();
+}
+
 void CallerConnection::closeSocket()
 {
+    if (std::exchange(this->counted, false)) {
+        --this->shared->open;
+    }
     this->finished = true;
     this->deadlineTimer.cancel();
     this->pipelineTimer.cancel();
     IoError ignored;
     this->socket.close(ignored);
+    this->noteActivity();
     // Without a reader nobody would tell them.
     this->onDisconnected();
 }
--- a/Source/Entry/CallerConnection.h
+++ b/Source/Entry/CallerConnection.h
@@ -2,14 +2,15 @@
 
 #include <cstddef>
 #include <exception>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
+#include "currantfall/Admission/MemoryBudget.h"
 #include "currantfall/Common/EventLog.h"
 #include "currantfall/Steering/RequestPipeline.h"
 
@@ -18,6 +19,8 @@
 
 namespace Currantfall::Entry {
 
+class CallerConnection;
+
 /// What the connections of callers share. Connections may outlive the listener at the end of the
 /// daemon.
 struct CallerConnections
@@ -25,10 +28,14 @@
     boost::asio::io_context &context;
     RequestSteering &steering;
     Common::EventLog &log;
-    std::size_t maxBodyBytes = 0;   ///< Limit for the bodies of all requests in progress.
+    Admission::MemoryBudget memory;
     std::size_t maxConnections = 0; ///< Limit for the open connections.
-    std::size_t bodyBytes = 0;
+    /// Limit for the requests in progress: each may need a connection to a backend server.
+    std::size_t maxRequests = 0;
     std::size_t open = 0;
+    /// Open connections on which no request is handled. The first one has moved no bytes for the
+    /// longest time.
+    std::list<CallerConnection *> closable {};
     /// Number of requests that were read and whose response has not been written yet.
     std::size_t requestsInProgress = 0;
     /// Each connection closes once its requests in progress are answered.
@@ -43,15 +50,24 @@
 {
 public:
     static void serve(std::shared_ptr<CallerConnections> shared, Tcp::socket socket);
+    /// Closes the connection because its memory or its descriptor is needed for others.
+    void closeForOthers(const std::string &reason);
     ~CallerConnection();
     CallerConnection(const CallerConnection &) = delete;
     CallerConnection &operator=(const CallerConnection &) = delete;
 
 private:
     struct PendingRequest;
+    /// Why a request is not handled. Not set if the caller has left.
+    struct Rejection
+    {
+        std::optional<Adapter::Failure> failure;
+        std::string reason;
+        absl::Duration retryAfter = absl::ZeroDuration();
+    };
     using SharedRequest = std::shared_ptr<PendingRequest>;
     using Number = Steering::RequestPipeline::Number;
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::request_parser<Adapter::SharedBody>;
 
     CallerConnection(std::shared_ptr<CallerConnections> shared, Tcp::socket socket);
 
@@ -61,8 +77,22 @@
     static Task readRequests(std::shared_ptr<CallerConnection> self);
     /// Reads one request and adds it to the pipeline. Returns false if no other request follows.
     boost::asio::awaitable<bool> readRequest();
+    /// Waits until the first bytes of a request are in the buffer. Returns false if the caller has
+    /// closed the connection before.
+    boost::asio::awaitable<bool> awaitFirstBytes();
+    /// Reads the header, and the body unless it can't be held. Returns why there is no request, or
+    /// nothing.
+    boost::asio::awaitable<std::optional<Rejection>> receiveRequest(Parser &parser);
     /// Reads until the parser has the header, or the whole request.
     boost::asio::awaitable<IoError> parse(Parser &parser, bool headerOnly);
+    /// Counts what has been received of the request towards the memory budget. Returns false if it
+    /// can't be held.
+    bool countReceived(const Parser &parser);
+    /// Others need the memory of the request that is being received.
+    void onReceivedRevoked();
+    /// Hands the memory of the received request over to `request`, which is complete. Returns false
+    /// if it can't be held.
+    bool keepReceived(PendingRequest &request);
     /// Receives bytes of the caller into the buffer.
     boost::asio::awaitable<IoError> receive();
     /// Before and after a read: its deadline, and the time of arrival.
@@ -72,7 +102,7 @@
     /// request may be read. Returns false if the caller has closed the connection before.
     boost::asio::awaitable<bool> waitForPipeline(bool roomSuffices);
     /// Adds a response for a request that is not handled. No other request follows.
-    void reject(Adapter::Failure failure, const std::string &requestId, const std::string &reason);
+    void reject(const Rejection &rejection, const std::string &requestId);
     Steering::CallerLimits limits() const;
 
     // Handling.
@@ -85,6 +115,8 @@
 
     // Writing.
 
+    /// Counts a complete response towards the memory budget until it is written.
+    void holdResponse(PendingRequest &request);
     static Task writeResponses(std::shared_ptr<CallerConnection> self);
     Task writeFirstResponse();
     boost::asio::awaitable<IoError> write(PendingRequest &request, bool keepAlive);
@@ -99,6 +131,8 @@
     /// bytes of the caller were left unread, closing would discard a response on its way.
     void finish();
     void closeSocket();
+    /// The caller has sent or taken bytes, or a request is handled or not handled any more.
+    void noteActivity();
     /// Closes the connection after an unexpected error.
     void fail(const std::exception &error);
     /// Whether the caller has not closed its connection, although unread bytes may be in front of
@@ -117,6 +151,20 @@
     std::map<Number, SharedRequest> requests;
     /// When the last bytes of the caller were received.
     Common::Instant receivedAt;
+    /// What this connection makes the process hold.
+    Admission::SharedOwner memoryOwner = std::make_shared<Admission::MemoryOwner>();
+    /// Memory of the connection itself.
+    Admission::MemoryBudget::SharedHolding ownMemory;
+    /// Memory of the request that is being received.
+    Admission::MemoryBudget::SharedHolding received;
+    /// Memory of its header, as of when so many bytes had been received since its start.
+    std::size_t receivedHeader = 0;
+    std::size_t receivedBytes = 0;
+    std::size_t headerCountedAt = 0;
+    /// Number of requests that are being handled.
+    std::size_t handled = 0;
+    /// Place in CallerConnections::closable, if it is there.
+    std::optional<std::list<CallerConnection *>::iterator> closablePlace;
     /// Wakes waitForPipeline().
     boost::asio::steady_timer pipelineTimer;
     boost::asio::steady_timer deadlineTimer;
@@ -128,6 +176,8 @@
     /// The next request has not begun to arrive.
     bool awaitingRequest = false;
     bool readTimedOut = false;
+    bool receivedRevoked = false;
+    bool counted = true;
     bool writing = false;
     bool disconnected = false;
     bool finished = false;
--- a/Source/Entry/CallerListener.cpp
+++ b/Source/Entry/CallerListener.cpp
@@ -6,11 +6,10 @@
 
 namespace {
 
-// Fraction of the process's memory that may hold bodies of requests in progress.
-constexpr double bodyMemoryFraction = 0.3;
-// Fraction of the file descriptors for connections of callers. The others are needed for backend
-// servers, peers and the store.
+// Fractions of the file descriptors for connections of callers, and for connections to backend
+// servers of requests in progress. The others are needed for idle connections, peers and the store.
 constexpr double callerDescriptorFraction = 0.5;
+constexpr double requestDescriptorFraction = 0.35;
 
 std::size_t fractionOf(std::size_t total, double fraction)
 {
@@ -27,9 +26,10 @@
     if (!acceptor) {
         return tl::unexpected(acceptor.error());
     }
-    auto connections = std::make_shared<CallerConnections>(CallerConnections {
-            context, steering, log, fractionOf(settings.memoryBytes, bodyMemoryFraction),
-            fractionOf(settings.maxDescriptors, callerDescriptorFraction) });
+    auto connections = std::make_shared<CallerConnections>(
+            CallerConnections { context, steering, log, steering.pool().memoryBudget(),
+                                fractionOf(settings.maxDescriptors, callerDescriptorFraction),
+                                fractionOf(settings.maxDescriptors, requestDescriptorFraction) });
     std::unique_ptr<CallerListener> listener(
             new CallerListener(std::move(*acceptor), std::move(connections)));
     CallerListener *target = listener.get();
@@ -56,6 +56,10 @@
 
 void CallerListener::serveConnection(Tcp::socket socket)
 {
+    if (this->connections->open >= this->connections->maxConnections
+        && !this->connections->closable.empty()) {
+        this->connections->closable.front()->closeForOthers("connection-limit");
+    }
     if (this->connections->open >= this->connections->maxConnections) {
         if (this->connections->log.admits()) {
             this->connections->log.write("connection_refused",
--- a/Source/Entry/EntryProgram.cpp
+++ b/Source/Entry/EntryProgram.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 
 #include <absl/synchronization/mutex.h>
+#include <malloc.h>
 
 #include "EntryDaemon.h"
 
@@ -14,6 +15,10 @@
 
 constexpr int exitFailure = 1;
 constexpr int exitInvalidInput = 2;
+// By default the C library raises this threshold when a large block is freed, and then takes large
+// blocks from the heap, where the gaps between them stay with the process: 62 MB of responses took
+// 130 MB.
+constexpr int largeBlockBytes = 128 * 1024;
 
 /// Blocks the signals that stop or reload the daemon, in this thread and the threads that it
 /// starts.
@@ -53,6 +58,7 @@
         return exitInvalidInput;
     }
     std::signal(SIGPIPE, SIG_IGN);
+    (void)::mallopt(M_MMAP_THRESHOLD, largeBlockBytes);
     // Signals stay pending until the daemon handles them, and are never delivered to other threads.
     const SignalBlock signalBlock;
     // Debian builds Abseil with deadlock detection, which takes a global lock in every Lock().
--- a/Source/Entry/RequestSteering.h
+++ b/Source/Entry/RequestSteering.h
@@ -29,8 +29,9 @@
 struct CallerState
 {
     explicit CallerState(boost::asio::io_context &context,
-                         Common::Instant arrivedAt = Common::monotonicNow())
-        : wakeTimer(context), arrivedAt(arrivedAt)
+                         Common::Instant arrivedAt = Common::monotonicNow(),
+                         Admission::SharedOwner memoryOwner = nullptr)
+        : wakeTimer(context), arrivedAt(arrivedAt), memoryOwner(std::move(memoryOwner))
     { }
 
     /// The caller has closed its connection.
@@ -54,6 +55,8 @@
     /// When the request was received. It may have waited for earlier requests of its connection
     /// since.
     const Common::Instant arrivedAt;
+    /// What the caller's connection makes the process hold.
+    const Admission::SharedOwner memoryOwner;
     /// Whether the caller's connection is open. Unset once the connection may have been destroyed.
     std::function<bool()> isOpen;
     bool disconnected = false;
@@ -85,6 +88,7 @@
     Steering::ServerTable &servers() { return this->table; }
     Steering::ServerSelector &selector() { return this->serverSelector; }
     BackendPool &pool() { return this->backendPool; }
+    Telemetry::MetricsRegistry &metricsRegistry() { return this->metrics; }
     /// Outcomes of requests at backend servers, recorded by this VM and by the other VMs.
     Steering::FleetOutcomes &outcomes() { return this->fleetOutcomes; }
     /// What backend servers said about themselves.
--- a/Source/Entry/ResponseMemory.cpp
+++ b/Source/Entry/ResponseMemory.cpp
@@ -7,9 +7,7 @@
 
 namespace {
 
-// Bodies of requests may take 0.3 of the memory, and as much again while they are sent. A body that
-// grows is copied, so that the largest one counts twice for a moment. The rest is for everything
-// else.
+// A body that grows is copied, so that the largest one counts twice for a moment.
 constexpr double totalFraction = 0.2;
 constexpr double bodyFraction = 0.1;
 constexpr std::size_t maxBodyLimit = std::size_t { 64 } * 1024 * 1024;
@@ -32,25 +30,23 @@
     std::set<ResponseMemory::Reservation *> open;
 };
 
-ResponseMemory::ResponseMemory(std::size_t processBytes)
+ResponseMemory::ResponseMemory(std::size_t processBytes, Admission::MemoryBudget budget)
     : bodyLimit(std::min(fractionOf(processBytes, bodyFraction), maxBodyLimit)),
-      state(std::make_shared<ResponseMemoryState>())
+      budget(std::move(budget)), state(std::make_shared<ResponseMemoryState>())
 {
     this->state->limit = fractionOf(processBytes, totalFraction);
 }
 
-ResponseMemory::SharedReservation ResponseMemory::reserve(std::function<void()> onRevoked)
+ResponseMemory::SharedReservation ResponseMemory::reserve(std::function<void()> onRevoked,
+                                                          Admission::SharedOwner owner)
 {
-    SharedReservation result(new Reservation(this->state, std::move(onRevoked)));
+    if (!owner) {
+        owner = std::make_shared<Admission::MemoryOwner>();
+    }
+    SharedReservation result(new Reservation(this->state, std::move(onRevoked), owner));
     this->state->open.insert(result.get());
-    return result;
-}
-
-ResponseMemory::SharedReservation ResponseMemory::reserveComplete(std::size_t size)
-{
-    SharedReservation result(new Reservation(this->state, {}));
-    result->size = size;
-    this->state->used += size;
+    result->holding = this->budget.open([reservation = result.get()] { reservation->revoke(); },
+                                        Common::monotonicNow(), std::move(owner));
     return result;
 }
 
@@ -60,13 +56,14 @@
 }
 
 ResponseMemory::Reservation::Reservation(std::shared_ptr<ResponseMemoryState> state,
-                                         std::function<void()> onRevoked)
-    : state(std::move(state)), onRevoked(std::move(onRevoked))
+                                         std::function<void()> onRevoked,
+                                         Admission::SharedOwner owner)
+    : state(std::move(state)), onRevoked(std::move(onRevoked)), owner(std::move(owner))
 { }
 
 ResponseMemory::Reservation::~Reservation()
 {
-    this->keep();
+    this->state->open.erase(this);
     this->state->used -= this->size;
 }
 
@@ -80,11 +77,16 @@
     }
     this->state->used += wanted - this->size;
     this->size = wanted;
+    if (!this->holding->resize(wanted, Common::monotonicNow())) {
+        this->release();
+        return false;
+    }
     while (this->size > smallBodyBytes && this->state->used > this->state->limit) {
         const auto largest
                 = std::max_element(this->state->open.begin(), this->state->open.end(),
                                    [](const Reservation *left, const Reservation *right) {
-                                       return left->size < right->size;
+                                       return std::pair(left->owner->bytes, left->size)
+                                              < std::pair(right->owner->bytes, right->size);
                                    });
         if (largest == this->state->open.end()) {
             return false;
@@ -100,14 +102,21 @@
 void ResponseMemory::Reservation::keep()
 {
     this->state->open.erase(this);
+    this->holding->setRevocation(Admission::Revocation::Never);
 }
 
-void ResponseMemory::Reservation::revoke()
+void ResponseMemory::Reservation::release()
 {
-    this->keep();
+    this->state->open.erase(this);
     this->isRevoked = true;
     this->state->used -= this->size;
     this->size = 0;
+    (void)this->holding->resize(0, Common::monotonicNow());
+}
+
+void ResponseMemory::Reservation::revoke()
+{
+    this->release();
     this->onRevoked();
 }
 
--- a/Source/Entry/ResponseMemory.h
+++ b/Source/Entry/ResponseMemory.h
@@ -5,12 +5,14 @@
 #include <memory>
 #include <set>
 
+#include "currantfall/Admission/MemoryBudget.h"
+
 namespace Currantfall::Entry {
 
 struct ResponseMemoryState;
 
-/// Limits the memory that bodies of responses take, from the first byte that is read until the last
-/// one is written to the caller. Runs on the entry thread.
+/// Limits the memory that bodies of responses take until they are handed to the connection of the
+/// caller, inside the budget of the process. Runs on the entry thread.
 class ResponseMemory
 {
 public:
@@ -23,7 +25,8 @@
         Reservation &operator=(const Reservation &) = delete;
 
         /// Raises the reservation to `size` bytes. If the total is used up, the largest reservation
-        /// that can be revoked is; returns false if that is this one, or none is left.
+        /// that can be revoked of the caller with the most memory is; returns false if that is this
+        /// one, or none is left.
         bool growTo(std::size_t size);
         /// The body is complete: it is not revoked any more.
         void keep();
@@ -31,30 +34,34 @@
 
     private:
         friend class ResponseMemory;
-        Reservation(std::shared_ptr<ResponseMemoryState> state, std::function<void()> onRevoked);
+        Reservation(std::shared_ptr<ResponseMemoryState> state, std::function<void()> onRevoked,
+                    Admission::SharedOwner owner);
+        void release();
         void revoke();
 
+        Admission::MemoryBudget::SharedHolding holding;
         std::shared_ptr<ResponseMemoryState> state;
         std::function<void()> onRevoked;
+        Admission::SharedOwner owner;
         std::size_t size = 0;
         bool isRevoked = false;
     };
     using SharedReservation = std::shared_ptr<Reservation>;
 
-    /// `processBytes` is the memory that the process may use.
-    explicit ResponseMemory(std::size_t processBytes);
-
-    /// `onRevoked` is called when another body needs the memory; it must end the reading.
-    SharedReservation reserve(std::function<void()> onRevoked);
-    /// A reservation for a complete body. It is never refused, because the body exists already.
-    SharedReservation reserveComplete(std::size_t size);
+    /// `processBytes` is the memory that the process may use, `budget` what peers may make it hold.
+    ResponseMemory(std::size_t processBytes, Admission::MemoryBudget budget);
 
+    /// `onRevoked` is called when another body needs the memory; it must end the reading. `owner`
+    /// is the caller; without it, the reservation has an owner of its own.
+    SharedReservation reserve(std::function<void()> onRevoked,
+                              Admission::SharedOwner owner = nullptr);
     /// Maximum size of one body.
     std::size_t maxBodyBytes() const { return this->bodyLimit; }
     std::size_t used() const;
 
 private:
     std::size_t bodyLimit;
+    Admission::MemoryBudget budget;
     std::shared_ptr<ResponseMemoryState> state;
 };
 
