Recognise resets during an upload, and statuses that are none of HTTP

Cause: a reset is reported once. If a write in progress gets the error, the read sees an orderly end, and a response without length passed for complete. Status 000 and 099 were skipped as interim responses, so that the request waited for its deadline; 101 as well, and 600 to 999 reached the caller.

Change: an end of the stream counts as the end of a response only if this VM can still send, and the write has not failed. Other statuses than 100, 102 to 199 and 200 to 599 break the exchange.

Ruled out: to go by the failed write alone.

--- a/Source/Entry/BackendPool.cpp
+++ b/Source/Entry/BackendPool.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <functional>
+#include <poll.h>
 #include <utility>
 
 #include <boost/beast/core/bind_handler.hpp>
@@ -46,6 +47,9 @@
 // a configuration usually allows (64 MiB) still fits on a VM with 112 MiB; the rest is for the
 // tables of the VM.
 constexpr double peerMemoryFraction = 0.65;
+constexpr unsigned switchingProtocols = 101;
+constexpr unsigned minFinalStatus = 200;
+constexpr unsigned maxStatus = 599;
 
 Admission::MemoryBudgetSettings budgetSettings(std::size_t processBytes)
 {
@@ -55,6 +59,12 @@
     return settings;
 }
 
+/// Whether a status is none of HTTP (RFC 9110, section 15), or one that this VM never asks for.
+bool invalidStatus(unsigned status)
+{
+    return status < 100 || status > maxStatus || status == switchingProtocols;
+}
+
 absl::Duration keepAliveTimeoutOf(const Adapter::HttpResponse &response)
 {
     const auto header = response["Keep-Alive"];
@@ -73,6 +83,15 @@
     connection.stream.socket().close(ignored);
 }
 
+/// Whether the connection has ended in both directions. After an orderly end of the server's stream
+/// this VM may still send. A reset is reported once as an error: if a write in progress gets it, a
+/// read sees an end that looks orderly.
+bool isHungUp(BackendConnection &connection)
+{
+    pollfd state { connection.stream.socket().native_handle(), POLLIN, 0 };
+    return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLHUP | POLLERR)) != 0;
+}
+
 ExchangeResult failedResult(AttemptEnd end, const std::string &step, const IoError &error)
 {
     ExchangeResult result;
@@ -121,6 +140,7 @@
     IoError error;
     co_await http::async_write(connection->stream, exchange->request, awaitInto(error));
     *written = !error;
+    exchange->writeFailed = static_cast<bool>(error);
     // The server may take long to respond; meanwhile the body is not needed.
     exchange->request.body() = {};
 }
@@ -274,6 +294,12 @@
     if (error) {
         co_return "read response: " + error.message();
     }
+    if (invalidStatus(parser.get().result_int())) {
+        co_return "response with the invalid status " + std::to_string(parser.get().result_int());
+    }
+    if (parser.need_eof() && (exchange.writeFailed || isHungUp(*connection))) {
+        co_return "connection reset before the end of a response without length";
+    }
     co_return std::nullopt;
 }
 
@@ -306,7 +332,7 @@
         }
         const bool bodyEndsAtClose = parser.need_eof();
         Adapter::HttpResponse response = parser.release();
-        if (response.result_int() < 200) {
+        if (response.result_int() < minFinalStatus) {
             continue;
         }
         ExchangeResult result;
--- a/Source/Entry/BackendPool.h
+++ b/Source/Entry/BackendPool.h
@@ -64,6 +64,8 @@
     absl::Time startedAt = absl::Now();
 
     SharedConnection connection;
+    /// The request could not be written completely.
+    bool writeFailed = false;
     bool cancelled = false;
     /// Whether the server may still get the request once the connection is established. Always if
     /// not set.
--- a/Source/UnitTests/Entry/BackendPoolTest.cpp
+++ b/Source/UnitTests/Entry/BackendPoolTest.cpp
@@ -370,3 +370,103 @@
     const AttemptEnd end = fixture.run(fixture.healthCheck(backend)).end;
     CHECK(end == (bodyBytes == 1000 ? AttemptEnd::Answered : AttemptEnd::Broken));
 }
+
+// Guards against a part of a response that reaches the caller as the whole (MIXED): the server
+// answers a long upload at once, without a length, and resets the connection. The error may be
+// reported to the write that is in progress, and the read then sees an ordinary end.
+TEST_CASE("A response without length that is reset during the upload is not complete")
+{
+    const bool keptConnection = GENERATE(false, true);
+    const std::string framing
+            = GENERATE("", "Content-Length: 1000\r\n", "Transfer-Encoding: chunked\r\n");
+    // Where the write fails first depends on what has been sent at the reset.
+    const int delayMs = GENERATE(0, 1, 5, 20, 50);
+    INFO("kept: " << keptConnection << ", " << framing << delayMs << " ms");
+    ScriptedBackend backend([&](ScriptedConnection &connection) {
+        if (keptConnection) {
+            connection.write(answerTo(connection.readRequest(), "first"));
+        }
+        const std::string header = connection.readHeader();
+        connection.write("HTTP/1.1 200 OK\r\nRequest-Id: " + headerOf(header, "Request-Id")
+                         + "\r\nServer-Seal: s\r\n" + framing + "\r\n"
+                         + (framing.starts_with("T") ? "8\r\na partia" : "a partial body"));
+        absl::SleepFor(absl::Milliseconds(delayMs));
+        connection.reset();
+    });
+    PoolFixture fixture;
+    if (keptConnection) {
+        CHECK(fixture.run(fixture.exchange(backend, "id-0")).end == AttemptEnd::Answered);
+    }
+    const auto upload = fixture.exchange(backend, "id-1");
+    upload->request.body() = std::string(std::size_t { 32 } * 1024 * 1024, 'x');
+    upload->request.prepare_payload();
+    const ExchangeResult result = fixture.run(upload);
+    INFO(result.detail);
+    CHECK(result.end == AttemptEnd::Broken);
+    CHECK_FALSE(result.response);
+    CHECK(backend.connections() == 1);
+}
+
+// Guards against a complete response that is discarded, because its server ended it with the
+// connection before it had read the whole upload.
+TEST_CASE("A response without length that ends in order during the upload is complete")
+{
+    ScriptedBackend backend([](ScriptedConnection &connection) {
+        const std::string header = connection.readHeader();
+        connection.write("HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nServer-Seal: s\r\n\r\nall of it");
+        connection.closeSending();
+        (void)connection.readBody(header);
+    });
+    PoolFixture fixture;
+    const auto upload = fixture.exchange(backend, "id-1");
+    upload->request.body() = std::string(std::size_t { 32 } * 1024 * 1024, 'x');
+    upload->request.prepare_payload();
+    const ExchangeResult result = fixture.run(upload);
+    INFO(result.detail);
+    REQUIRE(result.end == AttemptEnd::Answered);
+    CHECK(result.response->body() == "all of it");
+}
+
+// Guards against a response that is none (MIXED), and against a request that waits until its
+// deadline for another one.
+TEST_CASE("A status that is none of HTTP is no response and ends the request")
+{
+    const std::string status = GENERATE("000 Trouble", "099 Trouble", "101 Switching Protocols",
+                                        "600 Trouble", "700 Trouble", "999 Trouble", "+20 OK",
+                                        "-20 OK", "20 OK", "2000 OK", "0x2 OK");
+    const std::string framing = GENERATE("Content-Length: 7\r\n", "");
+    INFO(status << " " << framing);
+    ScriptedBackend backend([&](ScriptedConnection &connection) {
+        const std::string request = connection.readRequest();
+        connection.write("HTTP/1.1 " + status + "\r\nRequest-Id: id-1\r\nServer-Seal: s\r\n"
+                         + framing + "\r\ntrouble");
+        if (!framing.empty()) {
+            // A server that keeps its connection open.
+            connection.closedWithin(5000);
+        }
+    });
+    PoolFixture fixture;
+    const auto exchange = fixture.exchange(backend, "id-1");
+    exchange->deadline = Common::monotonicNow() + absl::Seconds(30);
+    const ExchangeResult result = fixture.run(exchange);
+    INFO(result.detail);
+    CHECK(result.end == AttemptEnd::Broken);
+    CHECK_FALSE(result.response);
+    CHECK(Common::monotonicNow() < exchange->deadline - absl::Seconds(20));
+}
+
+// Guards against a strict reading that refuses proper responses.
+TEST_CASE("Interim responses and unusual statuses of HTTP are read")
+{
+    const std::string status = GENERATE("200 ", "204 No Content", "299 Odd", "404 Not Found");
+    INFO(status);
+    ScriptedBackend backend([&](ScriptedConnection &connection) {
+        const std::string request = connection.readRequest();
+        connection.write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+                         + answerTo(request, "", status));
+    });
+    PoolFixture fixture;
+    const ExchangeResult result = fixture.run(fixture.exchange(backend, "id-1"));
+    INFO(result.detail);
+    CHECK(result.end == AttemptEnd::Answered);
+}
--- a/Tests/Support/ScriptedBackend.cpp
+++ b/Tests/Support/ScriptedBackend.cpp
@@ -62,6 +62,11 @@
     return ::poll(&watched, 1, milliseconds) > 0 && ::recv(this->descriptor, &byte, 1, 0) <= 0;
 }
 
+void ScriptedConnection::closeSending()
+{
+    ::shutdown(this->descriptor, SHUT_WR);
+}
+
 void ScriptedConnection::reset()
 {
     const linger now { 1, 0 };
--- a/Tests/Support/ScriptedBackend.h
+++ b/Tests/Support/ScriptedBackend.h
@@ -26,6 +26,8 @@
     void write(const std::string &bytes);
     /// Waits until the peer closes; true if it did so before `milliseconds` have passed.
     bool closedWithin(int milliseconds);
+    /// Sends the end of the stream; the peer's bytes can still be read.
+    void closeSending();
     /// Closes with a reset.
     void reset();
 
