Let servers pause in reading an upload

Cause: the timeout for silent servers, 1.5 s, also ends connections whose server acknowledges everything but has no room for more.

Change: for bodies above 8 KiB the send timeout is the time that the request has left.

--- a/Source/Entry/Asio.cpp
+++ b/Source/Entry/Asio.cpp
@@ -91,9 +91,14 @@
     trySetOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, seconds);
     trySetOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, seconds);
     trySetOption(socket, IPPROTO_TCP, TCP_KEEPCNT, probes);
+    setSendTimeout(socket, timeout);
+    trySetOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+}
+
+void setSendTimeout(Tcp::socket &socket, absl::Duration timeout)
+{
     trySetOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
                  static_cast<int>(absl::ToInt64Milliseconds(timeout)));
-    trySetOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
 }
 
 } // namespace Currantfall::Entry
--- a/Source/Entry/Asio.h
+++ b/Source/Entry/Asio.h
@@ -62,4 +62,8 @@
 /// within `timeout`. Also disables Nagle's algorithm.
 void enableDeadPeerDetection(Tcp::socket &socket, absl::Duration timeout);
 
+/// Changes the time after which a connection fails if its peer acknowledges or accepts no bytes
+/// that were sent.
+void setSendTimeout(Tcp::socket &socket, absl::Duration timeout);
+
 } // namespace Currantfall::Entry
--- a/Source/Entry/BackendPool.cpp
+++ b/Source/Entry/BackendPool.cpp
@@ -406,7 +406,14 @@
     connection->stream.expires_after(toChrono(remaining));
     noteSent(*connection, exchange);
     auto written = std::make_shared<bool>(false);
-    if (exchange.request.body().size() > maxBodyBytesBeforeRead) {
+    const bool longBody = exchange.request.body().size() > maxBodyBytesBeforeRead;
+    if (longBody || connection->longSendTimeout) {
+        // A server that works on a long body may not read on until it has room. It is alive, but a
+        // closed window looks like silence to the send timeout.
+        setSendTimeout(connection->stream.socket(), longBody ? remaining : serverSilenceTimeout);
+        connection->longSendTimeout = longBody;
+    }
+    if (longBody) {
         // The server may respond before it has read the whole body.
         boost::asio::co_spawn(this->context, writeRequest(connection, shared, written),
                               boost::asio::detached);
--- a/Source/Entry/BackendPool.h
+++ b/Source/Entry/BackendPool.h
@@ -42,6 +42,8 @@
     Common::Instant idleSince;
     bool reused = false;
     bool idle = false;
+    /// The server may pause in reading a long body.
+    bool longSendTimeout = false;
 };
 using SharedConnection = std::shared_ptr<BackendConnection>;
 
--- a/Source/UnitTests/Entry/BackendPoolTest.cpp
+++ b/Source/UnitTests/Entry/BackendPoolTest.cpp
@@ -470,3 +470,24 @@
     INFO(result.detail);
     CHECK(result.end == AttemptEnd::Answered);
 }
+
+// Guards against uploads that are broken off because their server is at work and does not read on
+// for longer than the timeout for silent servers (LOST).
+TEST_CASE("An upload continues after a pause of its server")
+{
+    ScriptedBackend backend([](ScriptedConnection &connection) {
+        const std::string header = connection.readHeader();
+        absl::SleepFor(absl::Milliseconds(3500));
+        if (connection.readBody(header)) {
+            connection.write(answerTo(header, "done"));
+        }
+    });
+    PoolFixture fixture;
+    const auto upload = fixture.exchange(backend, "id-1");
+    upload->deadline = Common::monotonicNow() + absl::Seconds(30);
+    upload->request.body() = std::string(std::size_t { 16 } * 1024 * 1024, 'x');
+    upload->request.prepare_payload();
+    const ExchangeResult result = fixture.run(upload);
+    INFO(result.detail);
+    CHECK(result.end == AttemptEnd::Answered);
+}
