--- a/Source/UnitTests/Adapter/RowsTest.cpp
+++ b/Source/UnitTests/Adapter/RowsTest.cpp
@@ -80,6 +80,12 @@
               { "\"seq\":4", "\"seq\":" + std::string(65536, '[') },
               { "\"seq\":4", "\"seq\":" + std::string(100, '[') + std::string(100, ']') },
               { "\"cold_remaining_ms\":1500", "\"cold_remaining_ms\":null" },
+              { "\"version\":\"v1\",", "" },
+              { "\"version\":\"v1\"", "\"version\":1" },
+              { "\"seq\":4,", "" },
+              { "\"seq\":4", "\"seq\":\"4\"" },
+              { "\"seq\":4", "\"seq\":4.5" },
+              { "\"seq\":4", "\"seq\":-4" },
               { "\"born\":1700000000123", "\"born\":\"x\"" },
               { "{", "" },
               { "{", "\xff\xfe{" } }));
