Serve tenants by their keys

Cause: on the platform the key of a caller was passed on to servers, no tenant was named to them, unknown and withdrawn keys were served, and the homes of tenants were not kept.

Change: the configuration's tenants are read (TenantTable), and a request runs on behalf of the tenant whose key it carries (RequestScope). The key is taken off at the boundary; the server gets the tenant's name. 401 for a key that the configuration in force does not hold, 503 before any is known; public routes need none. Key, route and homes are checked again for each attempt, also for requests that wait, with the configuration that is in force then. The homes of route and tenant both bind. Without tenants nothing changes. Log lines name the tenant, never the key.

Quotas and the rank of a tenant in admission are not part of this.

--- a/Source/Core/Steering/RoutingConfiguration.cpp
+++ b/Source/Core/Steering/RoutingConfiguration.cpp
@@ -20,8 +20,10 @@
 
 RoutingConfiguration::RoutingConfiguration(Common::Revision version,
                                            std::vector<ServiceSettings> services,
-                                           std::vector<Route> routes, CallerLimits limits)
-    : versionNumber(version), callerLimits(limits), routeTotal(routes.size())
+                                           std::vector<Route> routes, CallerLimits limits,
+                                           Tenants::TenantTable tenants)
+    : versionNumber(version), callerLimits(limits), routeTotal(routes.size()),
+      tenantTable(std::move(tenants))
 {
     for (ServiceSettings &service : services) {
         Common::ServiceName name = service.name;
--- a/Source/Entry/RequestSteering.cpp
+++ b/Source/Entry/RequestSteering.cpp
@@ -92,23 +92,6 @@
     co_return response;
 }
 
-const Steering::Route *
-RequestSteering::matchRoute(const Steering::RoutingConfiguration &configuration,
-                            const Adapter::HttpRequest &request)
-{
-    const auto host = request["Host"];
-    const auto target = request.target();
-    return configuration.match({ host.data(), host.size() }, { target.data(), target.size() });
-}
-
-bool RequestSteering::mayRepeat(const Adapter::HttpRequest &request) const
-{
-    const Steering::Route *route = this->currentConfiguration == nullptr
-                                           ? nullptr
-                                           : matchRoute(*this->currentConfiguration, request);
-    return route == nullptr || route->idempotent;
-}
-
 boost::asio::awaitable<Adapter::HttpResponse> RequestSteering::steer(ActiveRequest &activeRequest)
 {
     if (activeRequest.configuration == nullptr) {
@@ -119,6 +102,12 @@
         co_return this->fail(activeRequest, Failure::NoRoute, "no-route");
     }
     const Steering::Route &route = *activeRequest.route;
+    auto scope = Steering::RequestScope::atArrival(*activeRequest.configuration, route,
+                                                   targetOf(activeRequest));
+    if (!scope) {
+        co_return this->fail(activeRequest, Failure::Unauthorized, "unknown-key");
+    }
+    activeRequest.scope = std::move(*scope);
     activeRequest.service = this->splitChooser.choose(route, activeRequest.callerRequest.object);
     activeRequest.deadline
             = activeRequest.start + activeRequest.callerRequest.deadline.value_or(defaultDeadline);
@@ -135,6 +124,12 @@
                     ? this->fail(activeRequest, Failure::TimedOut, "timeout-before-retry")
                     : this->refuse(activeRequest, "timeout-before-start", absl::ZeroDuration());
         }
+        if (!this->mayStillUse(activeRequest)) {
+            co_return this->fail(activeRequest,
+                                 activeRequest.mayHaveRun ? Failure::OutcomeUnknown
+                                                          : Failure::Unauthorized,
+                                 "key-withdrawn");
+        }
         if (!activeRequest.mayHaveRun && this->mayOutliveProcess(activeRequest, now)) {
             co_return this->refuse(activeRequest, "shutting-down", absl::ZeroDuration());
         }
@@ -206,29 +201,6 @@
     }
 }
 
-Steering::SelectionRequest RequestSteering::selectionRequestFor(const ActiveRequest &activeRequest,
-                                                                Common::Instant now) const
-{
-    return { activeRequest.route,
-             activeRequest.service,
-             activeRequest.callerRequest.object,
-             activeRequest.callerRequest.id,
-             activeRequest.responseDeadline - now,
-             now - activeRequest.start,
-             this->homesNow(activeRequest.request,
-                            Steering::HomeRegions::fromList(activeRequest.route->allowedRegions)),
-             activeRequest.attemptedServers };
-}
-
-Steering::HomeRegions RequestSteering::homesNow(const Adapter::HttpRequest &request,
-                                                const Steering::HomeRegions &atArrival) const
-{
-    const Steering::Route *route = matchRoute(*this->currentConfiguration, request);
-    return route == nullptr ? atArrival
-                            : atArrival.intersectedWith(
-                                    Steering::HomeRegions::fromList(route->allowedRegions));
-}
-
 boost::asio::awaitable<RequestSteering::SharedAttempt>
 RequestSteering::awaitDecisiveAttempt(ActiveRequest &activeRequest, SharedAttempt first)
 {
@@ -348,15 +320,16 @@
     const Common::Instant now = Common::monotonicNow();
     auto exchange = std::make_shared<Exchange>();
     exchange->server = choice.server->server();
+    const bool hasTenants
+            = activeRequest.scope.hasTenants || !this->currentConfiguration->tenants().empty();
     exchange->request = Adapter::backendRequest(activeRequest.request, activeRequest.deadline - now,
-                                                exchange->server.name);
+                                                exchange->server.name,
+                                                hasTenants ? &activeRequest.scope.tenant : nullptr);
     exchange->requestId = activeRequest.callerRequest.id;
     exchange->idempotent = activeRequest.route->idempotent;
     exchange->deadline = activeRequest.deadline;
     exchange->memoryOwner = activeRequest.callerState->memoryOwner;
-    this->withholdIfNotEligible(
-            *exchange, activeRequest.callerState,
-            Steering::HomeRegions::fromList(activeRequest.route->allowedRegions));
+    this->withholdIfNotEligible(*exchange, activeRequest.callerState, activeRequest.scope);
     auto attempt = std::make_shared<Attempt>();
     attempt->exchange = std::move(exchange);
     attempt->caller = activeRequest.callerState;
--- a/Source/Entry/RequestSteering.h
+++ b/Source/Entry/RequestSteering.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "currantfall/Common/EventLog.h"
+#include "currantfall/Steering/RequestScope.h"
 #include "currantfall/Steering/RetryAllowance.h"
 #include "currantfall/Steering/RoutingConfiguration.h"
 #include "currantfall/Steering/ServerNotices.h"
@@ -142,13 +143,13 @@
     SharedAttempt startAttempt(ActiveRequest &activeRequest, const Steering::SendTo &choice);
     /// Adds the attempt to the log line of the request.
     static void addToHistory(ActiveRequest &activeRequest, const Attempt &attempt);
+    static Steering::RequestTarget targetOf(const ActiveRequest &activeRequest);
     /// Returns nullptr if no route matches.
     static const Steering::Route *matchRoute(const Steering::RoutingConfiguration &configuration,
                                              const Adapter::HttpRequest &request);
-    /// Regions that may handle the request: those of its route when it arrived and those of its
-    /// route now. The configuration may change while a request waits or runs.
-    Steering::HomeRegions homesNow(const Adapter::HttpRequest &request,
-                                   const Steering::HomeRegions &atArrival) const;
+    /// Whether the caller may still use the route. The configuration may change while a request
+    /// waits or runs.
+    bool mayStillUse(const ActiveRequest &activeRequest) const;
     Steering::SelectionRequest selectionRequestFor(const ActiveRequest &activeRequest,
                                                    Common::Instant now) const;
     Task runAttempt(SharedAttempt attempt);
@@ -163,10 +164,10 @@
     /// Makes the pool send a health check only if the server still takes requests by then.
     void withholdIfNotAccepting(Exchange &exchange);
     /// Makes the pool send the request of a caller only if the caller still waits and the server
-    /// may still get it by then. Homes, evacuations, entries and notices may change while a
+    /// may still get it by then. Keys, homes, evacuations, entries and notices may change while a
     /// connection is established.
     void withholdIfNotEligible(Exchange &exchange, const SharedCaller &caller,
-                               const Steering::HomeRegions &homesAtArrival);
+                               const Steering::RequestScope &scope);
     /// Whether the run of the server that is listed now takes requests.
     bool acceptsRequests(const Common::BackendServerName &server) const;
     /// Interrupts idempotent attempts at a server that has become unreachable, so that their
--- a/Source/Entry/RequestSteeringLog.cpp
+++ b/Source/Entry/RequestSteeringLog.cpp
@@ -11,7 +11,7 @@
     labels.service = activeRequest.service;
     labels.tenant = Common::TenantName("all");
     labels.rank = Common::RankName(
-            activeRequest.route == nullptr ? "none" : std::to_string(activeRequest.route->rank));
+            activeRequest.route == nullptr ? "none" : std::to_string(activeRequest.scope.rank));
     labels.outcome = status == 503   ? Common::Outcome::NotRun
                      : status >= 500 ? Common::Outcome::OutcomeUnknown
                                      : Common::Outcome::Answered;
@@ -29,6 +29,9 @@
     fields["ms"] = absl::ToInt64Milliseconds(now - activeRequest.start);
     fields["route"] = activeRequest.route == nullptr ? "" : activeRequest.route->name;
     fields["service"] = activeRequest.service.value();
+    if (!activeRequest.scope.tenant.empty()) {
+        fields["tenant"] = activeRequest.scope.tenant.value();
+    }
     fields["object"] = activeRequest.callerRequest.object;
     if (activeRequest.callerRequest.deadline) {
         fields["deadline_ms"] = absl::ToInt64Milliseconds(*activeRequest.callerRequest.deadline);
--- a/Source/Entry/RequestSteeringServers.cpp
+++ b/Source/Entry/RequestSteeringServers.cpp
@@ -108,19 +108,19 @@
 }
 
 void RequestSteering::withholdIfNotEligible(Exchange &exchange, const SharedCaller &caller,
-                                            const Steering::HomeRegions &homesAtArrival)
+                                            const Steering::RequestScope &scope)
 {
-    exchange.mayBeSent = [this, &exchange, caller, homesAtArrival] {
+    exchange.mayBeSent = [this, &exchange, caller, scope] {
         if (!caller->waits()) {
             this->metrics.addToCounter("currantfall_withheld_requests_total",
                                        { { "reason", "caller-gone" } });
             return false;
         }
         const Steering::ServerRecord *record = this->table.find(exchange.server.name);
-        const bool eligible = record != nullptr
-                              && this->serverSelector.mayUse(
-                                      *record, this->homesNow(exchange.request, homesAtArrival),
-                                      Common::monotonicNow());
+        const auto homes = scope.homesNow(*this->currentConfiguration);
+        const bool eligible
+                = record != nullptr && homes
+                  && this->serverSelector.mayUse(*record, *homes, Common::monotonicNow());
         if (!eligible) {
             this->metrics.addToCounter("currantfall_withheld_requests_total",
                                        { { "reason", "server-ineligible" } });
--- a/Source/Entry/RequestSteeringState.h
+++ b/Source/Entry/RequestSteeringState.h
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "currantfall/Steering/RequestScope.h"
+
 #include "RequestSteering.h"
 
 // State of requests and attempts, shared by the source files of RequestSteering.
@@ -41,6 +43,8 @@
     SharedCaller callerState;
     std::shared_ptr<const Steering::RoutingConfiguration> configuration;
     const Steering::Route *route = nullptr;
+    /// Set once the caller may use the route.
+    Steering::RequestScope scope;
     Common::ServiceName service;
     Common::Instant start;
     /// When the caller stops waiting for the response.
--- a/Source/UnitTests/Adapter/HttpMessagesTest.cpp
+++ b/Source/UnitTests/Adapter/HttpMessagesTest.cpp
@@ -1,5 +1,7 @@
 #include "platform/HttpMessages.h"
 
+#include <vector>
+
 #include <catch2/catch.hpp>
 
 using namespace Currantfall;
@@ -181,3 +183,45 @@
     CHECK(statusOf(Failure::Malformed).result_int() == 400);
     CHECK(statusOf(Failure::HeaderTimeout).result_int() == 408);
 }
+
+// Guards against keys that reach a server or a log through a header that is read twice.
+TEST_CASE("The key of a tenant is read from one Authorization header only")
+{
+    const auto keyOf = [](const std::vector<std::string> &headers) {
+        Adapter::HttpRequest request(http::verb::get, "/", 11);
+        for (const std::string &header : headers) {
+            request.insert("Authorization", header);
+        }
+        return Adapter::readCaller(request).key;
+    };
+    CHECK(keyOf({ "Token rytapjs" }) == "rytapjs");
+    CHECK(keyOf({ "token   rytapjs " }) == "rytapjs");
+    CHECK(keyOf({}).empty());
+    CHECK(keyOf({ "Token" }).empty());
+    CHECK(keyOf({ "Tokenrytapjs" }).empty());
+    CHECK(keyOf({ "Bearer rytapjs" }).empty());
+    CHECK(keyOf({ "Token rytapjs", "Token other" }).empty());
+}
+
+// Guards against servers that see a key, or a tenant that the caller names itself (UNASKED).
+TEST_CASE("A server gets the name of the tenant and never the key")
+{
+    Adapter::HttpRequest sent = request();
+    sent.set("Authorization", "Token rytapjs");
+    sent.insert("Tenant", "forged");
+    sent.insert("tenant", "forged-again");
+    const Common::BackendServerName server("i-1");
+    const Common::TenantName tenant("sese880");
+    const auto forwarded = Adapter::backendRequest(sent, absl::Seconds(1), server, &tenant);
+    CHECK(forwarded.count("Authorization") == 0);
+    CHECK(forwarded.count("Tenant") == 1);
+    CHECK(forwarded["Tenant"] == "sese880");
+    const Common::TenantName none;
+    const auto open = Adapter::backendRequest(sent, absl::Seconds(1), server, &none);
+    CHECK(open.count("Authorization") == 0);
+    CHECK(open.count("Tenant") == 0);
+    // A deployment without tenants passes all headers on.
+    const auto plain = Adapter::backendRequest(sent, absl::Seconds(1), server);
+    CHECK(plain["Authorization"] == "Token rytapjs");
+    CHECK(plain.count("Tenant") == 2);
+}
--- a/Source/UnitTests/Adapter/RowsTest.cpp
+++ b/Source/UnitTests/Adapter/RowsTest.cpp
@@ -171,6 +171,58 @@
     CHECK_FALSE(configuration->match("h.example", "/b/1")->idempotent);
 }
 
+const std::string tenantList
+        = R"("tenants":[{"name":"sese880","api_keys":["k1","k2"],"priority":1,"rate_per_s":393,)"
+          R"("burst":40,"allowed_regions":["west"]},{"name":"open"}],"virtual_hosts")";
+
+TEST_CASE("Tenants of a configuration are decoded")
+{
+    const auto without = Adapter::readConfiguration(goodConfiguration);
+    REQUIRE(without);
+    CHECK(without->tenants().empty());
+    CHECK_FALSE(without->match("h.example", "/a/1")->publicAccess);
+    const auto configuration = Adapter::readConfiguration(
+            with(with(goodConfiguration, "\"virtual_hosts\"", tenantList),
+                 "\"priority\":1,\"service\"", "\"public\":true,\"priority\":1,\"service\""));
+    REQUIRE(configuration);
+    CHECK(configuration->match("h.example", "/a/1")->publicAccess);
+    CHECK(configuration->tenants().size() == 2);
+    const Tenants::Tenant *tenant = configuration->tenants().findByKey("k2");
+    REQUIRE(tenant != nullptr);
+    CHECK(tenant->name == Common::TenantName("sese880"));
+    CHECK(tenant->rank == 1U);
+    CHECK(tenant->requestsPerSecond == 393.0);
+    CHECK(tenant->burst == 40.0);
+    CHECK(tenant->allowedRegions == std::vector { Common::RegionName("west") });
+    CHECK_FALSE(configuration->tenants().find(Common::TenantName("open"))->rank);
+}
+
+// Guards against a configuration whose tenants can't be read, and that serves callers without keys.
+TEST_CASE("A configuration with a malformed tenant is refused as a whole")
+{
+    const auto [from, to] = GENERATE(
+            table<std::string, std::string>({ { "\"name\":\"sese880\",", "" },
+                                              { "\"sese880\"", "7" },
+                                              { "\"sese880\"", "\"a\\r\\nX: 1\"" },
+                                              { "\"k1\"", "1" },
+                                              { "[\"west\"]},{", "[1]},{" },
+                                              { "{\"name\":\"open\"}", "\"open\"" },
+                                              { "\"tenants\":[", "\"tenants\":{\"x\":[" } }));
+    INFO(from << " -> " << to);
+    CHECK_FALSE(Adapter::readConfiguration(
+            with(with(goodConfiguration, "\"virtual_hosts\"", tenantList), from, to)));
+}
+
+// Guards against keys in messages of errors, which are logged.
+TEST_CASE("Messages about a configuration do not contain keys")
+{
+    const auto refused = Adapter::readConfiguration(with(
+            with(goodConfiguration, "\"virtual_hosts\"", tenantList), "\"k1\"", "[\"secret\"]"));
+    REQUIRE_FALSE(refused);
+    CHECK(refused.error().toString().find("secret") == std::string::npos);
+    CHECK(refused.error().toString().find("k2") == std::string::npos);
+}
+
 // Guards against a broken configuration that replaces a good one.
 TEST_CASE("A configuration with a malformed part is refused as a whole")
 {
--- a/Source/UnitTests/Entry/SteeringFixture.cpp
+++ b/Source/UnitTests/Entry/SteeringFixture.cpp
@@ -60,7 +60,8 @@
 
 void SteeringFixture::configure(absl::Duration timeout, std::uint32_t maxAttempts,
                                 const std::vector<Common::RegionName> &homes,
-                                const Steering::CallerLimits &limits)
+                                const Steering::CallerLimits &limits,
+                                std::vector<Tenants::Tenant> tenants)
 {
     std::vector<Steering::Route> routes { route("/read/", true), route("/write/", false) };
     for (Steering::Route &each : routes) {
@@ -70,7 +71,7 @@
     }
     const Steering::ServiceSettings terms { Common::ServiceName(serviceName), "/health", 100, 2.0 };
     this->steering.setConfiguration(std::make_shared<const Steering::RoutingConfiguration>(
-            1, std::vector { terms }, routes, limits));
+            1, std::vector { terms }, routes, limits, Tenants::TenantTable(std::move(tenants))));
 }
 
 Adapter::HttpRequest SteeringFixture::request(const std::string &path, const std::string &id)
--- a/Source/UnitTests/Entry/SteeringFixture.h
+++ b/Source/UnitTests/Entry/SteeringFixture.h
@@ -25,7 +25,8 @@
     /// (/write/). Both may be handled in the regions `homes`, or in all if it is empty.
     void configure(absl::Duration timeout = absl::Seconds(5), std::uint32_t maxAttempts = 3,
                    const std::vector<Common::RegionName> &homes = {},
-                   const Steering::CallerLimits &limits = {});
+                   const Steering::CallerLimits &limits = {},
+                   std::vector<Tenants::Tenant> tenants = {});
 
     static Adapter::HttpRequest request(const std::string &path, const std::string &id = "id-1");
 
--- /dev/null
+++ b/Source/UnitTests/Entry/TenantSteeringTest.cpp
@@ -0,0 +1,131 @@
+#include <atomic>
+#include <mutex>
+
+#include <catch2/catch.hpp>
+
+#include "SteeringFixture.h"
+#include "Support/ScriptedBackend.h"
+
+using namespace Currantfall;
+using namespace Currantfall::Entry;
+using namespace Currantfall::Entry::Tests;
+using namespace Currantfall::Tests;
+
+namespace {
+
+Tenants::Tenant tenant(const std::string &name, std::vector<std::string> keys,
+                       const std::vector<Common::RegionName> &homes = {})
+{
+    Tenants::Tenant result;
+    result.name = Common::TenantName(name);
+    result.keys = std::move(keys);
+    result.allowedRegions = homes;
+    return result;
+}
+
+Adapter::HttpRequest requestWithKey(const std::string &path, const std::string &key)
+{
+    Adapter::HttpRequest request = SteeringFixture::request(path);
+    request.set("Authorization", "Token " + key);
+    request.set("Tenant", "forged");
+    return request;
+}
+
+/// A server that answers everything and keeps the requests.
+struct KeepingServer
+{
+    std::mutex mutex;
+    std::vector<std::string> requests;
+    ScriptedBackend backend { [this](ScriptedConnection &connection) {
+        for (std::string request = connection.readRequest(); !request.empty();
+             request = connection.readRequest()) {
+            {
+                const std::lock_guard lock(this->mutex);
+                this->requests.push_back(request);
+            }
+            connection.write(answerTo(request, "body"));
+        }
+    } };
+};
+
+} // namespace
+
+// Guards against keys that servers see, and requests that run without one (UNASKED, ROUTE).
+TEST_CASE("A request with a key reaches its server with the tenant's name")
+{
+    KeepingServer server;
+    SteeringFixture fixture;
+    fixture.addServer("i-1", server.backend.port());
+    fixture.configure(absl::Seconds(5), 3, {}, {}, { tenant("a", { "key-1" }) });
+    const auto served = fixture.run(requestWithKey("/read/1", "key-1"));
+    REQUIRE(served);
+    CHECK(served->result_int() == 200);
+    for (const std::string path : { "/read/1", "/write/1" }) {
+        CHECK(fixture.run(requestWithKey(path, "key-2"))->result_int() == 401);
+        CHECK(fixture.run(SteeringFixture::request(path))->result_int() == 401);
+    }
+    const std::lock_guard lock(server.mutex);
+    REQUIRE(server.requests.size() == 1);
+    CHECK(headerOf(server.requests[0], "Tenant") == "a");
+    CHECK(server.requests[0].find("key-1") == std::string::npos);
+    CHECK(server.requests[0].find("forged") == std::string::npos);
+}
+
+// Guards against a 401 from a VM that has just started and knows no key yet (DENIED).
+TEST_CASE("Without a configuration a request with a key is refused as not run")
+{
+    SteeringFixture fixture;
+    fixture.steering.setConfiguration(nullptr);
+    CHECK(fixture.run(requestWithKey("/read/1", "key-1"))->result_int() == 503);
+}
+
+// Guards against requests of a tenant outside its homes (HOME).
+TEST_CASE("A tenant's requests stay inside its homes")
+{
+    KeepingServer west;
+    KeepingServer east;
+    SteeringFixture fixture;
+    fixture.addServer("i-west", west.backend.port(), "a");
+    fixture.addServer("i-east", east.backend.port(), "b");
+    const std::vector<Common::RegionName> onlyEast { Common::RegionName("east") };
+    fixture.configure(absl::Seconds(5), 3, {}, {}, { tenant("a", { "key-1" }, onlyEast) });
+    for (int number = 0; number < 8; ++number) {
+        CHECK(fixture.run(requestWithKey("/read/" + std::to_string(number), "key-1"))->result_int()
+              == 200);
+    }
+    CHECK(west.requests.empty());
+    CHECK(east.requests.size() == 8);
+}
+
+// Guards against a retry with a key that was withdrawn while the first attempt ran.
+TEST_CASE("A request is not repeated after its key was withdrawn")
+{
+    SteeringFixture fixture;
+    std::atomic<int> requests { 0 };
+    std::atomic<bool> waiting { false };
+    std::atomic<bool> withdrawn { false };
+    const auto refuse = [&](ScriptedConnection &connection) {
+        const std::string request = connection.readRequest();
+        if (request.empty()) {
+            return;
+        }
+        ++requests;
+        waiting = true;
+        while (!withdrawn) {
+            absl::SleepFor(absl::Milliseconds(2));
+        }
+        connection.write(responseTo(request, "503 Service Unavailable", "Not-Executed: 1\r\n", ""));
+    };
+    ScriptedBackend first(refuse);
+    ScriptedBackend second(refuse);
+    fixture.addServer("i-1", first.port());
+    fixture.addServer("i-2", second.port());
+    fixture.configure(absl::Seconds(5), 3, {}, {}, { tenant("a", { "key-1" }) });
+    const auto response = fixture.startRequest(requestWithKey("/read/1", "key-1"));
+    REQUIRE(fixture.runUntil([&] { return waiting.load(); }));
+    fixture.configure(absl::Seconds(5), 3, {}, {}, { tenant("a", { "key-2" }) });
+    withdrawn = true;
+    REQUIRE(fixture.runUntil([&] { return response->has_value(); }));
+    CHECK((*response)->result_int() == 401);
+    CHECK(requests == 1);
+}
--- a/include/currantfall/Steering/RoutingConfiguration.h
+++ b/include/currantfall/Steering/RoutingConfiguration.h
@@ -11,6 +11,7 @@
 
 #include "currantfall/Common/Names.h"
 #include "currantfall/Steering/HomeRegions.h"
+#include "currantfall/Tenants/TenantTable.h"
 
 namespace Currantfall::Steering {
 
@@ -52,6 +53,8 @@
     std::uint32_t maxAttempts = 1;
     /// Regions whose servers may handle the route; all regions if empty.
     std::vector<Common::RegionName> allowedRegions;
+    /// Callers need no key of a tenant.
+    bool publicAccess = false;
 
     friend bool operator==(const Route &left, const Route &right) = default;
 };
@@ -72,7 +75,8 @@
 {
 public:
     RoutingConfiguration(Common::Revision version, std::vector<ServiceSettings> services,
-                         std::vector<Route> routes, CallerLimits limits);
+                         std::vector<Route> routes, CallerLimits limits,
+                         Tenants::TenantTable tenants = {});
 
     Common::Revision version() const { return this->versionNumber; }
     const CallerLimits &limits() const { return this->callerLimits; }
@@ -85,6 +89,7 @@
     /// match().
     HomeRegions homesOf(std::string_view host) const;
     std::size_t routeCount() const { return this->routeTotal; }
+    const Tenants::TenantTable &tenants() const { return this->tenantTable; }
 
     friend bool operator==(const RoutingConfiguration &left, const RoutingConfiguration &right)
             = default;
@@ -97,6 +102,7 @@
     /// its slashes.
     std::map<std::string, std::map<std::string, Route, std::less<>>, std::less<>> routesByHost;
     std::size_t routeTotal = 0;
+    Tenants::TenantTable tenantTable;
 };
 
 } // namespace Currantfall::Steering
