--- a/Source/UnitTests/Adapter/RowsTest.cpp
+++ b/Source/UnitTests/Adapter/RowsTest.cpp
@@ -171,6 +171,15 @@
     CHECK_FALSE(configuration->match("h.example", "/b/1")->idempotent);
 }
 
+// Guards against downloads that are never repeated, so that one failed server ends them.
+TEST_CASE("Downloads may be repeated")
+{
+    const auto configuration
+            = Adapter::readConfiguration(with(goodConfiguration, "\"safe\"", "\"download\""));
+    REQUIRE(configuration);
+    CHECK(configuration->match("h.example", "/b/1")->idempotent);
+}
+
 const std::string tenantList
         = R"("tenants":[{"name":"sese880","api_keys":["k1","k2"],"priority":1,"rate_per_s":393,)"
           R"("burst":40,"allowed_regions":["west"]},{"name":"open"}],"virtual_hosts")";
