Read load reports with four figures

Cause: reports with a fourth figure, how long work takes on the server's machine, failed to parse, so that nothing was known of the load of such servers. The figure is kept and not used yet. The test failed before.

--- a/Source/UnitTests/Adapter/HttpMessagesTest.cpp
+++ b/Source/UnitTests/Adapter/HttpMessagesTest.cpp
@@ -225,3 +225,19 @@
     CHECK(plain["Authorization"] == "Token rytapjs");
     CHECK(plain.count("Tenant") == 2);
 }
+
+// Guards against reports of servers with a fourth figure that are thrown away.
+TEST_CASE("A load report has three or four figures")
+{
+    const auto loadOf = [](const std::string &value) {
+        Adapter::HttpResponse sent = response(200);
+        sent.set("Server-Load", value);
+        return Adapter::readBackend(sent).load;
+    };
+    CHECK(loadOf("3,9,4") == Steering::LoadReport { 3, 9, 4, 100 });
+    CHECK(loadOf("3,9,4,250") == Steering::LoadReport { 3, 9, 4, 250 });
+    for (const std::string bad :
+         { "", "3,9", "3,9,4,", "3,9,4,x", "3,9,4,-1", "3,9,4,1,2", "3,9,4,1e300" }) {
+        CHECK_FALSE(loadOf(bad));
+    }
+}
--- a/include/currantfall/Steering/ServerTable.h
+++ b/include/currantfall/Steering/ServerTable.h
@@ -21,6 +21,8 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    /// How long work takes on the server's machine at this moment; 100 means as usual.
+    std::uint32_t workTimePercent = 100;
 
     friend bool operator==(const LoadReport &left, const LoadReport &right) = default;
 };
