Bound lines and heads of requests on the own interface

Cause: the library reads lines without a limit, and any number of header fields; a caller could make a VM hold what it likes (by reading; the test of the stream needs a new function, so none failed before).

Change: a line may have 16 KiB and a head 64 KiB; beyond that the connection is closed.

--- a/Source/Daemon/HttpListener.cpp
+++ b/Source/Daemon/HttpListener.cpp
@@ -68,6 +68,7 @@
     bool open = true;
     while (open && (stream.hasBuffered() || this->waitForRequest(descriptor))) {
         const bool stopping = this->svr_sock_ == INVALID_SOCKET;
+        stream.beginRequest();
         bool closed = false;
         open = this->process_request(stream, stopping, closed, nullptr) && !closed;
     }
--- a/Source/HttpStream/SocketStream.cpp
+++ b/Source/HttpStream/SocketStream.cpp
@@ -69,9 +69,33 @@
     const std::size_t count = std::min(size, this->filled - this->position);
     std::memcpy(data, this->buffer.data() + this->position, count);
     this->position += count;
+    // The library reads lines byte by byte, and everything else in larger pieces.
+    if (size == 1 && !this->continueLine(*data)) {
+        return -1;
+    }
     return static_cast<ssize_t>(count);
 }
 
+void SocketStream::beginRequest()
+{
+    this->inHead = true;
+    this->lineBytes = 0;
+    this->headBytes = 0;
+}
+
+bool SocketStream::continueLine(char next)
+{
+    if (next == '\n') {
+        // The line that ends the head has a carriage return at most.
+        this->inHead = this->inHead && this->lineBytes > 1;
+        this->lineBytes = 0;
+    } else {
+        ++this->lineBytes;
+    }
+    this->headBytes += this->inHead ? 1 : 0;
+    return this->lineBytes <= maxLineBytes && this->headBytes <= maxHeadBytes;
+}
+
 ssize_t SocketStream::write(const char *data, std::size_t size)
 {
     if (this->discarding || !this->waitFor(POLLOUT)) {
--- a/Source/HttpStream/SocketStream.h
+++ b/Source/HttpStream/SocketStream.h
@@ -30,12 +30,22 @@
     /// True if received bytes have not been read yet.
     bool hasBuffered() const { return this->position < this->filled; }
 
+    /// The next bytes are the head of a request. The library bounds neither a line nor the number
+    /// of header fields, so that the stream does: a caller that exceeds a limit loses its
+    /// connection.
+    void beginRequest();
+
+    static constexpr std::size_t maxLineBytes = std::size_t { 16 } * 1024;
+    static constexpr std::size_t maxHeadBytes = std::size_t { 64 } * 1024;
+
     /// Drops everything that is written from now on.
     void discardOutput() { this->discarding = true; }
     bool discardsOutput() const { return this->discarding; }
 
 private:
     bool waitFor(short events) const;
+    /// Counts a byte of a line. Returns false if the line or the head is too long.
+    bool continueLine(char next);
 
     socket_t descriptor;
     int stallTimeoutMs;
@@ -43,6 +53,9 @@
     std::size_t position = 0;
     std::size_t filled = 0;
     bool discarding = false;
+    bool inHead = false;
+    std::size_t lineBytes = 0;
+    std::size_t headBytes = 0;
 };
 
 } // namespace Currantfall::HttpStream
