--- a/Source/Core/Admission/MemoryBudget.cpp
+++ b/Source/Core/Admission/MemoryBudget.cpp
@@ -1,7 +1,6 @@
 #include "currantfall/Admission/MemoryBudget.h"
 
 #include <algorithm>
-#include <cmath>
 #include <set>
 #include <utility>
 
@@ -110,7 +109,7 @@
                                SharedOwner owner, Common::Instant openedAt)
     : state(std::move(state)), onRevoked(std::move(onRevoked)),
       owner(owner ? std::move(owner) : std::make_shared<MemoryOwner>()), openedAt(openedAt),
-      progressAt(openedAt)
+      windowStart(openedAt)
 { }
 
 MemoryBudget::Holding::~Holding()
@@ -170,13 +169,16 @@
     return true;
 }
 
-void MemoryBudget::Holding::noteProgress(std::size_t moved, Common::Instant now)
+void MemoryBudget::Holding::noteProgress(std::size_t bytesMoved, Common::Instant now)
 {
-    const double window = absl::ToDoubleSeconds(this->state->settings.progressWindow);
-    const double elapsed = std::max(0.0, absl::ToDoubleSeconds(now - this->progressAt));
-    this->progress
-            = this->progress * std::exp(-elapsed / window) + static_cast<double>(moved) / window;
-    this->progressAt = now;
+    const absl::Duration window = this->state->settings.progressWindow;
+    const absl::Duration elapsed = now - this->windowStart;
+    if (elapsed >= window) {
+        this->movedBefore = elapsed < 2 * window ? this->moved : 0.0;
+        this->moved = 0.0;
+        this->windowStart = elapsed < 2 * window ? this->windowStart + window : now;
+    }
+    this->moved += static_cast<double>(bytesMoved);
 }
 
 void MemoryBudget::Holding::setRevocation(Revocation wanted)
@@ -201,8 +203,13 @@
     if (now - this->openedAt < settings.progressWindow) {
         return false;
     }
-    const double elapsed = absl::FDivDuration(now - this->progressAt, settings.progressWindow);
-    return this->progress * std::exp(-std::max(0.0, elapsed)) < settings.minProgressPerSecond;
+    // Of the two windows, the part that lies in the last `progressWindow`.
+    const double windows = absl::FDivDuration(now - this->windowStart, settings.progressWindow);
+    const double recent = windows < 1.0
+                                  ? this->moved + this->movedBefore * (1.0 - std::max(windows, 0.0))
+                          : windows < 2.0 ? this->moved * (2.0 - windows)
+                                          : 0.0;
+    return recent < settings.minProgressPerSecond * absl::ToDoubleSeconds(settings.progressWindow);
 }
 
 } // namespace Currantfall::Admission
--- a/Source/Entry/CallerListener.h
+++ b/Source/Entry/CallerListener.h
@@ -30,6 +30,7 @@
 
     /// Number of requests that were read and whose response has not been written yet.
     std::size_t requestsInProgress() const { return this->connections->requestsInProgress; }
+    std::size_t openConnections() const { return this->connections->open; }
 
 private:
     CallerListener(Tcp::acceptor acceptor, std::shared_ptr<CallerConnections> connections);
--- a/Source/UnitTests/Entry/RawCaller.cpp
+++ b/Source/UnitTests/Entry/RawCaller.cpp
@@ -44,6 +44,13 @@
     }
 }
 
+std::size_t RawCaller::sendSome(const std::string &bytes)
+{
+    const auto sent
+            = ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    return sent > 0 ? static_cast<std::size_t>(sent) : 0;
+}
+
 void RawCaller::closeSending()
 {
     ::shutdown(this->descriptor, SHUT_WR);
--- a/Source/UnitTests/Entry/RawCaller.h
+++ b/Source/UnitTests/Entry/RawCaller.h
@@ -21,6 +21,8 @@
     RawCaller &operator=(const RawCaller &) = delete;
 
     void send(const std::string &bytes);
+    /// Sends as many of the bytes as the connection takes now, and returns their number.
+    std::size_t sendSome(const std::string &bytes);
     /// Sends the end of the stream; responses can still be received.
     void closeSending();
     void close();
--- a/include/currantfall/Admission/MemoryBudget.h
+++ b/include/currantfall/Admission/MemoryBudget.h
@@ -18,7 +18,7 @@
     /// never leave a small one without any.
     std::size_t smallBytes = std::size_t { 64 } * 1024;
     double largeFraction = 0.9;
-    /// A holding that moved fewer bytes per second over about `progressWindow` is stalled.
+    /// A holding that moved fewer bytes per second in the last `progressWindow` is stalled.
     double minProgressPerSecond = 16.0 * 1024;
     absl::Duration progressWindow = absl::Seconds(1);
 
@@ -90,9 +90,10 @@
         SharedOwner owner;
         Common::Instant openedAt;
         std::size_t bytes = 0;
-        /// Bytes per second, averaged over about `progressWindow`, as of `progressAt`.
-        double progress = 0.0;
-        Common::Instant progressAt;
+        /// Bytes that were moved in the window that began at `windowStart`, and in the one before.
+        double moved = 0.0;
+        double movedBefore = 0.0;
+        Common::Instant windowStart;
         Revocation revocation = Revocation::Always;
         bool isRevoked = false;
     };
