Bound what callers make the directory hold

Cause: the endpoints for readiness, the directory and metrics read trailers without a limit, and had no limit of connections.

Change: a request may have 16 KiB with its trailers, and an endpoint 128 connections; a further one closes the one that was served the longest time ago.

--- a/Source/Entry/HttpEndpoint.cpp
+++ b/Source/Entry/HttpEndpoint.cpp
@@ -12,6 +12,9 @@
 
 constexpr absl::Duration idleTimeout = absl::Seconds(15);
 constexpr std::uint32_t maxHeaderBytes = 8 * 1024;
+// Bounds what the parser can't consume yet, such as trailers.
+constexpr std::size_t maxBufferBytes = std::size_t { 2 } * maxHeaderBytes;
+constexpr std::size_t maxConnections = 128;
 
 } // namespace
 
@@ -26,10 +29,7 @@
     std::unique_ptr<HttpEndpoint> endpoint(
             new HttpEndpoint(context, std::move(*acceptor), std::move(handler)));
     HttpEndpoint *target = endpoint.get();
-    const auto serve = [target](Tcp::socket socket) {
-        boost::asio::co_spawn(target->context, target->serve(std::move(socket)),
-                              boost::asio::detached);
-    };
+    const auto serve = [target](Tcp::socket socket) { target->accept(std::move(socket)); };
     const auto ignore = [](const IoError &) {};
     boost::asio::co_spawn(context, acceptAll(target->acceptor, serve, ignore),
                           boost::asio::detached);
@@ -47,12 +47,23 @@
     this->acceptor.close(ignored);
 }
 
-Task HttpEndpoint::serve(Tcp::socket socket)
+void HttpEndpoint::accept(Tcp::socket socket)
 {
-    boost::beast::tcp_stream stream(std::move(socket));
-    boost::beast::flat_buffer buffer;
-    bool open = true;
-    while (open) {
+    if (this->open.size() >= maxConnections) {
+        IoError ignored;
+        this->open.front()->socket().close(ignored);
+        this->open.pop_front();
+    }
+    this->open.push_back(std::make_shared<boost::beast::tcp_stream>(std::move(socket)));
+    boost::asio::co_spawn(this->context, this->serve(this->open.back()), boost::asio::detached);
+}
+
+Task HttpEndpoint::serve(SharedStream shared)
+{
+    boost::beast::tcp_stream &stream = *shared;
+    boost::beast::flat_buffer buffer(maxBufferBytes);
+    bool keepsOpen = true;
+    while (keepsOpen) {
         IoError error;
         http::request_parser<http::empty_body> parser;
         parser.header_limit(maxHeaderBytes);
@@ -61,6 +72,8 @@
         if (error) {
             break;
         }
+        this->open.remove(shared);
+        this->open.push_back(shared);
         const auto target = parser.get().target();
         EndpointAnswer answer = this->handler(std::string(target.data(), target.size()));
         http::response<http::string_body> response;
@@ -71,8 +84,9 @@
         response.body() = std::move(answer.body);
         response.prepare_payload();
         co_await http::async_write(stream, response, awaitInto(error));
-        open = !error && response.keep_alive();
+        keepsOpen = !error && response.keep_alive();
     }
+    this->open.remove(shared);
     IoError ignored;
     stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
 }
--- a/Source/Entry/HttpEndpoint.h
+++ b/Source/Entry/HttpEndpoint.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <string>
 
@@ -34,11 +35,16 @@
 private:
     HttpEndpoint(boost::asio::io_context &context, Tcp::acceptor acceptor, Handler handler);
 
-    Task serve(Tcp::socket socket);
+    using SharedStream = std::shared_ptr<boost::beast::tcp_stream>;
+
+    void accept(Tcp::socket socket);
+    Task serve(SharedStream shared);
 
     boost::asio::io_context &context;
     Tcp::acceptor acceptor;
     Handler handler;
+    /// Open connections. The first one has been served or accepted the longest time ago.
+    std::list<SharedStream> open;
 };
 
 } // namespace Currantfall::Entry
--- a/Tests/HostileClients/HostileClientsTest.cpp
+++ b/Tests/HostileClients/HostileClientsTest.cpp
@@ -32,14 +32,16 @@
 {
     REQUIRE(vm.running());
     CHECK(vm.statusOfOrdinaryRequest() == 200);
+    CHECK(vm.statusOfLookup() == 200);
     REQUIRE(vm.running());
     CHECK(vm.peakMemory() <= vm.memoryLimit());
     CHECK(vm.openDescriptors() <= vm.descriptorLimit());
 }
 
-void checkCrowd(SingleEntryVm &vm, const std::vector<ClientScript> &scripts)
+void checkCrowd(SingleEntryVm &vm, const std::vector<ClientScript> &scripts,
+                int port = SingleEntryVm::callersPort)
 {
-    Crowd crowd(vm.host(), SingleEntryVm::callersPort, scripts);
+    Crowd crowd(vm.host(), port, scripts);
     crowd.send();
     INFO("the crowd sent " << crowd.sentBytes() << " bytes");
     checkAfterwards(vm);
@@ -131,6 +133,21 @@
     checkCrowd(vm, std::vector<ClientScript>(400, ClientScript()));
 }
 
+TEST_CASE("Trailers without end at the directory")
+{
+    SingleEntryVm vm;
+    const ClientScript client { "GET /resolve HTTP/1.1\r\nHost: shop.example\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+                                "T: " + std::string(1000, 't') + "\r\n", 64 * 1024, "" };
+    checkCrowd(vm, std::vector<ClientScript>(4, client), SingleEntryVm::directoryPort);
+}
+
+TEST_CASE("Connections to the directory that only open")
+{
+    SingleEntryVm vm;
+    checkCrowd(vm, std::vector<ClientScript>(400, ClientScript()), SingleEntryVm::directoryPort);
+}
+
 TEST_CASE("Chunk sizes that overflow")
 {
     SingleEntryVm vm;
--- a/Tests/HostileClients/SingleEntryVm.cpp
+++ b/Tests/HostileClients/SingleEntryVm.cpp
@@ -20,7 +20,6 @@
 using nlohmann::json;
 
 constexpr int readinessPort = 8640;
-constexpr int directoryPort = 8644;
 constexpr int peersPort = 8649;
 constexpr int metricsPort = 9464;
 constexpr int storePort = 8642;
@@ -85,7 +84,7 @@
              { "listeners",
                { { "callers", endpoint(host, SingleEntryVm::callersPort) },
                  { "readiness", endpoint(host, readinessPort) },
-                 { "directory", endpoint(host, directoryPort) },
+                 { "directory", endpoint(host, SingleEntryVm::directoryPort) },
                  { "peers", endpoint(host, peersPort) },
                  { "metrics", endpoint(host, metricsPort) } } },
              { "seeds", json::array() },
@@ -153,7 +152,9 @@
         const auto response = client.Get("/readiness");
         return response && response->status == 200;
     });
-    waitUntil([this] { return this->statusOfOrdinaryRequest() == 200; });
+    waitUntil([this] {
+        return this->statusOfOrdinaryRequest() == 200 && this->statusOfLookup() == 200;
+    });
 }
 
 SingleEntryVm::~SingleEntryVm()
@@ -199,9 +200,9 @@
     return static_cast<std::size_t>(this->limits.maxDescriptors);
 }
 
-int SingleEntryVm::statusOf(const std::string &request) const
+int SingleEntryVm::statusOf(const std::string &request, int port) const
 {
-    const int descriptor = connectTo(this->vmHost, callersPort);
+    const int descriptor = connectTo(this->vmHost, port);
     std::string response;
     std::size_t sent = 0;
     while (sent < request.size()) {
@@ -225,6 +226,13 @@
     return start == std::string::npos ? 0 : std::atoi(response.c_str() + start + 1);
 }
 
+int SingleEntryVm::statusOfLookup() const
+{
+    return this->statusOf("GET /resolve?name=shop.example&region=north&zone=north-a HTTP/1.1\r\n"
+                          "Host: directory\r\n\r\n",
+                          directoryPort);
+}
+
 int SingleEntryVm::statusOfOrdinaryRequest() const
 {
     return this->statusOf("GET /read/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: ordinary\r\n"
--- a/Tests/HostileClients/SingleEntryVm.h
+++ b/Tests/HostileClients/SingleEntryVm.h
@@ -34,6 +34,7 @@
 
     const std::string &host() const { return this->vmHost; }
     static constexpr int callersPort = 8641;
+    static constexpr int directoryPort = 8644;
 
     bool running() { return this->process->running(); }
     /// Largest resident memory that the process has had, in bytes.
@@ -44,7 +45,9 @@
 
     /// Sends bytes over a new connection and returns the status of the response; 0 if the VM closes
     /// the connection before.
-    int statusOf(const std::string &request) const;
+    int statusOf(const std::string &request, int port = callersPort) const;
+    /// The status of a question to the directory over a new connection.
+    int statusOfLookup() const;
     /// The status of a GET without a body over a new connection.
     int statusOfOrdinaryRequest() const;
 
