Refuse requests whose headers do not fit into the memory budget

Cause: a header of many small fields takes many times its bytes, three times while its request runs, and was counted without being refused. The buffer that a long header has taken was not counted while its connection waited.

Change: the header is counted before the request is handled, and refused if it does not fit; the buffer is given back. The new test (60 requests with 3,750 fields each at a silent server) failed before.

--- a/Source/Entry/CallerConnectionReading.cpp
+++ b/Source/Entry/CallerConnectionReading.cpp
@@ -163,11 +163,15 @@
 bool CallerConnection::keepReceived(PendingRequest &request)
 {
     const Common::Instant now = Common::monotonicNow();
-    request.headerMemory
-            = this->shared->memory.openInUse(headerMemory(request.request) * headerCopies, now);
     if (!this->received->resize(request.request.body().capacity(), now)) {
         return false;
     }
+    request.headerMemory = this->shared->memory.open([] {}, now, this->memoryOwner);
+    if (!request.headerMemory->resize(headerMemory(request.request) * headerCopies, now)
+        || this->received->revoked()) {
+        return false;
+    }
+    request.headerMemory->setRevocation(Admission::Revocation::Never);
     if (!request.request.body().empty()) {
         this->received->setRevocation(Admission::Revocation::Never);
         request.request.body().attach(this->received);
@@ -202,6 +206,10 @@
         this->buffer.consume(skipped);
     };
     skipEmptyLines();
+    if (this->buffer.size() == 0 && this->buffer.capacity() > receiveBytes) {
+        // What a long header has taken is not counted while the connection waits.
+        this->buffer.shrink_to_fit();
+    }
     while (this->buffer.size() == 0) {
         this->awaitingRequest = true;
         const IoError error = co_await this->receive();
--- a/Source/UnitTests/Entry/CallerMemoryTest.cpp
+++ b/Source/UnitTests/Entry/CallerMemoryTest.cpp
@@ -31,7 +31,7 @@
     ListenerFixture()
     {
         this->settings.callers.port = freePort();
-        this->settings.maxDescriptors = 64;
+        this->settings.maxDescriptors = 256;
         this->addServer("i-1", this->backend.port());
         this->listener
                 = CallerListener::start(this->context, this->settings, this->steering, this->log)
@@ -109,12 +109,41 @@
     CHECK(caller.responses().front().starts_with("431"));
 }
 
+// Guards against headers of many small fields, which take a hundred times their bytes while their
+// requests wait for a server.
+TEST_CASE("Headers of requests that run are bounded")
+{
+    ScriptedBackend silent([](ScriptedConnection &connection) {
+        connection.readRequest();
+        connection.closedWithin(20'000);
+    });
+    ListenerFixture fixture;
+    fixture.steering.servers().remove(Common::BackendServerName("i-1"));
+    fixture.addServer("i-2", silent.port());
+    fixture.steering.servers().find(Common::BackendServerName("i-2"))->setPlausibleSlots(1000);
+    std::string fields;
+    while (fields.size() < 15'000) {
+        fields += "a:\r\n";
+    }
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    std::size_t refused = 0;
+    for (int index = 0; index < 60; ++index) {
+        callers.push_back(std::make_unique<RawCaller>(fixture.settings.callers.port));
+        fixture.sendAll(*callers.back(), head("GET /read/" + std::to_string(index), fields));
+        fixture.runFor(absl::Milliseconds(20));
+        const auto responses = callers.back()->responses();
+        refused += !responses.empty() && responses.front().starts_with("503 out-of-memory") ? 1 : 0;
+    }
+    CHECK(refused > 0);
+    CHECK(fixture.heldBytes() <= 42 * mebibyte);
+}
+
 // Guards against callers that only open connections and leave no descriptor for others.
 TEST_CASE("The least active connection makes room for a new one")
 {
     ListenerFixture fixture;
     std::vector<std::unique_ptr<RawCaller>> idle;
-    for (int index = 0; index < 32; ++index) {
+    for (int index = 0; index < 128; ++index) {
         idle.push_back(std::make_unique<RawCaller>(fixture.settings.callers.port));
         fixture.runFor(absl::Milliseconds(2));
     }
