--- a/Source/UnitTests/Entry/CallerMemoryTest.cpp
+++ b/Source/UnitTests/Entry/CallerMemoryTest.cpp
@@ -118,6 +118,8 @@
         connection.closedWithin(20'000);
     });
     ListenerFixture fixture;
+    // No request times out meanwhile, also on a slow machine.
+    fixture.configure(absl::Seconds(60));
     fixture.steering.servers().remove(Common::BackendServerName("i-1"));
     fixture.addServer("i-2", silent.port());
     fixture.steering.servers().find(Common::BackendServerName("i-2"))->setPlausibleSlots(1000);
