--- a/Source/UnitTests/Admission/MemoryBudgetTest.cpp
+++ b/Source/UnitTests/Admission/MemoryBudgetTest.cpp
@@ -203,10 +203,9 @@
         settings.smallBytes = 50;
         settings.minProgressPerSecond = 20.0;
         MemoryBudget budget(settings);
-        std::vector<SharedOwner> owners;
-        for (int index = 0; index < 3; ++index) {
-            owners.push_back(std::make_shared<MemoryOwner>());
-        }
+        const std::vector<SharedOwner> owners { std::make_shared<MemoryOwner>(),
+                                                std::make_shared<MemoryOwner>(),
+                                                std::make_shared<MemoryOwner>() };
         std::vector<MemoryBudget::SharedHolding> holdings;
         double second = 0.0;
         const int steps = *rc::gen::inRange(1, 200);
--- a/Source/UnitTests/Common/SharedBytesTest.cpp
+++ b/Source/UnitTests/Common/SharedBytesTest.cpp
@@ -8,6 +8,7 @@
 TEST_CASE("Copies share their bytes, which take little more than their size")
 {
     constexpr std::size_t mebibyte = std::size_t { 1024 } * 1024;
+    constexpr std::size_t largestBlock = std::size_t { 64 } * 1024;
     SharedBytes bytes;
     const std::string part(1000, 'x');
     std::string whole;
@@ -18,7 +19,7 @@
     const SharedBytes copy = bytes; // NOLINT(performance-unnecessary-copy-initialization)
     CHECK(copy.toString() == whole);
     CHECK(copy.block(0).data() == bytes.block(0).data());
-    CHECK(bytes.capacity() <= whole.size() + 64 * 1024);
+    CHECK(bytes.capacity() <= whole.size() + largestBlock);
     SharedBytes small;
     small.append("x");
     CHECK(small.capacity() <= 1024);
--- a/Source/UnitTests/Daemon/SocketStreamTest.cpp
+++ b/Source/UnitTests/Daemon/SocketStreamTest.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr std::size_t mebibyte = std::size_t { 1024 } * 1024;
+
 /// Number of bytes that the stream passes on one by one until it fails or `text` has ended.
 std::size_t bytesRead(const std::string &text)
 {
@@ -51,13 +53,13 @@
 {
     const std::string field = "Field: " + std::string(90, 'v') + "\r\n";
     std::string fields = "GET / HTTP/1.1\r\n";
-    while (fields.size() < 1024 * 1024) {
+    while (fields.size() < mebibyte) {
         fields += field;
     }
-    CHECK(bytesRead(std::string(1024 * 1024, 'x')) <= SocketStream::maxLineBytes);
+    CHECK(bytesRead(std::string(mebibyte, 'x')) <= SocketStream::maxLineBytes);
     CHECK(bytesRead(fields) <= SocketStream::maxHeadBytes);
     // A chunk's line after a head of ordinary size.
-    CHECK(bytesRead("GET / HTTP/1.1\r\n\r\n1;" + std::string(1024 * 1024, 'e'))
+    CHECK(bytesRead("GET / HTTP/1.1\r\n\r\n1;" + std::string(mebibyte, 'e'))
           <= SocketStream::maxLineBytes + 20);
 }
 
@@ -65,7 +67,7 @@
 TEST_CASE("A stream of requests passes on heads of proper size and the lines of chunks")
 {
     std::string request = "GET / HTTP/1.1\r\nField: " + std::string(8000, 'v') + "\r\n\r\n";
-    while (request.size() < 1024 * 1024) {
+    while (request.size() < mebibyte) {
         request += "1\r\nx\r\n";
     }
     CHECK(bytesRead(request) == request.size());
--- a/Source/UnitTests/Steering/RequestScopeTest.cpp
+++ b/Source/UnitTests/Steering/RequestScopeTest.cpp
@@ -19,11 +19,7 @@
 
 std::vector<Common::RegionName> regions(const std::vector<std::string> &names)
 {
-    std::vector<Common::RegionName> result;
-    for (const std::string &name : names) {
-        result.emplace_back(name);
-    }
-    return result;
+    return { names.begin(), names.end() };
 }
 
 RoutingConfiguration configuration(const Terms &terms)
--- a/Tests/HostileClients/HostileClientsTest.cpp
+++ b/Tests/HostileClients/HostileClientsTest.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-constexpr std::size_t mebibyte = std::size_t { 1024 } * 1024;
+constexpr std::size_t kibibyte = 1024;
+constexpr std::size_t mebibyte = 1024 * kibibyte;
 constexpr std::size_t bodyBytes = 8 * mebibyte;
 // Bodies of so many clients have twice the memory of the VM.
 constexpr std::size_t uploadingClients = 24;
@@ -53,14 +54,14 @@
 {
     SingleEntryVm vm;
     const ClientScript client { chunkedHead() + "1\r\nx\r\n0\r\n",
-                                "T: " + std::string(1000, 't') + "\r\n", 64 * 1024, "" };
+                                "T: " + std::string(1000, 't') + "\r\n", 64 * kibibyte, "" };
     checkCrowd(vm, std::vector<ClientScript>(4, client));
 }
 
 TEST_CASE("A chunk extension without end")
 {
     SingleEntryVm vm;
-    const ClientScript client { chunkedHead() + "1;e=", std::string(1024, 'e'), 64 * 1024, "" };
+    const ClientScript client { chunkedHead() + "1;e=", std::string(1024, 'e'), 64 * kibibyte, "" };
     checkCrowd(vm, std::vector<ClientScript>(4, client));
 }
 
@@ -68,7 +69,7 @@
 {
     SingleEntryVm vm;
     const ClientScript client { chunkedHead(), "1;e=" + std::string(4096, 'e') + "\r\nx\r\n",
-                                8 * 1024, "" };
+                                8 * kibibyte, "" };
     checkCrowd(vm, std::vector<ClientScript>(uploadingClients, client));
 }
 
@@ -114,7 +115,7 @@
 TEST_CASE("Heads without end")
 {
     SingleEntryVm vm;
-    const ClientScript client { head("GET /read/1", ""), "Field: value\r\n", 1024 * 1024, "" };
+    const ClientScript client { head("GET /read/1", ""), "Field: value\r\n", mebibyte, "" };
     checkCrowd(vm, std::vector<ClientScript>(uploadingClients, client));
 }
 
@@ -138,7 +139,7 @@
     SingleEntryVm vm;
     const ClientScript client { "GET /resolve HTTP/1.1\r\nHost: shop.example\r\n"
                                 "Transfer-Encoding: chunked\r\n\r\n0\r\n",
-                                "T: " + std::string(1000, 't') + "\r\n", 64 * 1024, "" };
+                                "T: " + std::string(1000, 't') + "\r\n", 64 * kibibyte, "" };
     checkCrowd(vm, std::vector<ClientScript>(4, client), SingleEntryVm::directoryPort);
 }
 
