Correct what a comment says about keys between VMs

Cause: the comment said that keys never reach another process, but VMs pass the operator's configuration, which holds them, to each other. Comment only.

--- a/include/currantfall/Tenants/TenantTable.h
+++ b/include/currantfall/Tenants/TenantTable.h
@@ -17,7 +17,8 @@
 struct Tenant
 {
     Common::TenantName name;
-    /// Callers send one of these. Never written to a log, a metric or another process.
+    /// Callers send one of these. Never written to a log or a metric; VMs pass them to each other
+    /// only inside the operator's configuration.
     std::vector<std::string> keys;
     /// Takes precedence over the rank of a route.
     std::optional<Common::RankIndex> rank;
