--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -6,7 +6,7 @@
 cd "$here/../.."
 directory="$(mktemp -d)" || exit 2
 trap 'rm -rf "$directory"' EXIT
-target/review-2/cases smuggled "$here/record.txt" "$directory" "${TROUBLE:-1}"
+target/review-2/cases older-entry "$here/record.txt" "$directory" "${TROUBLE:-1}"
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -229,7 +229,89 @@
     return run.verdict(old > 0, line);
 }
 
-const std::map<std::string, int (*)(Run &)> cases { { "smuggled", smuggled },
+/// DRAIN: an older entry of a server reaches the store after the one that says that it leaves.
+int olderEntry(Run &run)
+{
+    constexpr double drainTime = 2.0;
+    Store store(run.addresses.host(1), 8642, run.record);
+    Server leaving("i-1", "bellbook", "burnaby-a", run.serverHost(1), 8080, run.record);
+    Server staying("i-2", "bellbook", "burnaby-a", run.serverHost(2), 8080, run.record);
+    store.put("op", "config",
+              configuration(1, { "bellbook" }, { routeEntry("orders", "unsafe", "bellbook", 1200) }));
+    store.put("servers", leaving.id(), leaving.entry("ready", 10));
+    store.put("servers", staying.id(), staying.entry("ready", 10));
+    Daemon daemon(run.directory, "edge-1", run.vmHost(1), "burnaby-a", run.storeAddress(),
+                  run.record);
+    if (!daemon.awaitReady(15)) {
+        throw CannotRun("the daemon does not get ready");
+    }
+    sleepFor(4.0);
+    std::atomic<bool> done = false;
+    std::mutex mutex;
+    std::map<std::string, Answer> answers;
+    std::vector<std::thread> clients;
+    for (int client = 1; client <= 4; ++client) {
+        clients.emplace_back([&, client] {
+            for (int number = 1; !done; ++number) {
+                const std::string id
+                        = "order-" + std::to_string(client) + "-" + std::to_string(number);
+                const auto stream = Stream::connect(daemon.host(), Daemon::callersPort);
+                const std::string body = "deposit";
+                if (!stream
+                    || !stream->write(request("POST", "/orders/1/work300", id,
+                                              "Connection: close\r\n" + lengthField(body), body))) {
+                    continue;
+                }
+                const Answer answer = readAnswer(*stream, 4);
+                run.record.write("client sent " + id + " and gets " + text(answer) + " "
+                                 + answer.body);
+                const std::lock_guard lock(mutex);
+                answers[id] = answer;
+            }
+        });
+    }
+    sleepFor(1.0);
+    if (run.trouble) {
+        run.record.write("server i-1 writes its entry: ready, seq 11. The link is cut; the bytes are "
+                         "held up on their way to the store");
+    }
+    sleepFor(1.0);
+    store.put("servers", leaving.id(), leaving.entry("draining", 12));
+    const double acknowledged = now();
+    sleepUntil(acknowledged + 1.2);
+    if (run.trouble) {
+        run.record.write("the bytes that were held up arrive at the store");
+        store.put("servers", leaving.id(), leaving.entry("ready", 11));
+    }
+    sleepUntil(acknowledged + 5.0);
+    leaving.exit();
+    sleepFor(1.5);
+    done = true;
+    for (std::thread &client : clients) {
+        client.join();
+    }
+    int late = 0;
+    int lost = 0;
+    double last = 0;
+    for (const Arrival &arrival : leaving.ran()) {
+        if (arrival.time <= acknowledged + drainTime) {
+            continue;
+        }
+        ++late;
+        last = arrival.time - acknowledged;
+        lost += answers[arrival.id].status != 200 ? 1 : 0;
+    }
+    char line[240];
+    std::snprintf(line, sizeof(line),
+                  "%d requests ran at a server later than 2 s after the store had acknowledged that "
+                  "it leaves, the last one after %.2f s; %d of them were lost when it exited, 5 s "
+                  "after the acknowledgement",
+                  late, last, lost);
+    return run.verdict(late > 0, line);
+}
+
+const std::map<std::string, int (*)(Run &)> cases { { "older-entry", olderEntry },
+                                                    { "smuggled", smuggled },
                                                     { "pipelined", pipelined },
                                                     { "stale-configuration", staleConfiguration } };
 
--- a/review/standins-2/lab.cpp
+++ b/review/standins-2/lab.cpp
@@ -336,6 +336,15 @@
     }
 }
 
+void Listener::endStreams()
+{
+    ::shutdown(this->descriptor, SHUT_RDWR);
+    const std::lock_guard lock(this->mutex);
+    for (const auto &stream : this->streams) {
+        stream->shutdown();
+    }
+}
+
 Store::Store(const std::string &host, int port, Record &record) : record(record)
 {
     this->listener = std::make_unique<Listener>(host, port,
@@ -517,19 +526,25 @@
                                                 [this](Stream &stream) { this->serve(stream); });
 }
 
-json Server::entry() const
+json Server::entry(const std::string &state, int sequence) const
 {
     return { { "service", this->service },
              { "address", this->host + ":" + std::to_string(this->port) },
              { "zone", this->zone },
              { "version", "v1" },
              { "slots", 50 },
-             { "state", "ready" },
+             { "state", state },
              { "cold_remaining_ms", 0 },
-             { "seq", 1 },
+             { "seq", sequence },
              { "born", 1767225600000 } };
 }
 
+void Server::exit()
+{
+    this->record.write("server " + this->name + " exits");
+    this->listener->endStreams();
+}
+
 std::vector<Arrival> Server::ran()
 {
     const std::lock_guard lock(this->mutex);
--- a/review/standins-2/lab.h
+++ b/review/standins-2/lab.h
@@ -92,6 +92,8 @@
 public:
     Listener(const std::string &host, int port, std::function<void(Stream &)> serve);
     ~Listener();
+    /// Accepts no more connections and ends those that are open.
+    void endStreams();
 
 private:
     int descriptor;
@@ -155,7 +157,9 @@
 public:
     Server(std::string id, std::string service, std::string zone, std::string host, int port,
            Record &record);
-    json entry() const;
+    json entry(const std::string &state = "ready", int sequence = 10) const;
+    /// Ends the server: its connections are closed, and work in progress is lost.
+    void exit();
     const std::string &id() const { return this->name; }
     /// Requests that it ran.
     std::vector<Arrival> ran();
