Apply the changes of a row that are read together in their order

Cause: the store lists each change of a row since the last read. ServerRows removed servers at once but added entries after the last row of the update, so that an entry and its removal in one answer ended as an entry; and it compared each row with the table before the update, so that the last of several entries could be taken for no change. StoreSync relayed only the first of several changes that the reader knew already.

The tests could not see it, because the stand-in of the store and the store of the random test listed the latest change only; both list all now.

--- a/Source/Core/Steering/TableReplica.cpp
+++ b/Source/Core/Steering/TableReplica.cpp
@@ -15,6 +15,20 @@
 
 } // namespace
 
+std::vector<RowChange> TableReplica::Outcome::withRowsToRelay(std::vector<RowChange> changes) const
+{
+    for (const RowChange &row : this->rowsToRelay) {
+        // One update may contain several changes of a row; the last one must not be left out.
+        const bool present = std::any_of(changes.begin(), changes.end(), [&row](const auto &other) {
+            return other.key == row.key && other.position >= row.position;
+        });
+        if (!present) {
+            changes.push_back(row);
+        }
+    }
+    return changes;
+}
+
 TableReplica::Outcome TableReplica::apply(const TableUpdate &update)
 {
     Outcome outcome;
--- a/Source/Entry/ServerRows.cpp
+++ b/Source/Entry/ServerRows.cpp
@@ -34,15 +34,14 @@
 std::vector<Steering::RowChange> ServerRows::apply(const std::vector<Steering::RowChange> &changes)
 {
     std::vector<Steering::RowChange> changesForPeers;
-    Steering::ServerTable &servers = this->steering.servers();
-    // Added at the end, because what depends on all servers of a service is determined again at the
-    // first access after a change.
-    std::vector<std::pair<Steering::BackendServer, Common::Instant>> newEntries;
+    // Added to the table at the end, because what depends on all servers of a service is determined
+    // again at the first access after a change.
+    NewEntries newEntries;
     for (const Steering::RowChange &row : changes) {
         const Common::BackendServerName name(row.key);
         const auto server = readRow(row);
         if (!server) {
-            this->removeServer(row, server.error());
+            this->removeServer(row, server.error(), newEntries);
             // Also if the server was not known here: a peer may have read a row in between that
             // named one. The value is left out, because it may be large and names no server.
             changesForPeers.push_back(row);
@@ -50,10 +49,10 @@
             continue;
         }
         this->ignoredKeys.erase(row.key);
-        if (const Steering::ServerRecord *known = servers.find(name)) {
-            Steering::BackendServer before = known->server();
+        if (const auto known = this->knownEntry(name, newEntries)) {
+            Steering::BackendServer before = known->server;
             before.coldFor = server->coldFor;
-            const absl::Duration coldChange = row.readAt + server->coldFor - known->coldUntil();
+            const absl::Duration coldChange = row.readAt + server->coldFor - known->coldUntil;
             const bool coldChanged = server->coldFor > absl::ZeroDuration()
                                      && absl::AbsDuration(coldChange) > coldTimeTolerance;
             if (before == *server && !coldChanged) {
@@ -63,7 +62,7 @@
                 this->steering.outcomes().forget(name);
             }
         }
-        newEntries.emplace_back(*server, row.readAt);
+        newEntries.insert_or_assign(name, NewEntry { *server, row.readAt });
         changesForPeers.push_back(row);
         this->log.important("server", { { "server", row.key },
                                         { "service", server->service.value() },
@@ -73,17 +72,30 @@
                                         { "era", row.position.era() },
                                         { "version", row.position.version() } });
     }
-    for (const auto &[server, readAt] : newEntries) {
-        servers.put(server, readAt);
+    for (const auto &[name, entry] : newEntries) {
+        this->steering.servers().put(entry.server, entry.readAt);
     }
     return changesForPeers;
 }
 
-void ServerRows::removeServer(const Steering::RowChange &row, const Common::Error &reason)
+std::optional<ServerRows::KnownEntry> ServerRows::knownEntry(const Common::BackendServerName &name,
+                                                             const NewEntries &newEntries) const
+{
+    if (const auto changed = newEntries.find(name); changed != newEntries.end()) {
+        const NewEntry &entry = changed->second;
+        return KnownEntry { entry.server, entry.readAt + entry.server.coldFor };
+    }
+    const Steering::ServerRecord *record = this->steering.servers().find(name);
+    return record == nullptr ? std::nullopt
+                             : std::optional(KnownEntry { record->server(), record->coldUntil() });
+}
+
+void ServerRows::removeServer(const Steering::RowChange &row, const Common::Error &reason,
+                              NewEntries &newEntries)
 {
     const Common::BackendServerName name(row.key);
-    const bool known = this->steering.servers().find(name) != nullptr;
-    if (known) {
+    const bool changed = newEntries.erase(name) > 0;
+    if (changed || this->steering.servers().find(name) != nullptr) {
         this->steering.servers().remove(name);
         this->steering.pool().closeIdle(name);
         this->steering.outcomes().forget(name);
--- a/Source/Entry/StoreSync.cpp
+++ b/Source/Entry/StoreSync.cpp
@@ -51,20 +51,6 @@
     });
 }
 
-/// Adds rows whose keys are not among `rows`.
-void addMissing(std::vector<Steering::RowChange> &rows,
-                const std::vector<Steering::RowChange> &others)
-{
-    for (const Steering::RowChange &other : others) {
-        const bool present = std::any_of(rows.begin(), rows.end(), [&other](const auto &row) {
-            return row.key == other.key;
-        });
-        if (!present) {
-            rows.push_back(other);
-        }
-    }
-}
-
 } // namespace
 
 StoreSync::StoreSync(boost::asio::io_context &context, const Platform::HostPort &store,
@@ -410,8 +396,8 @@
     if (newEra) {
         this->noteEra(state, before, source);
     }
-    auto changesForPeers = this->hooks.onChanges(state.table.name, outcome.changes);
-    addMissing(changesForPeers, outcome.rowsToRelay);
+    const auto changesForPeers
+            = outcome.withRowsToRelay(this->hooks.onChanges(state.table.name, outcome.changes));
     if (!outcome.localChanges.empty()) {
         this->hooks.onChanges(state.table.name, outcome.localChanges);
     }
--- a/Source/UnitTests/Steering/StoreEraProperties.cpp
+++ b/Source/UnitTests/Steering/StoreEraProperties.cpp
@@ -101,11 +101,8 @@
         }
         TableUpdate update { after, this->state.position, false, now, {} };
         for (const RowChange &row : this->history) {
-            const bool latest = std::none_of(
-                    this->history.begin(), this->history.end(), [&row](const RowChange &other) {
-                        return other.key == row.key && row.position < other.position;
-                    });
-            if (latest && row.position > after) {
+            // Each change of a row is listed, not only the latest one.
+            if (row.position > after) {
                 update.rows.push_back(row);
                 update.rows.back().readAt = now;
             }
@@ -413,12 +410,7 @@
         if (outcome.status != Status::Applied) {
             return;
         }
-        for (const RowChange &listing : outcome.rowsToRelay) {
-            if (std::none_of(told.begin(), told.end(),
-                             [&listing](const RowChange &row) { return row.key == listing.key; })) {
-                told.push_back(listing);
-            }
-        }
+        told = outcome.withRowsToRelay(std::move(told));
         const StorePosition position = vm.replica.position();
         const bool newEra = loadedBefore && before.era() != position.era();
         TableUpdate relayed { before, position, false, vm.replica.confirmedAt(), told };
--- a/Source/UnitTests/Steering/TableReplicaTest.cpp
+++ b/Source/UnitTests/Steering/TableReplicaTest.cpp
@@ -89,6 +89,21 @@
     CHECK(replica.rows().size() == 1);
 }
 
+// Guards against VMs that keep an earlier state of a row, because the VM that read several changes
+// of the row at once relayed only the first of them (DRAIN).
+TEST_CASE("The last of several changes of a row is relayed")
+{
+    TableReplica reader;
+    // A full read of several pages may contain rows that were written after its position.
+    reader.apply(complete(10, { row("a", 12) }));
+    TableReplica other;
+    other.apply(complete(10, {}));
+    const auto outcome = reader.apply(changes(10, 12, { row("a", 11), row("a", 12) }));
+    REQUIRE(outcome.status == Status::Applied);
+    other.apply(changes(10, 12, outcome.withRowsToRelay(outcome.changes)));
+    CHECK(other.rows() == reader.rows());
+}
+
 TEST_CASE("A complete update removes rows that it does not contain")
 {
     TableReplica replica;
--- a/Tests/Entry/StoreStandin.cpp
+++ b/Tests/Entry/StoreStandin.cpp
@@ -124,7 +124,9 @@
 void StoreStandin::write(const std::string &table, const std::string &key,
                          const std::optional<std::string> &value)
 {
-    this->rows[{ table, key }] = { value.value_or(""), ++this->version, !value };
+    const Row row { value.value_or(""), ++this->version, !value };
+    this->rows[{ table, key }] = row;
+    this->history[this->version] = { { table, key }, row };
     this->changed.notify_all();
 }
 
@@ -161,6 +163,7 @@
     }
     this->rows = this->copiedRows;
     this->version = this->copiedVersion;
+    this->history.erase(this->history.upper_bound(this->version), this->history.end());
     ++this->era;
     this->changed.notify_all();
     return lost;
@@ -243,15 +246,18 @@
     const std::string table = parameter(request, "table");
     const std::uint64_t after = number(request, "after");
     const std::chrono::milliseconds wait(number(request, "wait_ms"));
-    std::map<std::uint64_t, json> news;
+    json found = json::array();
     std::unique_lock lock(this->mutex);
     this->changed.wait_for(lock, wait, [&] {
-        for (const auto &[key, row] : this->rows) {
-            if (key.first == table && row.version > after) {
-                news[row.version] = this->describe(key, row);
+        found.clear();
+        for (auto change = this->history.upper_bound(after); change != this->history.end();
+             ++change) {
+            const auto &[key, row] = change->second;
+            if (key.first == table) {
+                found.push_back(this->describe(key, row));
             }
         }
-        return this->stopping || !news.empty() || after < this->historyStart
+        return this->stopping || !found.empty() || after < this->historyStart
                || after > this->version;
     });
     // A version that this era has not reached yet is one that the store has lost.
@@ -260,10 +266,6 @@
         response.status = statusGone;
         return;
     }
-    json found = json::array();
-    for (const auto &[rowVersion, row] : news) {
-        found.push_back(row);
-    }
     this->answer(response, { { "rows", found }, { "ver", this->version }, { "now_ms", 0 } });
 }
 
--- a/Tests/Entry/StoreStandin.h
+++ b/Tests/Entry/StoreStandin.h
@@ -88,6 +88,9 @@
     std::mutex mutex;
     std::condition_variable changed;
     std::map<Key, Row> rows;
+    /// All changes by version. A read of changes returns each of them, not only the latest of a
+    /// row.
+    std::map<std::uint64_t, std::pair<Key, Row>> history;
     std::uint64_t version = 0;
     std::uint64_t historyStart = 0;
     std::uint64_t era = 1;
--- a/include/currantfall/Steering/TableReplica.h
+++ b/include/currantfall/Steering/TableReplica.h
@@ -93,6 +93,10 @@
         /// since an older one, which other replicas would drop when the hold time ends, and rows
         /// that the replica knew before it reached their position.
         std::vector<RowChange> rowsToRelay;
+
+        /// Returns `changes`, which are those of `changes` above that matter to peers, with the
+        /// rows to relay. Changes of one row stay in the order in which they were made.
+        std::vector<RowChange> withRowsToRelay(std::vector<RowChange> changes) const;
     };
 
     explicit TableReplica(RetentionSettings settings = {}) : settings(std::move(settings)) { }
