Keep the newer entry of a server when an older one arrives late

Cause: within one era of the store, TableReplica ordered rows by the store's versions alone. A call without an answer may be performed seconds later, so that the store lists an older entry after a newer one.

Fix: rows of one writer are ordered by its own counters (born, seq). A row that the store lists later but that is older is kept as listed and not used; peers that know only the listed row learn the newer one with the versions that they compare. After a deletion, and for a row of an earlier run, this ends when the store has listed the row for the hold time of deletions: the store drops the row of a writer that is gone, and a live one does not write again what differs only in its number.

--- a/Source/Core/Steering/TableReplica.cpp
+++ b/Source/Core/Steering/TableReplica.cpp
@@ -66,7 +66,7 @@
             this->unlistedUntil = update.to;
         }
         for (const RowChange &row : update.rows) {
-            if (this->ofOlderEra(row)) {
+            if (this->isRetained(row, update)) {
                 continue;
             }
             if (row.deleted) {
@@ -92,23 +92,10 @@
     if (this->holdingDeletions && this->confirmed >= this->deletionHoldUntil) {
         this->endDeletionHold(outcome.localChanges);
     }
+    this->useHeldRows(outcome.localChanges);
     return outcome;
 }
 
-void TableReplica::applyRetained(const TableUpdate &update, Changes &changes)
-{
-    for (const RowChange &row : update.rows) {
-        if (!this->ofOlderEra(row)) {
-            continue;
-        }
-        if (row.deleted) {
-            this->removeRetained(row, changes);
-        } else {
-            this->putRetained(row, changes);
-        }
-    }
-}
-
 void TableReplica::startEra(const TableUpdate &update)
 {
     this->supersededRows.clear();
@@ -135,6 +122,11 @@
             outcome.rowsToRelay.push_back(row);
             return;
         }
+        if (deletion != nullptr && !this->ofOlderEra(*deletion)
+            && this->isBelated(row, *deletion)) {
+            this->supersede(row, outcome);
+            return;
+        }
         this->supersededRows.erase(row.key);
         this->current.emplace(row.key, row);
         outcome.changes.push_back(row);
@@ -142,9 +134,18 @@
     }
     RowChange &known = found->second;
     if (row.position <= known.position) {
+        if (!this->ofOlderEra(known) && this->isBelated(known, row)) {
+            this->replaceBelated(found, row, outcome.changes);
+        }
         return;
     }
-    if (this->ofOlderEra(known)) {
+    if (!this->ofOlderEra(known)) {
+        if (this->isBelated(row, known)) {
+            this->supersede(row, outcome);
+            return;
+        }
+        this->dropListed(row);
+    } else {
         outcome.rowsToRelay.push_back(row);
         if (row.value == known.value) {
             known.position = row.position;
@@ -163,7 +164,7 @@
 
 void TableReplica::remove(const RowChange &deletion, Changes &changes)
 {
-    this->supersededRows.erase(deletion.key);
+    this->dropListed(deletion);
     const auto found = this->current.find(deletion.key);
     if (found == this->current.end()) {
         // Passed on although the row is not known here: another replica may have seen it in
@@ -180,6 +181,8 @@
     }
     if (found->second.position < deletion.position) {
         this->drop(found, deletion.position, changes);
+    } else if (!this->ofOlderEra(found->second) && this->isBelated(found->second, deletion)) {
+        this->replaceBelated(found, deletion, changes);
     }
 }
 
@@ -215,138 +218,12 @@
     }
 }
 
-void TableReplica::putRetained(const RowChange &row, Changes &changes)
-{
-    const auto found = this->current.find(row.key);
-    if (found == this->current.end()) {
-        const RowChange *deletion = this->findDeletion(row.key);
-        const bool deletedSince = deletion != nullptr && deletion->position >= row.position;
-        if (this->holding && !deletedSince && !this->supersededRows.contains(row.key)) {
-            this->current.emplace(row.key, row);
-            changes.push_back(row);
-        }
-        return;
-    }
-    RowChange &known = found->second;
-    if (this->ofOlderEra(known)) {
-        if (!this->isLater(row, known)) {
-            return;
-        }
-    } else {
-        const auto listedOrder = this->orderOf(known);
-        const auto order = this->orderOf(row);
-        if (!listedOrder || !order || *order <= *listedOrder) {
-            return;
-        }
-        this->supersededRows[row.key] = known;
-    }
-    known = row;
-    changes.push_back(row);
-}
-
-void TableReplica::removeRetained(const RowChange &deletion, Changes &changes)
-{
-    const auto found = this->current.find(deletion.key);
-    if (found == this->current.end()) {
-        return;
-    }
-    const RowChange known = found->second;
-    if (this->ofOlderEra(known)) {
-        if (!this->isLater(deletion, known)) {
-            return;
-        }
-    } else {
-        if (!this->holdingDeletions || !this->mustNotReplace(known, deletion, false)) {
-            return;
-        }
-        this->supersededRows[deletion.key] = known;
-    }
-    this->drop(found, deletion.position, changes);
-}
-
-void TableReplica::endHold(Changes &changes)
-{
-    this->holding = false;
-    for (auto row = this->current.begin(); row != this->current.end();) {
-        if (!this->ofOlderEra(row->second)) {
-            ++row;
-            continue;
-        }
-        const auto listed = this->supersededRows.find(row->first);
-        if (listed == this->supersededRows.end()) {
-            // Not recorded as a deletion of the store: the row may still be listed.
-            RowChange dropped = row->second;
-            dropped.deleted = true;
-            dropped.value.clear();
-            changes.push_back(std::move(dropped));
-            row = this->current.erase(row);
-            continue;
-        }
-        if (!this->mustNotReplace(listed->second, row->second, false)) {
-            row->second = listed->second;
-            changes.push_back(listed->second);
-            this->supersededRows.erase(listed);
-        }
-        ++row;
-    }
-    this->useListedRows(changes);
-}
-
-void TableReplica::endDeletionHold(Changes &changes)
-{
-    this->holdingDeletions = false;
-    this->useListedRows(changes);
-}
-
-void TableReplica::useListedRows(Changes &changes)
-{
-    for (auto listed = this->supersededRows.begin(); listed != this->supersededRows.end();) {
-        const RowChange *deletion = this->findDeletion(listed->first);
-        const bool deleted = this->holdingDeletions && deletion != nullptr
-                             && this->mustNotReplace(listed->second, *deletion, false);
-        if (deleted || this->current.contains(listed->first)) {
-            ++listed;
-            continue;
-        }
-        this->current.emplace(listed->first, listed->second);
-        changes.push_back(listed->second);
-        listed = this->supersededRows.erase(listed);
-    }
-}
-
-bool TableReplica::mustNotReplace(const RowChange &row, const RowChange &known, bool written) const
-{
-    const auto order = this->orderOf(row);
-    const auto knownOrder = this->orderOf(known);
-    if (!order || !knownOrder) {
-        return !written && this->holding;
-    }
-    // A writer that started again may have a clock that was set back.
-    if (written && order->run() != knownOrder->run()) {
-        return false;
-    }
-    return *order <= *knownOrder;
-}
-
-bool TableReplica::isLater(const RowChange &change, const RowChange &known) const
-{
-    const bool laterPosition = change.position > known.position;
-    if (change.position.era() == known.position.era() || (change.deleted && laterPosition)) {
-        return laterPosition;
-    }
-    // The one of the later era may be a row of the copy.
-    const auto order = this->orderOf(change);
-    const auto knownOrder = this->orderOf(known);
-    if (!order || !knownOrder) {
-        return laterPosition;
-    }
-    return change.deleted ? *order >= *knownOrder : *order > *knownOrder;
-}
-
 bool TableReplica::knows(const RowChange &row) const
 {
     const auto found = this->current.find(row.key);
-    return found != this->current.end() && found->second.position >= row.position;
+    const auto listed = this->supersededRows.find(row.key);
+    return (found != this->current.end() && found->second.position >= row.position)
+           || (listed != this->supersededRows.end() && listed->second.position >= row.position);
 }
 
 std::optional<WriterOrder> TableReplica::orderOf(const RowChange &row) const
@@ -423,26 +300,14 @@
             }
         }
     }
+    // In the order in which they were made, as a row and its deletion may both be among them.
+    std::stable_sort(update.rows.begin(), update.rows.end(),
+                     [](const RowChange &left, const RowChange &right) {
+                         return left.position < right.position;
+                     });
     const std::vector<RowChange> retained = this->retainedRows();
     update.rows.insert(update.rows.end(), retained.begin(), retained.end());
     return update;
 }
 
-std::vector<RowChange> TableReplica::retainedRows() const
-{
-    std::vector<RowChange> rows;
-    for (const auto &[key, row] : this->current) {
-        if (this->ofOlderEra(row)) {
-            rows.push_back(row);
-        }
-    }
-    for (const auto &[key, row] : this->supersededRows) {
-        const RowChange *deletion = this->findDeletion(key);
-        if (!this->current.contains(key) && deletion != nullptr) {
-            rows.push_back(*deletion);
-        }
-    }
-    return rows;
-}
-
 } // namespace Currantfall::Steering
--- a/Source/UnitTests/Steering/StoreEraProperties.cpp
+++ b/Source/UnitTests/Steering/StoreEraProperties.cpp
@@ -19,7 +19,8 @@
 using Status = TableReplica::Status;
 
 // Random runs of some replicas that read a store and tell each other of its changes, while the
-// store returns from copies, reads and messages are on their way, links fail and VMs restart.
+// store returns from copies, calls of servers arrive late, reads and messages are on their way,
+// links fail and VMs restart.
 
 namespace {
 
@@ -170,7 +171,7 @@
 
 rc::Gen<Step> stepGenerator()
 {
-    return rc::gen::tuple(rc::gen::inRange(0, 24), rc::gen::inRange<std::size_t>(0, vmCount),
+    return rc::gen::tuple(rc::gen::inRange(0, 26), rc::gen::inRange<std::size_t>(0, vmCount),
                           rc::gen::inRange<std::size_t>(1, vmCount),
                           rc::gen::inRange<std::size_t>(0, serverCount),
                           rc::gen::inRange(0, holdMs));
@@ -190,6 +191,8 @@
             return;
         case 1:
             this->store.restoreCopy();
+            // Connections to the store end, and with them the calls that were on their way.
+            this->heldUpWrites.clear();
             return;
         case 2:
             this->store.forgetHistory();
@@ -230,6 +233,12 @@
         case 18:
             this->writeServer(key, true);
             return;
+        case 19:
+            this->holdUpWrite(key);
+            return;
+        case 20:
+            this->deliverWrites();
+            return;
         default:
             this->deliver(vm, (vm + distance) % vmCount);
             return;
@@ -239,6 +248,7 @@
     /// All servers write what the store lacks, all VMs read, and all hold times pass.
     void settle()
     {
+        this->deliverWrites();
         for (const auto &[key, server] : this->servers) {
             const auto listed = this->store.rows().find(key);
             const bool same = listed != this->store.rows().end()
@@ -287,6 +297,23 @@
         ++server.number;
         this->store.put(key, server.meaning() + "." + std::to_string(server.number), this->now());
     }
+    /// The server writes its entry, but the call reaches the store later than the next ones.
+    void holdUpWrite(const std::string &key)
+    {
+        Server &server = this->servers[key];
+        if (server.alive) {
+            ++server.number;
+            this->heldUpWrites.emplace_back(key,
+                                            server.meaning() + "." + std::to_string(server.number));
+        }
+    }
+    void deliverWrites()
+    {
+        for (const auto &[key, value] : this->heldUpWrites) {
+            this->store.put(key, value, this->now());
+        }
+        this->heldUpWrites.clear();
+    }
     void leave(const std::string &key)
     {
         this->servers[key].alive = false;
@@ -464,6 +491,7 @@
 
     Store store;
     std::map<std::string, Server> servers;
+    std::vector<std::pair<std::string, std::string>> heldUpWrites;
     std::array<Vm, vmCount> vms;
     std::map<std::pair<std::size_t, std::size_t>, std::deque<Message>> links;
     int time = 0;
--- a/Tests/Entry/StoreRestoreTest.cpp
+++ b/Tests/Entry/StoreRestoreTest.cpp
@@ -13,7 +13,8 @@
 using namespace Currantfall::Tests;
 using nlohmann::json;
 
-// Tests with a store that loses its latest writes, because it returns from an older copy.
+// Tests with a store whose rows go back to earlier values: it returns from an older copy, or calls
+// reach it late.
 
 namespace {
 
@@ -153,6 +154,30 @@
     });
 }
 
+// Guards against requests to a server that leaves, because an older entry of it reaches the store
+// after the one that says so (DRAIN).
+TEST_CASE("A server that leaves gets no requests after an older entry of it")
+{
+    EntryDeployment deployment;
+    StoreStandin &store = deployment.store();
+    const SoakServer &leaving = *deployment.servers()[0];
+    const std::string &id = leaving.identity().id;
+    const std::string olderEntry = store.value("servers", id).value();
+    deployment.registerServer(0, "draining");
+    const auto isDraining
+            = [&](const json &entry) { return entry["server"] == id && entry["draining"] == true; };
+    awaitEvent(deployment, "server", isDraining);
+    store.put("servers", id, olderEntry);
+    // Longer than between two reads of the servers.
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+
+    const unsigned before = leaving.requestCount();
+    SoakCallers callers(deployment, 8);
+    waitUntil([&] { return callers.completed() >= callsAfterRestore; });
+    requireNone(judge(callers.finish(), deployment.ledger()).violations);
+    CHECK(leaving.requestCount() == before);
+}
+
 // Guards against servers that all VMs but the reader drop although they are listed, because an
 // entry that is written again changes nothing for the reader.
 TEST_CASE("Servers that write their entries again after a restore stay in use on all VMs")
--- a/include/currantfall/Steering/TableReplica.h
+++ b/include/currantfall/Steering/TableReplica.h
@@ -39,7 +39,8 @@
     /// The table was at `to` at this time or later.
     Common::Instant confirmedAt;
     /// Rows of an older era than `to` are what the sender still knows from before the store
-    /// returned from a copy.
+    /// returned from a copy. Rows of changes at positions up to `from` are what the sender knows to
+    /// be newer than what the store lists. Such rows are retained rows.
     std::vector<RowChange> rows;
     /// Number of rows read from the store that could not be decoded.
     std::size_t unreadableRows = 0;
@@ -55,8 +56,8 @@
     /// of the copy.
     absl::Duration holdTime = absl::ZeroDuration();
     /// Time for which a row that is known to be deleted stays deleted although the copy lists it,
-    /// if its writer does not write it. Covers the time after which the store drops the row of a
-    /// writer that is gone.
+    /// if its writer does not write it, and for which a belated row is not used. Covers the time
+    /// after which the store drops the row of a writer that is gone.
     absl::Duration deletionHoldTime = absl::ZeroDuration();
     /// Reads the order of a row from its key and value. Without it, or without a result, the order
     /// is unknown.
@@ -66,6 +67,11 @@
 /// A replica of one table of the platform's store. It is maintained from updates of the store and
 /// of other VMs, which may arrive out of order and more than once.
 ///
+/// A writer's call may be performed seconds later than its next one, so that the store lists an
+/// earlier value. Such a belated row is not used: the replica keeps what it knows, a row or a
+/// deletion, until the writer has written a newer value. After a deletion, and if the row is of an
+/// earlier run, it is used when the store still lists it after the hold time of deletions.
+///
 /// When the store returns from an older copy, its era increases and the replica follows it, except
 /// for rows about which the replica knows something newer than the copy:
 /// - A row that its writer numbered stays as it is until the writer has written a newer value.
@@ -115,7 +121,7 @@
     /// Returns the update that brings a replica at `position` to the state of this one: the changes
     /// since `position`, or all rows if not all deletions since then are still recorded.
     TableUpdate changesSince(StorePosition position) const;
-    /// Rows and deletions of older eras that take precedence over the rows that the store lists.
+    /// Rows and deletions that take precedence over the rows that the store lists.
     std::vector<RowChange> retainedRows() const;
 
 private:
@@ -134,7 +140,7 @@
     StorePosition unlistedSince;
     StorePosition unlistedUntil;
     /// Rows that the store lists in the current era but that are not used, because the replica
-    /// knows a newer value or deletion of an older era. Contains only rows of the store's table.
+    /// knows a newer value or deletion. Contains only rows of the store's table.
     std::map<std::string, RowChange> supersededRows;
     Common::Instant holdUntil;
     bool holding = false;
@@ -150,6 +156,18 @@
     void put(const RowChange &row, bool written, Outcome &outcome);
     void remove(const RowChange &deletion, Changes &changes);
     void removeMissing(const TableUpdate &update, bool newEra, Changes &changes);
+    bool isRetained(const RowChange &row, const TableUpdate &update) const;
+    /// Whether `row` is an earlier value of its writer than `known` although the store lists it
+    /// later. Both are of the current era.
+    bool isBelated(const RowChange &row, const RowChange &known) const;
+    /// Keeps a belated row as one that the store lists.
+    void supersede(const RowChange &row, Outcome &outcome);
+    /// Drops a superseded row that was listed before `change` of the same row.
+    void dropListed(const RowChange &change);
+    /// Replaces a belated row by a newer value or deletion at an earlier position.
+    void replaceBelated(RowIterator listed, const RowChange &known, Changes &changes);
+    /// Uses belated rows that the store still lists when their hold time has passed.
+    void useHeldRows(Changes &changes);
     /// Applies what a peer knows from an older era than the one of this replica.
     void putRetained(const RowChange &row, Changes &changes);
     void removeRetained(const RowChange &deletion, Changes &changes);
