Read the operator's table soon after an outage of the store

Cause: while the store did not answer, a VM still used long polls. A read that began just before the return timed out after 1.9 s, and the backoff after four failures is 2 s, together more than the 3 s after which the VM answers for what it has not read.

The settings of the tables move out of EntryDaemon.cpp, so that the test uses them.

--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -7,6 +7,7 @@
 
 #include "currantfall/Steering/EntryDirectory.h"
 
+#include "StoreTables.h"
 #include "VmRow.h"
 #include "platform/Directory.h"
 #include "platform/OperatorRows.h"
@@ -43,16 +44,6 @@
 constexpr std::size_t maxQueuedWrites = 4;
 // The settings file may change without a SIGHUP. A check costs one system call.
 constexpr absl::Duration settingsCheckInterval = absl::Seconds(1);
-// Servers whose entries a restored store has lost write them again within two seconds.
-constexpr absl::Duration serverHoldTime = absl::Milliseconds(2500);
-// The store removes the entry of a server that is gone after three heartbeats of silence, which
-// come every one to two seconds; the rest covers the time until the removal is read.
-constexpr absl::Duration serverDeletionHoldTime = absl::Seconds(10);
-// An evacuation that a restored store has lost stays in force until the operator has had time to
-// give it again.
-constexpr absl::Duration operatorHoldTime = absl::Seconds(10);
-// Covers the writing of 1,000 rows, 50 in a second, and up to 8 s between two reads.
-constexpr absl::Duration vmHoldTime = absl::Seconds(30);
 
 /// Returns the minimum time if the modification time can't be read.
 std::filesystem::file_time_type modificationTime(const std::string &path)
@@ -62,32 +53,6 @@
     return error ? std::filesystem::file_time_type::min() : time;
 }
 
-/// Returns how the replicated tables are read, and what is kept when the store returns from a copy.
-/// Backend servers change a few times a second, and servers that leave must be known within two
-/// seconds. Configurations arrive without delay, because their table is read by long polling.
-std::vector<StoreSync::Table> storeTables()
-{
-    StoreSync::Table operatorTable { Adapter::operatorTable, {}, absl::Milliseconds(1000), {} };
-    operatorTable.terms.interval = absl::ZeroDuration();
-    operatorTable.terms.staleAfter = absl::Milliseconds(1500);
-    operatorTable.retention.holdTime = operatorHoldTime;
-    operatorTable.retention.order = [](const Steering::RowChange &row) {
-        return Adapter::readOperatorOrder(row.key, row.value);
-    };
-    StoreSync::Table servers { Adapter::serverTable, {}, absl::ZeroDuration(), {} };
-    servers.terms.interval = absl::Milliseconds(500);
-    servers.terms.staleAfter = absl::Milliseconds(1000);
-    servers.retention.holdTime = serverHoldTime;
-    servers.retention.deletionHoldTime = serverDeletionHoldTime;
-    servers.retention.order
-            = [](const Steering::RowChange &row) { return Adapter::readServerOrder(row.value); };
-    StoreSync::Table vms { vmTable, {}, absl::ZeroDuration(), {} };
-    vms.terms.interval = absl::Seconds(3);
-    vms.terms.staleAfter = absl::Seconds(8);
-    vms.retention.holdTime = vmHoldTime;
-    return { std::move(operatorTable), std::move(servers), std::move(vms) };
-}
-
 /// Place of a VM among all VMs, from 0 to 1, that spreads their writes.
 double shareOf(const Common::VmName &vm)
 {
--- a/Source/Entry/StoreSync.cpp
+++ b/Source/Entry/StoreSync.cpp
@@ -252,8 +252,11 @@
     if (state.needsFullRead || !state.replica.loaded()) {
         call = ReadTable { state.table.name, state.replica.position().era() };
     } else {
-        call = ReadChanges { state.table.name, state.replica.position(),
-                             state.table.longPollTimeout };
+        // A store that may be away answers at once when it is back. A long poll that gets no answer
+        // would delay the next read by its wait.
+        const absl::Duration wait
+                = state.schedule.failing() ? absl::ZeroDuration() : state.table.longPollTimeout;
+        call = ReadChanges { state.table.name, state.replica.position(), wait };
     }
     auto callback = [this, &state, alive = this->alive](StoreResult result) {
         boost::asio::post(this->context, [this, &state, alive, result = std::move(result)] {
--- a/include/currantfall/Steering/ReadSchedule.h
+++ b/include/currantfall/Steering/ReadSchedule.h
@@ -61,6 +61,8 @@
     /// `rank` is this VM's position in the order of readers among the VMs that it receives messages
     /// from.
     bool due(Common::Instant now, std::size_t rank, bool loaded, Common::Instant confirmedAt) const;
+    /// Whether the latest read failed.
+    bool failing() const { return this->failures > 0; }
     void started() { this->reading = true; }
     void finished(Common::Instant now, bool succeeded);
 
