Take back requests that are given up with a reset

Cause: the VM closed the connections of such requests in order. The kernel then delivers what was written before, also after a cut of seconds.

Fix: connections to backend servers end with a reset, also at the end of the process, unless they have no request without its response.

--- a/Source/Entry/Asio.cpp
+++ b/Source/Entry/Asio.cpp
@@ -101,4 +101,11 @@
                  static_cast<int>(absl::ToInt64Milliseconds(timeout)));
 }
 
+void setResetOnClose(Tcp::socket &socket, bool reset)
+{
+    // Asio would end the connection in order when it destroys a socket whose option it has set.
+    const linger option { reset ? 1 : 0, 0 };
+    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
 } // namespace Currantfall::Entry
--- a/Source/Entry/Asio.h
+++ b/Source/Entry/Asio.h
@@ -66,4 +66,8 @@
 /// that were sent.
 void setSendTimeout(Tcp::socket &socket, absl::Duration timeout);
 
+/// Determines how the connection ends when the socket is closed or destroyed: a reset drops the
+/// bytes that the peer has not received, while an orderly end still delivers them.
+void setResetOnClose(Tcp::socket &socket, bool reset);
+
 } // namespace Currantfall::Entry
--- a/Source/Entry/BackendPool.cpp
+++ b/Source/Entry/BackendPool.cpp
@@ -83,6 +83,13 @@
     connection.stream.socket().close(ignored);
 }
 
+/// Ends a connection that has no request without its response.
+void closeInOrder(BackendConnection &connection)
+{
+    setResetOnClose(connection.stream.socket(), false);
+    closeIgnoringErrors(connection);
+}
+
 /// Whether the connection has ended in both directions. After an orderly end of the server's stream
 /// this VM may still send. A reset is reported once as an error: if a write in progress gets it, a
 /// read sees an end that looks orderly.
@@ -208,7 +215,7 @@
             return connection;
         }
         // The server closed the connection or sent unexpected bytes.
-        closeIgnoringErrors(*connection);
+        closeInOrder(*connection);
     }
     return nullptr;
 }
@@ -228,6 +235,9 @@
         co_return nullptr;
     }
     enableDeadPeerDetection(connection->stream.socket(), serverSilenceTimeout);
+    // However the connection ends, a request that was given up must not arrive later, as it would
+    // after a cut.
+    setResetOnClose(connection->stream.socket(), true);
     this->metrics.addToCounter("currantfall_backend_connections_total");
     co_return connection;
 }
@@ -237,7 +247,7 @@
 {
     auto &connections = this->idleConnections[server];
     if (connections.size() >= maxIdleConnectionsPerServer) {
-        closeIgnoringErrors(*connection);
+        closeInOrder(*connection);
         return;
     }
     connection->keepAliveTimeout = keepAliveTimeout;
@@ -253,7 +263,7 @@
                 // The server closed the connection or sent unexpected bytes, so that the
                 // connection can't be used for another request.
                 connection->idle = false;
-                closeIgnoringErrors(*connection);
+                closeInOrder(*connection);
                 std::erase(this->idleConnections[server], connection);
             });
 }
@@ -352,7 +362,7 @@
         if (reusable) {
             this->addIdle(exchange.server.name, connection, keepAliveTimeoutOf(response));
         } else {
-            closeIgnoringErrors(*connection);
+            closeInOrder(*connection);
         }
         if (result.parsed.misdirected) {
             result.end = AttemptEnd::Misdirected;
@@ -394,7 +404,7 @@
     if (exchange.mayBeSent && !exchange.mayBeSent()) {
         if (connection->reused) {
             // How long it may stay idle from now on is unknown.
-            closeIgnoringErrors(*connection);
+            closeInOrder(*connection);
         } else {
             this->addIdle(exchange.server.name, connection, defaultKeepAlive);
         }
@@ -461,7 +471,7 @@
     }
     for (const SharedConnection &connection : found->second) {
         connection->idle = false;
-        closeIgnoringErrors(*connection);
+        closeInOrder(*connection);
     }
     this->idleConnections.erase(found);
 }
@@ -474,7 +484,7 @@
                 return false;
             }
             connection->idle = false;
-            closeIgnoringErrors(*connection);
+            closeInOrder(*connection);
             return true;
         });
     }
--- a/Tests/Support/ScriptedBackend.cpp
+++ b/Tests/Support/ScriptedBackend.cpp
@@ -56,10 +56,22 @@
 }
 
 bool ScriptedConnection::closedWithin(int milliseconds)
+{
+    return this->awaitClose(milliseconds) != PeerClose::None;
+}
+
+PeerClose ScriptedConnection::awaitClose(int milliseconds)
 {
     pollfd watched { this->descriptor, POLLIN, 0 };
     char byte = 0;
-    return ::poll(&watched, 1, milliseconds) > 0 && ::recv(this->descriptor, &byte, 1, 0) <= 0;
+    if (::poll(&watched, 1, milliseconds) <= 0) {
+        return PeerClose::None;
+    }
+    const auto received = ::recv(this->descriptor, &byte, 1, 0);
+    if (received > 0) {
+        return PeerClose::None;
+    }
+    return received < 0 && errno == ECONNRESET ? PeerClose::Reset : PeerClose::InOrder;
 }
 
 void ScriptedConnection::closeSending()
--- a/Tests/Support/ScriptedBackend.h
+++ b/Tests/Support/ScriptedBackend.h
@@ -11,6 +11,13 @@
 
 namespace Currantfall::Tests {
 
+/// How a peer has ended its connection.
+enum class PeerClose {
+    None,    ///< It has not, or has sent bytes.
+    InOrder, ///< What it sent before is delivered.
+    Reset    ///< What it sent before may be lost.
+};
+
 /// One connection of a scripted server.
 class ScriptedConnection
 {
@@ -26,6 +33,8 @@
     void write(const std::string &bytes);
     /// Waits until the peer closes; true if it did so before `milliseconds` have passed.
     bool closedWithin(int milliseconds);
+    /// The same, with the way in which it did so.
+    PeerClose awaitClose(int milliseconds);
     /// Sends the end of the stream; the peer's bytes can still be read.
     void closeSending();
     /// Closes with a reset.
