Keep the row that the store lists last when a retained deletion arrives

A belated row may be superseded already when a deletion from before a restore reaches a VM; removeRetained() replaced it by the row that was in use, which the store listed earlier.

--- a/Source/Core/Steering/TableReplicaRetention.cpp
+++ b/Source/Core/Steering/TableReplicaRetention.cpp
@@ -78,7 +78,7 @@
         if (!this->holdingDeletions || !this->mustNotReplace(known, deletion, false)) {
             return;
         }
-        this->supersededRows[deletion.key] = known;
+        this->supersededRows.emplace(deletion.key, known);
     }
     this->drop(found, deletion.position, changes);
 }
