--- a/Source/UnitTests/Steering/BelatedRowsTest.cpp
+++ b/Source/UnitTests/Steering/BelatedRowsTest.cpp
@@ -205,3 +205,16 @@
         CHECK(replica.rows().empty());
     }
 }
+
+// Guards against a replica that forgets which row the store lists last, because a deletion from
+// before a restore replaces a row that has superseded a belated one.
+TEST_CASE("A retained deletion leaves the belated row as the listed one")
+{
+    TableReplica replica = replicaWith({ row(9, "ready 1.10") });
+    replica.apply(changes(10, 12, { row(11, "draining 1.12"), row(12, "ready 1.11") }));
+    REQUIRE(replica.listedRow("a")->value == "ready 1.11");
+    const RowChange earlier { "a", "draining 1.13", StorePosition(0, 50), true, at(0) };
+    replica.apply(changes(12, 12, { earlier }));
+    CHECK(replica.rows().empty());
+    CHECK(replica.listedRow("a")->value == "ready 1.11");
+}
