Count requests by tenant and by the region in which they run

The test found that the entry VM never named its services to the metrics registry, so that every series by service was "other"; each configuration does now, for services and tenants.

Test: "Requests are counted by tenant, and by the region in which they run".

--- a/Source/Core/Steering/HomeRegions.cpp
+++ b/Source/Core/Steering/HomeRegions.cpp
@@ -19,6 +19,13 @@
     return !this->regions || this->regions->contains(region);
 }
 
+std::vector<Common::RegionName> HomeRegions::list() const
+{
+    return this->regions
+                   ? std::vector<Common::RegionName>(this->regions->begin(), this->regions->end())
+                   : std::vector<Common::RegionName>();
+}
+
 HomeRegions HomeRegions::intersectedWith(const HomeRegions &other) const
 {
     if (!this->regions || !other.regions) {
--- a/Source/Core/Steering/RoutingConfiguration.cpp
+++ b/Source/Core/Steering/RoutingConfiguration.cpp
@@ -42,6 +42,16 @@
     return found == this->servicesByName.end() ? nullptr : &found->second;
 }
 
+std::vector<Common::ServiceName> RoutingConfiguration::serviceNames() const
+{
+    std::vector<Common::ServiceName> names;
+    names.reserve(this->servicesByName.size());
+    for (const auto &[name, service] : this->servicesByName) {
+        names.push_back(name);
+    }
+    return names;
+}
+
 const Route *RoutingConfiguration::match(std::string_view host, std::string_view path) const
 {
     const auto routes = this->routesByHost.find(hostKey(host));
--- a/Source/Entry/RequestSteering.cpp
+++ b/Source/Entry/RequestSteering.cpp
@@ -63,6 +63,7 @@
         std::shared_ptr<const Steering::RoutingConfiguration> configuration)
 {
     this->currentConfiguration = std::move(configuration);
+    this->nameMetrics();
 }
 
 Steering::RetryAllowance &RequestSteering::retryAllowance(const Common::ServiceName &service)
@@ -293,27 +294,6 @@
     return attempt;
 }
 
-void RequestSteering::addToHistory(ActiveRequest &activeRequest, const Attempt &attempt)
-{
-    nlohmann::ordered_json entry {
-        { "server", attempt.exchange->server.name.value() },
-        { "zone", attempt.exchange->server.zone.value() },
-        { "configuration", attempt.configuration },
-        { "position", attempt.position },
-        { "warm", attempt.warm },
-        { "start_ms", absl::ToInt64Milliseconds(attempt.start - activeRequest.start) },
-        { "ms", absl::ToInt64Milliseconds(Common::monotonicNow() - attempt.start) },
-        { "end", attempt.result ? toString(attempt.result->end) : "unfinished" }
-    };
-    if (attempt.hedge) {
-        entry["hedge"] = true;
-    }
-    if (attempt.result && !attempt.result->detail.empty()) {
-        entry["detail"] = attempt.result->detail;
-    }
-    activeRequest.history.push_back(std::move(entry));
-}
-
 RequestSteering::SharedAttempt RequestSteering::startAttempt(ActiveRequest &activeRequest,
                                                              const Steering::SendTo &choice)
 {
@@ -337,6 +317,7 @@
     attempt->object = activeRequest.callerRequest.object;
     attempt->warm = choice.cacheHit;
     attempt->position = choice.position;
+    attempt->region = this->regionOf(attempt->exchange->server.zone);
     attempt->start = now;
     attempt->configuration = this->currentConfiguration->version();
     attempt->expectedDuration = choice.expected;
@@ -353,6 +334,7 @@
     ExchangeResult result = co_await this->backendPool.run(attempt->exchange);
     this->runningAttempts.erase(attempt);
     --this->attemptsInProgress;
+    this->countAttempt(*attempt, result.end);
     const Common::Instant now = Common::monotonicNow();
     const bool asksForPause = this->recordNotice(*attempt->exchange, result.parsed);
     if (!asksForPause) {
--- a/Source/Entry/RequestSteering.h
+++ b/Source/Entry/RequestSteering.h
@@ -188,7 +188,13 @@
     Adapter::HttpResponse refusePausing(ActiveRequest &activeRequest, absl::Duration untilReturn);
     Adapter::HttpResponse fail(ActiveRequest &activeRequest, Adapter::Failure failure,
                                const std::string &reason);
+    /// Gives the services and tenants of the configuration series of their own.
+    void nameMetrics();
+    void countAttempt(const Attempt &attempt, Steering::AttemptEnd end);
+    void countRequest(const ActiveRequest &activeRequest, unsigned status);
     void logRequest(const ActiveRequest &activeRequest, unsigned status);
+    /// Empty if the region of the zone is not known.
+    Common::RegionName regionOf(const Common::ZoneName &zone) const;
 
     Steering::RetryAllowance &retryAllowance(const Common::ServiceName &service);
 
--- a/Source/Entry/RequestSteeringState.h
+++ b/Source/Entry/RequestSteeringState.h
@@ -16,6 +16,7 @@
     SharedCaller caller;
     Common::ServiceName service;
     std::string object;
+    Common::RegionName region; ///< Of the server.
     bool warm = false;
     std::size_t position = 0;
     Common::Instant start;
--- a/Source/UnitTests/Entry/TenantSteeringTest.cpp
+++ b/Source/UnitTests/Entry/TenantSteeringTest.cpp
@@ -129,3 +129,20 @@
     CHECK((*response)->result_int() == 401);
     CHECK(requests == 1);
 }
+
+// Metrics by tenant tell a tenant over its limit from servers without room.
+TEST_CASE("Requests are counted by tenant, and by the region in which they run")
+{
+    KeepingServer east;
+    SteeringFixture fixture;
+    fixture.addServer("i-east", east.backend.port(), "b");
+    fixture.configure(absl::Seconds(5), 3, {}, {}, { tenant("a", { "key-1" }) });
+    CHECK(fixture.run(requestWithKey("/read/1", "key-1"))->result_int() == 200);
+    fixture.run(requestWithKey("/read/1", "key-2"));
+    CHECK(fixture.metrics.counter("currantfall_tenant_requests_total",
+                                  { { "tenant", "a" }, { "outcome", "answered" } })
+          == 1);
+    CHECK(fixture.metrics.counter("currantfall_requests_sent_total",
+                                  { { "service", "bellbook" }, { "region", "east" } })
+          == 1);
+}
--- a/include/currantfall/Steering/HomeRegions.h
+++ b/include/currantfall/Steering/HomeRegions.h
@@ -19,6 +19,8 @@
 
     bool allRegions() const { return !this->regions; }
     bool contains(const Common::RegionName &region) const;
+    /// The regions in the order of their names; empty if all regions are homes.
+    std::vector<Common::RegionName> list() const;
     /// Regions that are in both. May contain no region at all.
     HomeRegions intersectedWith(const HomeRegions &other) const;
 
--- a/include/currantfall/Steering/RoutingConfiguration.h
+++ b/include/currantfall/Steering/RoutingConfiguration.h
@@ -82,6 +82,7 @@
     const CallerLimits &limits() const { return this->callerLimits; }
     /// Returns nullptr if there is no such service.
     const ServiceSettings *service(const Common::ServiceName &name) const;
+    std::vector<Common::ServiceName> serviceNames() const;
     /// Returns the route of `host` with the longest prefix of `path`, or nullptr if none matches.
     /// `host` may contain a port and is compared case-insensitively.
     const Route *match(std::string_view host, std::string_view path) const;
--- a/include/currantfall/Tenants/TenantTable.h
+++ b/include/currantfall/Tenants/TenantTable.h
@@ -42,6 +42,7 @@
 
     bool empty() const { return this->tenants.empty(); }
     std::size_t size() const { return this->tenants.size(); }
+    const std::vector<Tenant> &all() const { return this->tenants; }
     /// Returns nullptr if no tenant has the key. The time does not depend on how much of a key is
     /// right.
     const Tenant *findByKey(std::string_view key) const;
