--- a/Source/UnitTests/Entry/TenantSteeringTest.cpp
+++ b/Source/UnitTests/Entry/TenantSteeringTest.cpp
@@ -146,3 +146,33 @@
                                   { { "service", "bellbook" }, { "region", "east" } })
           == 1);
 }
+
+// Guards against a tenant that gets more than its limit (QUOTA).
+TEST_CASE("A tenant's requests over its limit are refused with the time until there is room")
+{
+    KeepingServer server;
+    SteeringFixture fixture;
+    fixture.addServer("i-1", server.backend.port());
+    Tenants::Tenant limited = tenant("a", { "key-1" });
+    limited.requestsPerSecond = 2.0;
+    limited.burst = 4.0;
+    const Common::Instant start = Common::monotonicNow();
+    fixture.configure(absl::Seconds(5), 3, {}, {}, { limited, tenant("b", { "key-2" }) });
+    absl::SleepFor(absl::Seconds(3));
+    std::size_t served = 0;
+    for (int number = 0; number < 20; ++number) {
+        const auto response = fixture.run(requestWithKey("/read/1", "key-1"));
+        REQUIRE(response);
+        if (response->result_int() == 200) {
+            ++served;
+            continue;
+        }
+        CHECK(response->result_int() == 429);
+        CHECK(std::strtod(std::string((*response)["Retry-After"]).c_str(), nullptr) > 0.0);
+    }
+    CHECK(served > 0);
+    CHECK(static_cast<double>(served)
+          <= limited.requestsPerSecond * absl::ToDoubleSeconds(Common::monotonicNow() - start));
+    CHECK(server.requests.size() == served);
+    CHECK(fixture.run(requestWithKey("/read/1", "key-2"))->result_int() == 200);
+}
--- a/Tests/Entry/EntryDeployment.cpp
+++ b/Tests/Entry/EntryDeployment.cpp
@@ -216,7 +216,8 @@
              { "lookup_ttl_max_s", 5 },
              { "server_drain_ms", 2000 },
              { "retries", { { "ratio", 0.5 }, { "extra", 600 }, { "window_s", 10 } } },
-             { "cold", { { "overage", 1.5 }, { "extra", 5 } } } };
+             { "cold", { { "overage", 1.5 }, { "extra", 5 } } },
+             { "quota", { { "window_s", 5 }, { "overage", 0.1 }, { "extra", 20 } } } };
 }
 
 void EntryDeployment::writeSettings(const EntryVm &vm, const json &settings) const
@@ -314,7 +315,7 @@
     for (const std::string &service : services) {
         list.push_back(serviceEntry(service));
     }
-    const json configuration {
+    json configuration {
         { "version", "r" + std::to_string(this->version += 1 + variant % 3) },
         { "services", list },
         { "limits",
@@ -326,6 +327,9 @@
           json::array({ { { "host", "shop.example" },
                           { "paths", json::array({ read, order, photo, resident, moving }) } } }) }
     };
+    if (!this->tenants.empty()) {
+        configuration["tenants"] = this->tenants;
+    }
     const auto begin = SoakClock::now();
     this->storeStandin->put("op", "config", configuration.dump());
     this->endPeriods();
--- a/Tests/Entry/EntryDeployment.h
+++ b/Tests/Entry/EntryDeployment.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "ExecutionLedger.h"
@@ -78,6 +79,8 @@
     /// Writes the next configuration. `variant` selects where photos go, the timeouts, and the
     /// homes of the route "moving".
     void configure(unsigned variant);
+    /// Sets the tenants of later configurations; without any, requests need no key.
+    void setTenants(nlohmann::json list) { this->tenants = std::move(list); }
     /// The version of the latest configuration.
     unsigned configurationVersion() const { return this->version; }
     /// Returns the store to its copy. What it lost may stay in force until the next configuration.
@@ -117,6 +120,7 @@
     std::vector<EntryVm> entryVms;
     std::optional<ProcessFixture> links;
     std::vector<ConfigurationPeriod> periods;
+    nlohmann::json tenants = nlohmann::json::array();
     unsigned version = 0;
     unsigned incarnations = 0;
 };
