--- a/Source/Core/Quotas/QuotaKeeper.cpp
+++ b/Source/Core/Quotas/QuotaKeeper.cpp
@@ -40,7 +40,7 @@
 
 QuotaKeeper::QuotaKeeper(Common::VmName self, Common::ZoneName zone, QuotaTolerance tolerance,
                          std::uint64_t firstNumber)
-    : self(std::move(self)), zone(std::move(zone)), tolerance(tolerance),
+    : self(std::move(self)), zone(std::move(zone)), tolerance(tolerance), reachable({ this->self }),
       nextNumber(std::max<std::uint64_t>(firstNumber, 1))
 { }
 
--- a/Source/Entry/Cluster.cpp
+++ b/Source/Entry/Cluster.cpp
@@ -228,8 +228,17 @@
 void Cluster::onLinkUp(const Peering::PeerIdentity &peer)
 {
     const Common::Instant now = Common::monotonicNow();
-    this->table.applyLinkUp(now, { peer.vm, peer.zone, peer.region, peer.incarnation, peer.address,
-                                   peer.portBase });
+    const Membership::Identity identity { peer.vm,          peer.zone,    peer.region,
+                                          peer.incarnation, peer.address, peer.portBase };
+    const bool extra = !this->memberPeers.contains(peer.vm)
+                       && std::find(this->extraPeers.begin(), this->extraPeers.end(), peer.vm)
+                                  != this->extraPeers.end();
+    if (extra) {
+        this->extraLinks.insert_or_assign(peer.vm, identity);
+    } else {
+        this->extraLinks.erase(peer.vm);
+        this->table.applyLinkUp(now, identity);
+    }
     this->linked.insert_or_assign(peer.vm,
                                   Membership::LinkedPeer { peer.vm, peer.zone, peer.region });
     if (peer.readsCompressedValues) {
@@ -249,6 +258,7 @@
     const Common::Instant now = Common::monotonicNow();
     this->table.applyLinkDown(now, peer, incarnation);
     this->linked.erase(peer);
+    this->extraLinks.erase(peer);
     this->compressedValueReaders.erase(peer);
     nlohmann::ordered_json fields { { "peer", peer.value() } };
     fields["reason"] = reason.toString();
@@ -277,9 +287,25 @@
 void Cluster::updatePeers()
 {
     std::vector<Peering::PeerAddress> desiredPeers;
+    this->memberPeers.clear();
     for (const Membership::Endpoint &endpoint : this->table.peersToConnect()) {
         desiredPeers.push_back(
                 { endpoint.vm, endpoint.address, Daemon::peerPortOf(endpoint.portBase) });
+        this->memberPeers.insert(endpoint.vm);
+    }
+    for (const Common::VmName &vm : this->extraPeers) {
+        const Membership::Member *member = this->view->find(vm);
+        if (!this->memberPeers.contains(vm) && member != nullptr && !member->address.empty()) {
+            desiredPeers.push_back({ vm, member->address, Daemon::peerPortOf(member->portBase) });
+        }
+    }
+    for (auto link = this->extraLinks.begin(); link != this->extraLinks.end();) {
+        if (this->memberPeers.contains(link->first)) {
+            this->table.applyLinkUp(Common::monotonicNow(), link->second);
+            link = this->extraLinks.erase(link);
+        } else {
+            ++link;
+        }
     }
     if (desiredPeers != this->peers && this->transport) {
         this->peers = desiredPeers;
@@ -287,6 +313,14 @@
     }
 }
 
+void Cluster::setExtraPeers(std::vector<Common::VmName> vms)
+{
+    if (vms != this->extraPeers) {
+        this->extraPeers = std::move(vms);
+        this->updatePeers();
+    }
+}
+
 void Cluster::updateRank()
 {
     const auto reader = [this](const Common::VmName &vm) {
@@ -312,7 +346,9 @@
     std::vector<Membership::LinkedPeer> linkedPeers;
     linkedPeers.reserve(this->linked.size());
     for (const auto &[vm, peer] : this->linked) {
-        linkedPeers.push_back(peer);
+        if (!this->extraLinks.contains(vm)) {
+            linkedPeers.push_back(peer);
+        }
     }
     this->plan = Membership::SpreadPlan({ this->self.vm, this->self.zone, this->self.region },
                                         std::move(linkedPeers), zones);
--- a/Source/Entry/Cluster.h
+++ b/Source/Entry/Cluster.h
@@ -70,6 +70,11 @@
     /// changed.
     void setListedVms(std::vector<Membership::ListedVm> vms, Common::Instant now);
 
+    /// Keeps links to these VMs besides those of the membership, for messages that only the two VMs
+    /// concern. They carry neither heartbeats nor what is spread to all VMs.
+    void setExtraPeers(std::vector<Common::VmName> vms);
+    bool hasLink(const Common::VmName &peer) const { return this->linked.contains(peer); }
+
     /// The message is lost if there is no link to a peer, or if its buffer is full.
     void send(const std::vector<Common::VmName> &peers, Peering::Wire::BodyUnion body);
     /// Sends a message with the duty of each target.
@@ -116,6 +121,11 @@
     /// Identities of the peers with an established link.
     std::map<Common::VmName, Membership::LinkedPeer> linked;
     std::set<Common::VmName> compressedValueReaders;
+    std::vector<Common::VmName> extraPeers;
+    /// Peers to which the membership keeps links.
+    std::set<Common::VmName> memberPeers;
+    /// Links that only setExtraPeers() asked for.
+    std::map<Common::VmName, Membership::Identity> extraLinks;
     Membership::SpreadPlan plan;
     PeerTrafficTable traffic;
     Common::Instant peersUpdatedAt = Common::Instant::fromOrigin(-absl::InfiniteDuration());
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -2,6 +2,7 @@
 
 #include <filesystem>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -20,6 +21,7 @@
 #include "HttpEndpoint.h"
 #include "ObjectMoveSync.h"
 #include "OutcomeSync.h"
+#include "QuotaSync.h"
 #include "RequestSteering.h"
 #include "ServerRows.h"
 #include "StoreSync.h"
@@ -77,6 +79,10 @@
     /// Counts and logs an unexpected error.
     void noteError(const std::exception &error);
     void onMembersChanged();
+    /// Tells the keeper of the tenants' limits which VMs it can ask, and links to those it needs.
+    void updateQuotaPeers();
+    /// Sets on which VMs the limits of tenants accrue.
+    void updateQuotaPlan();
     PeerChannel peerChannel();
     /// Applies the configuration in the row if it is valid and newer than the current one.
     void applyConfiguration(const Steering::RowChange &row);
@@ -106,6 +112,7 @@
     std::unique_ptr<Cluster> cluster;
     std::unique_ptr<ObjectMoveSync> objectMoveSync;
     std::unique_ptr<OutcomeSync> outcomeSync;
+    std::unique_ptr<QuotaSync> quotaSync;
     std::unique_ptr<StoreSync> storeSync;
     std::unique_ptr<StoreWorker> storeWriter;
     /// Registered processor share of each VM.
@@ -117,6 +124,8 @@
     };
     /// Rows of VMs as they were read last, because few of them change at once.
     std::map<std::string, ParsedVmRow> parsedVmRows;
+    /// Whether this VM was registered before it started; unset until the table has been read.
+    std::optional<bool> registeredBefore;
     /// States that the members had when they last changed.
     std::map<Common::VmName, Membership::MemberState> memberStates;
     Steering::RowWriteSchedule registration;
--- a/Source/Entry/EntryDaemonRows.cpp
+++ b/Source/Entry/EntryDaemonRows.cpp
@@ -94,6 +94,24 @@
         }
     }
     this->cluster->setListedVms(std::move(vms), Common::monotonicNow());
+    this->updateQuotaPlan();
+}
+
+void EntryDaemon::updateQuotaPlan()
+{
+    std::vector<Quotas::QuotaVm> registered;
+    for (const auto &[name, row] : this->parsedVmRows) {
+        if (row.vm) {
+            registered.push_back({ row.vm->vm.vm, row.vm->vm.zone, row.vm->processorShare });
+        }
+    }
+    Quotas::QuotaPlan plan(registered);
+    if (!this->registeredBefore) {
+        this->registeredBefore = !this->settings.firstStart && plan.isRegistered(this->settings.vm);
+    }
+    this->steering.quotas().keeper().setPlan(std::move(plan), *this->registeredBefore,
+                                             Common::monotonicNow());
+    this->updateQuotaPeers();
 }
 
 void EntryDaemon::noteIgnoredVmRow(const Common::Error &reason)
--- a/Source/Entry/EntrySettings.cpp
+++ b/Source/Entry/EntrySettings.cpp
@@ -124,6 +124,11 @@
     settings.retries.window = absl::Seconds(reader.number("/retries/window_s", 0.1, 3600));
     settings.cold.overage = reader.number("/cold/overage", 0, 100);
     settings.cold.extra = reader.number("/cold/extra", 0, 1e6);
+    if (reader.find("/quota") != nullptr) {
+        settings.quotaTolerance.window = absl::Seconds(reader.number("/quota/window_s", 0.1, 3600));
+        settings.quotaTolerance.overage = reader.number("/quota/overage", 0, 10);
+        settings.quotaTolerance.extra = reader.number("/quota/extra", 0, 1e6);
+    }
     const json *zones = reader.find("/zones");
     if (zones == nullptr || !zones->is_object()) {
         reader.fail("/zones", "an object of zone names and their regions");
--- a/Source/Entry/EntrySettings.h
+++ b/Source/Entry/EntrySettings.h
@@ -10,6 +10,7 @@
 #include "currantfall/Common/Error.h"
 #include "currantfall/Common/Names.h"
 #include "currantfall/Platform/HostPort.h"
+#include "currantfall/Quotas/QuotaTerms.h"
 #include "currantfall/Steering/RetryAllowance.h"
 #include "currantfall/Steering/ServerSelector.h"
 
@@ -47,6 +48,9 @@
     absl::Duration serverDrainTime;
     Steering::RetryLimits retries;
     Steering::ColdRateLimit cold;
+    /// By how much all VMs together may exceed the limit of a tenant; not at all if the file does
+    /// not say.
+    Quotas::QuotaTolerance quotaTolerance;
 
     /// Fails with InvalidInput and a message with the invalid field and the expected value. Unknown
     /// fields are ignored.
--- a/Source/Entry/RequestSteering.cpp
+++ b/Source/Entry/RequestSteering.cpp
@@ -56,7 +56,8 @@
       serverNotices(settings.serverDrainTime),
       serverSelector({ settings.vm, settings.zone, settings.region, settings.zones, settings.cold },
                      this->table, this->fleetOutcomes, this->serverNotices),
-      backendPool(context, metrics, settings.memoryBytes), random(std::random_device()())
+      quotaGate(settings), backendPool(context, metrics, settings.memoryBytes),
+      random(std::random_device()())
 { }
 
 void RequestSteering::setConfiguration(
@@ -64,6 +65,9 @@
 {
     this->currentConfiguration = std::move(configuration);
     this->nameMetrics();
+    if (this->currentConfiguration != nullptr) {
+        this->quotaGate.setTenants(this->currentConfiguration->tenants(), Common::monotonicNow());
+    }
 }
 
 Steering::RetryAllowance &RequestSteering::retryAllowance(const Common::ServiceName &service)
@@ -85,6 +89,7 @@
         throw;
     }
     this->activeCallers.erase(activeRequest.callerState);
+    this->giveBackPermit(activeRequest, response.result_int());
     if (activeRequest.callerState->disconnected) {
         this->logRequest(activeRequest, 0);
         co_return std::nullopt;
@@ -115,6 +120,14 @@
     activeRequest.responseDeadline
             = std::min(activeRequest.deadline, activeRequest.start + route.timeout);
     this->retryAllowance(activeRequest.service).onRequest(activeRequest.start);
+    const QuotaAdmission admission = co_await this->quotaGate.enter(
+            activeRequest.scope.tenant, activeRequest.callerState, activeRequest.responseDeadline);
+    if (!admission.admitted) {
+        activeRequest.outcome = "over-quota";
+        co_return Adapter::failureResponse(Failure::OverQuota, activeRequest.callerRequest.id,
+                                           admission.retryAfter, activeRequest.outcome);
+    }
+    activeRequest.permit = admission.permit;
     const Steering::ServiceSettings *terms
             = activeRequest.configuration->service(activeRequest.service);
 
--- a/Source/Entry/RequestSteering.h
+++ b/Source/Entry/RequestSteering.h
@@ -21,51 +21,12 @@
 
 #include "Asio.h"
 #include "BackendPool.h"
+#include "CallerState.h"
 #include "EntrySettings.h"
+#include "QuotaGate.h"
 
 namespace Currantfall::Entry {
 
-/// Connection state of the caller of a request that is in progress. Cancelling the timer resumes
-/// the coroutine that handles the request.
-struct CallerState
-{
-    explicit CallerState(boost::asio::io_context &context,
-                         Common::Instant arrivedAt = Common::monotonicNow(),
-                         Admission::SharedOwner memoryOwner = nullptr)
-        : wakeTimer(context), arrivedAt(arrivedAt), memoryOwner(std::move(memoryOwner))
-    { }
-
-    /// The caller has closed its connection.
-    void onDisconnected()
-    {
-        this->disconnected = true;
-        this->wakeTimer.cancel();
-    }
-
-    /// Whether the caller still waits for the response. Asks the connection, because the event loop
-    /// of a busy VM learns late that a caller has closed it.
-    bool waits()
-    {
-        if (!this->responded && !this->disconnected && this->isOpen && !this->isOpen()) {
-            this->onDisconnected();
-        }
-        return !this->disconnected && !this->responded;
-    }
-
-    boost::asio::steady_timer wakeTimer;
-    /// When the request was received. It may have waited for earlier requests of its connection
-    /// since.
-    const Common::Instant arrivedAt;
-    /// What the caller's connection makes the process hold.
-    const Admission::SharedOwner memoryOwner;
-    /// Whether the caller's connection is open. Unset once the connection may have been destroyed.
-    std::function<bool()> isOpen;
-    bool disconnected = false;
-    /// The response has been determined. The caller's connection may have been destroyed since.
-    bool responded = false;
-};
-using SharedCaller = std::shared_ptr<CallerState>;
-
 /// Forwards requests of callers to backend servers: matches the route, selects a server, sends
 /// attempts and handles retries and timeouts. Runs on the entry thread.
 class RequestSteering
@@ -92,6 +53,8 @@
     Telemetry::MetricsRegistry &metricsRegistry() { return this->metrics; }
     /// Outcomes of requests at backend servers, recorded by this VM and by the other VMs.
     Steering::FleetOutcomes &outcomes() { return this->fleetOutcomes; }
+    /// Admits requests of tenants as far as their limits allow.
+    QuotaGate &quotas() { return this->quotaGate; }
     /// What backend servers said about themselves.
     Steering::ServerNotices &notices() { return this->serverNotices; }
     /// Sets when the list of backend servers was last confirmed. Log lines contain its age.
@@ -192,6 +155,8 @@
     void nameMetrics();
     void countAttempt(const Attempt &attempt, Steering::AttemptEnd end);
     void countRequest(const ActiveRequest &activeRequest, unsigned status);
+    /// Returns the permit of a request that has not run and never will.
+    void giveBackPermit(const ActiveRequest &activeRequest, unsigned status);
     void logRequest(const ActiveRequest &activeRequest, unsigned status);
     /// Empty if the region of the zone is not known.
     Common::RegionName regionOf(const Common::ZoneName &zone) const;
@@ -208,6 +173,7 @@
     Steering::ServerNotices serverNotices;
     Steering::ServerSelector serverSelector;
     Steering::SplitChooser splitChooser;
+    QuotaGate quotaGate;
     BackendPool backendPool;
     std::map<Common::ServiceName, Steering::RetryAllowance> retryAllowances;
     std::set<SharedAttempt> runningAttempts;
--- a/Source/Entry/RequestSteeringRoutes.cpp
+++ b/Source/Entry/RequestSteeringRoutes.cpp
@@ -35,6 +35,15 @@
     return activeRequest.scope.homesNow(*this->currentConfiguration).has_value();
 }
 
+void RequestSteering::giveBackPermit(const ActiveRequest &activeRequest, unsigned status)
+{
+    const bool notRun
+            = !activeRequest.mayHaveRun && (status == 401 || status == 429 || status == 503);
+    if (activeRequest.permit && notRun) {
+        this->quotaGate.giveBack(activeRequest.scope.tenant, *activeRequest.permit);
+    }
+}
+
 Steering::SelectionRequest RequestSteering::selectionRequestFor(const ActiveRequest &activeRequest,
                                                                 Common::Instant now) const
 {
--- a/Source/Entry/RequestSteeringState.h
+++ b/Source/Entry/RequestSteeringState.h
@@ -53,6 +53,8 @@
     /// Latest time at which the caller gets its final response: the earlier of the caller's
     /// deadline and the route's timeout.
     Common::Instant responseDeadline;
+    /// The right to one request of the tenant, if it has a limit.
+    std::optional<Quotas::Permit> permit;
     std::set<Common::BackendServerName> attemptedServers;
     std::size_t attempts = 0;
     std::size_t unreachableAttempts = 0;
--- a/Source/UnitTests/Adapter/HttpMessagesTest.cpp
+++ b/Source/UnitTests/Adapter/HttpMessagesTest.cpp
@@ -174,6 +174,8 @@
     CHECK(statusOf(Failure::NotRun).result_int() == 503);
     CHECK(statusOf(Failure::NotRun)["Retry-After"] == "0.250");
     CHECK(statusOf(Failure::NotRun)["Request-Id"] == "9c41");
+    CHECK(statusOf(Failure::OverQuota).result_int() == 429);
+    CHECK(statusOf(Failure::OverQuota)["Retry-After"] == "0.250");
     CHECK(statusOf(Failure::OutcomeUnknown).result_int() == 502);
     CHECK(statusOf(Failure::OutcomeUnknown).count("Retry-After") == 0);
     CHECK(statusOf(Failure::TimedOut).result_int() == 504);
--- a/Source/UnitTests/Entry/EntrySettingsTest.cpp
+++ b/Source/UnitTests/Entry/EntrySettingsTest.cpp
@@ -21,7 +21,8 @@
         "memory_mb": 260, "max_descriptors": 4100, "processor_share": 0.2,
         "shutdown_grace_s": 6, "lookup_ttl_max_s": 5, "server_drain_ms": 2000,
         "retries": {"ratio": 0.2, "extra": 60, "window_s": 10},
-        "cold": {"overage": 1.5, "extra": 5}, "unknown": [1]})");
+        "cold": {"overage": 1.5, "extra": 5},
+        "quota": {"window_s": 4, "overage": 0.1, "extra": 20}, "unknown": [1]})");
 }
 
 } // namespace
@@ -38,6 +39,18 @@
     CHECK(settings->shutdownGrace == absl::Seconds(6));
     CHECK(settings->serverDrainTime == absl::Seconds(2));
     CHECK(settings->metrics.toString() == "10.1.0.15:9464");
+    CHECK(settings->quotaTolerance == Quotas::QuotaTolerance { absl::Seconds(4), 0.1, 20.0 });
+}
+
+// Guards against a tolerance that the platform does not allow.
+TEST_CASE("Without a tolerance in the settings, limits of tenants are exact")
+{
+    json document = validSettings();
+    document.erase("quota");
+    const auto settings = Entry::EntrySettings::parse(document.dump());
+    REQUIRE(settings);
+    CHECK(settings->quotaTolerance.overage == 0.0);
+    CHECK(settings->quotaTolerance.extra == 0.0);
 }
 
 // Guards against requests to leaving servers for a time that the platform does not allow.
@@ -58,6 +71,7 @@
               { "/store/address", 7, "/store/address: expected a text that is not empty" },
               { "/memory_mb", 1, "/memory_mb: expected a number from 16 to 1e+06" },
               { "/server_drain_ms", -1, "/server_drain_ms: expected a number from 0 to 3.6e+06" },
+              { "/quota/overage", -1, "/quota/overage: expected a number from 0 to 10" },
               { "/server_drain_ms", "2", "/server_drain_ms: expected a number from 0 to 3.6e+06" },
               { "/retries/ratio", "x", "/retries/ratio: expected a number from 0 to 10" },
               { "/zones", json::array(),
--- a/Source/UnitTests/Entry/SteeringFixture.cpp
+++ b/Source/UnitTests/Entry/SteeringFixture.cpp
@@ -42,6 +42,9 @@
     : settings(loopbackSettings()), log("vm-1", { 0, 64 }),
       steering(this->context, this->settings, this->log, this->metrics)
 {
+    const Quotas::QuotaVm vm { this->settings.vm, this->settings.zone, 1.0 };
+    this->steering.quotas().keeper().setPlan(Quotas::QuotaPlan({ vm }), true,
+                                             Common::monotonicNow());
     this->configure();
 }
 
--- a/include/currantfall/Peering/Messages_generated.h
+++ b/include/currantfall/Peering/Messages_generated.h
@@ -145,6 +145,24 @@
 struct ReturnedZonesBuilder;
 struct ReturnedZonesT;
 
+struct PermitNeed;
+struct PermitNeedBuilder;
+struct PermitNeedT;
+
+struct QuotaRequest;
+struct QuotaRequestBuilder;
+struct QuotaRequestT;
+
+struct PermitLot;
+
+struct TenantGrant;
+struct TenantGrantBuilder;
+struct TenantGrantT;
+
+struct QuotaGrant;
+struct QuotaGrantBuilder;
+struct QuotaGrantT;
+
 struct Message;
 struct MessageBuilder;
 struct MessageT;
@@ -271,11 +289,13 @@
   ObjectMoves = 22,
   OutcomeReport = 23,
   ReturnedZones = 24,
+  QuotaRequest = 25,
+  QuotaGrant = 26,
   MIN = NONE,
-  MAX = ReturnedZones
+  MAX = QuotaGrant
 };
 
-inline const Body (&EnumValuesBody())[25] {
+inline const Body (&EnumValuesBody())[27] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -301,13 +321,15 @@
     Body::StoreRequest,
     Body::ObjectMoves,
     Body::OutcomeReport,
-    Body::ReturnedZones
+    Body::ReturnedZones,
+    Body::QuotaRequest,
+    Body::QuotaGrant
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[26] = {
+  static const char * const names[28] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -333,13 +355,15 @@
     "ObjectMoves",
     "OutcomeReport",
     "ReturnedZones",
+    "QuotaRequest",
+    "QuotaGrant",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ReturnedZones)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::QuotaGrant)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -444,6 +468,14 @@
   static const Body enum_value = Body::ReturnedZones;
 };
 
+template<> struct BodyTraits<Currantfall::Peering::Wire::QuotaRequest> {
+  static const Body enum_value = Body::QuotaRequest;
+};
+
+template<> struct BodyTraits<Currantfall::Peering::Wire::QuotaGrant> {
+  static const Body enum_value = Body::QuotaGrant;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -544,6 +576,14 @@
   static const Body enum_value = Body::ReturnedZones;
 };
 
+template<> struct BodyUnionTraits<Currantfall::Peering::Wire::QuotaRequestT> {
+  static const Body enum_value = Body::QuotaRequest;
+};
+
+template<> struct BodyUnionTraits<Currantfall::Peering::Wire::QuotaGrantT> {
+  static const Body enum_value = Body::QuotaGrant;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -766,11 +806,50 @@
     return type == Body::ReturnedZones ?
       reinterpret_cast<const Currantfall::Peering::Wire::ReturnedZonesT *>(value) : nullptr;
   }
+  Currantfall::Peering::Wire::QuotaRequestT *AsQuotaRequest() {
+    return type == Body::QuotaRequest ?
+      reinterpret_cast<Currantfall::Peering::Wire::QuotaRequestT *>(value) : nullptr;
+  }
+  const Currantfall::Peering::Wire::QuotaRequestT *AsQuotaRequest() const {
+    return type == Body::QuotaRequest ?
+      reinterpret_cast<const Currantfall::Peering::Wire::QuotaRequestT *>(value) : nullptr;
+  }
+  Currantfall::Peering::Wire::QuotaGrantT *AsQuotaGrant() {
+    return type == Body::QuotaGrant ?
+      reinterpret_cast<Currantfall::Peering::Wire::QuotaGrantT *>(value) : nullptr;
+  }
+  const Currantfall::Peering::Wire::QuotaGrantT *AsQuotaGrant() const {
+    return type == Body::QuotaGrant ?
+      reinterpret_cast<const Currantfall::Peering::Wire::QuotaGrantT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) PermitLot FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t count_;
+  uint32_t age_ms_;
+
+ public:
+  PermitLot()
+      : count_(0),
+        age_ms_(0) {
+  }
+  PermitLot(uint32_t _count, uint32_t _age_ms)
+      : count_(flatbuffers::EndianScalar(_count)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)) {
+  }
+  uint32_t count() const {
+    return flatbuffers::EndianScalar(count_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PermitLot, 8);
+
 struct HeaderT : public flatbuffers::NativeTable {
   typedef Header TableType;
   std::string name{};
@@ -4331,6 +4410,344 @@
 
 flatbuffers::Offset<ReturnedZones> CreateReturnedZones(flatbuffers::FlatBufferBuilder &_fbb, const ReturnedZonesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct PermitNeedT : public flatbuffers::NativeTable {
+  typedef PermitNeed TableType;
+  std::string tenant{};
+  uint32_t wanted = 0;
+  uint32_t waiting = 0;
+};
+
+struct PermitNeed FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PermitNeedT NativeTableType;
+  typedef PermitNeedBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TENANT = 4,
+    VT_WANTED = 6,
+    VT_WAITING = 8
+  };
+  const flatbuffers::String *tenant() const {
+    return GetPointer<const flatbuffers::String *>(VT_TENANT);
+  }
+  uint32_t wanted() const {
+    return GetField<uint32_t>(VT_WANTED, 0);
+  }
+  uint32_t waiting() const {
+    return GetField<uint32_t>(VT_WAITING, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TENANT) &&
+           verifier.VerifyString(tenant()) &&
+           VerifyField<uint32_t>(verifier, VT_WANTED, 4) &&
+           VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
+           verifier.EndTable();
+  }
+  PermitNeedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PermitNeedT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PermitNeed> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PermitNeedT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PermitNeedBuilder {
+  typedef PermitNeed Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_tenant(flatbuffers::Offset<flatbuffers::String> tenant) {
+    fbb_.AddOffset(PermitNeed::VT_TENANT, tenant);
+  }
+  void add_wanted(uint32_t wanted) {
+    fbb_.AddElement<uint32_t>(PermitNeed::VT_WANTED, wanted, 0);
+  }
+  void add_waiting(uint32_t waiting) {
+    fbb_.AddElement<uint32_t>(PermitNeed::VT_WAITING, waiting, 0);
+  }
+  explicit PermitNeedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PermitNeed> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PermitNeed>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PermitNeed> CreatePermitNeed(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> tenant = 0,
+    uint32_t wanted = 0,
+    uint32_t waiting = 0) {
+  PermitNeedBuilder builder_(_fbb);
+  builder_.add_waiting(waiting);
+  builder_.add_wanted(wanted);
+  builder_.add_tenant(tenant);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PermitNeed> CreatePermitNeedDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *tenant = nullptr,
+    uint32_t wanted = 0,
+    uint32_t waiting = 0) {
+  auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
+  return Currantfall::Peering::Wire::CreatePermitNeed(
+      _fbb,
+      tenant__,
+      wanted,
+      waiting);
+}
+
+flatbuffers::Offset<PermitNeed> CreatePermitNeed(flatbuffers::FlatBufferBuilder &_fbb, const PermitNeedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct QuotaRequestT : public flatbuffers::NativeTable {
+  typedef QuotaRequest TableType;
+  uint64_t number = 0;
+  bool for_zone = false;
+  std::vector<std::unique_ptr<Currantfall::Peering::Wire::PermitNeedT>> needs{};
+  QuotaRequestT() = default;
+  QuotaRequestT(const QuotaRequestT &o);
+  QuotaRequestT(QuotaRequestT&&) FLATBUFFERS_NOEXCEPT = default;
+  QuotaRequestT &operator=(QuotaRequestT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct QuotaRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuotaRequestT NativeTableType;
+  typedef QuotaRequestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_FOR_ZONE = 6,
+    VT_NEEDS = 8
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  bool for_zone() const {
+    return GetField<uint8_t>(VT_FOR_ZONE, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::PermitNeed>> *needs() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::PermitNeed>> *>(VT_NEEDS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_FOR_ZONE, 1) &&
+           VerifyOffset(verifier, VT_NEEDS) &&
+           verifier.VerifyVector(needs()) &&
+           verifier.VerifyVectorOfTables(needs()) &&
+           verifier.EndTable();
+  }
+  QuotaRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QuotaRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<QuotaRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuotaRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct QuotaRequestBuilder {
+  typedef QuotaRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(QuotaRequest::VT_NUMBER, number, 0);
+  }
+  void add_for_zone(bool for_zone) {
+    fbb_.AddElement<uint8_t>(QuotaRequest::VT_FOR_ZONE, static_cast<uint8_t>(for_zone), 0);
+  }
+  void add_needs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::PermitNeed>>> needs) {
+    fbb_.AddOffset(QuotaRequest::VT_NEEDS, needs);
+  }
+  explicit QuotaRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuotaRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuotaRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuotaRequest> CreateQuotaRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    bool for_zone = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::PermitNeed>>> needs = 0) {
+  QuotaRequestBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_needs(needs);
+  builder_.add_for_zone(for_zone);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<QuotaRequest> CreateQuotaRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    bool for_zone = false,
+    const std::vector<flatbuffers::Offset<Currantfall::Peering::Wire::PermitNeed>> *needs = nullptr) {
+  auto needs__ = needs ? _fbb.CreateVector<flatbuffers::Offset<Currantfall::Peering::Wire::PermitNeed>>(*needs) : 0;
+  return Currantfall::Peering::Wire::CreateQuotaRequest(
+      _fbb,
+      number,
+      for_zone,
+      needs__);
+}
+
+flatbuffers::Offset<QuotaRequest> CreateQuotaRequest(flatbuffers::FlatBufferBuilder &_fbb, const QuotaRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct TenantGrantT : public flatbuffers::NativeTable {
+  typedef TenantGrant TableType;
+  std::string tenant{};
+  std::vector<Currantfall::Peering::Wire::PermitLot> lots{};
+};
+
+struct TenantGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TenantGrantT NativeTableType;
+  typedef TenantGrantBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TENANT = 4,
+    VT_LOTS = 6
+  };
+  const flatbuffers::String *tenant() const {
+    return GetPointer<const flatbuffers::String *>(VT_TENANT);
+  }
+  const flatbuffers::Vector<const Currantfall::Peering::Wire::PermitLot *> *lots() const {
+    return GetPointer<const flatbuffers::Vector<const Currantfall::Peering::Wire::PermitLot *> *>(VT_LOTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TENANT) &&
+           verifier.VerifyString(tenant()) &&
+           VerifyOffset(verifier, VT_LOTS) &&
+           verifier.VerifyVector(lots()) &&
+           verifier.EndTable();
+  }
+  TenantGrantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(TenantGrantT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<TenantGrant> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TenantGrantT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct TenantGrantBuilder {
+  typedef TenantGrant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_tenant(flatbuffers::Offset<flatbuffers::String> tenant) {
+    fbb_.AddOffset(TenantGrant::VT_TENANT, tenant);
+  }
+  void add_lots(flatbuffers::Offset<flatbuffers::Vector<const Currantfall::Peering::Wire::PermitLot *>> lots) {
+    fbb_.AddOffset(TenantGrant::VT_LOTS, lots);
+  }
+  explicit TenantGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TenantGrant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TenantGrant>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TenantGrant> CreateTenantGrant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> tenant = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Currantfall::Peering::Wire::PermitLot *>> lots = 0) {
+  TenantGrantBuilder builder_(_fbb);
+  builder_.add_lots(lots);
+  builder_.add_tenant(tenant);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<TenantGrant> CreateTenantGrantDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *tenant = nullptr,
+    const std::vector<Currantfall::Peering::Wire::PermitLot> *lots = nullptr) {
+  auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
+  auto lots__ = lots ? _fbb.CreateVectorOfStructs<Currantfall::Peering::Wire::PermitLot>(*lots) : 0;
+  return Currantfall::Peering::Wire::CreateTenantGrant(
+      _fbb,
+      tenant__,
+      lots__);
+}
+
+flatbuffers::Offset<TenantGrant> CreateTenantGrant(flatbuffers::FlatBufferBuilder &_fbb, const TenantGrantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct QuotaGrantT : public flatbuffers::NativeTable {
+  typedef QuotaGrant TableType;
+  uint64_t number = 0;
+  std::vector<std::unique_ptr<Currantfall::Peering::Wire::TenantGrantT>> tenants{};
+  QuotaGrantT() = default;
+  QuotaGrantT(const QuotaGrantT &o);
+  QuotaGrantT(QuotaGrantT&&) FLATBUFFERS_NOEXCEPT = default;
+  QuotaGrantT &operator=(QuotaGrantT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct QuotaGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuotaGrantT NativeTableType;
+  typedef QuotaGrantBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_TENANTS = 6
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::TenantGrant>> *tenants() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::TenantGrant>> *>(VT_TENANTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_TENANTS) &&
+           verifier.VerifyVector(tenants()) &&
+           verifier.VerifyVectorOfTables(tenants()) &&
+           verifier.EndTable();
+  }
+  QuotaGrantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QuotaGrantT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<QuotaGrant> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuotaGrantT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct QuotaGrantBuilder {
+  typedef QuotaGrant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(QuotaGrant::VT_NUMBER, number, 0);
+  }
+  void add_tenants(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::TenantGrant>>> tenants) {
+    fbb_.AddOffset(QuotaGrant::VT_TENANTS, tenants);
+  }
+  explicit QuotaGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuotaGrant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuotaGrant>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuotaGrant> CreateQuotaGrant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Currantfall::Peering::Wire::TenantGrant>>> tenants = 0) {
+  QuotaGrantBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_tenants(tenants);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<QuotaGrant> CreateQuotaGrantDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    const std::vector<flatbuffers::Offset<Currantfall::Peering::Wire::TenantGrant>> *tenants = nullptr) {
+  auto tenants__ = tenants ? _fbb.CreateVector<flatbuffers::Offset<Currantfall::Peering::Wire::TenantGrant>>(*tenants) : 0;
+  return Currantfall::Peering::Wire::CreateQuotaGrant(
+      _fbb,
+      number,
+      tenants__);
+}
+
+flatbuffers::Offset<QuotaGrant> CreateQuotaGrant(flatbuffers::FlatBufferBuilder &_fbb, const QuotaGrantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct MessageT : public flatbuffers::NativeTable {
   typedef Message TableType;
   Currantfall::Peering::Wire::BodyUnion body{};
@@ -4422,6 +4839,12 @@
   const Currantfall::Peering::Wire::ReturnedZones *body_as_ReturnedZones() const {
     return body_type() == Currantfall::Peering::Wire::Body::ReturnedZones ? static_cast<const Currantfall::Peering::Wire::ReturnedZones *>(body()) : nullptr;
   }
+  const Currantfall::Peering::Wire::QuotaRequest *body_as_QuotaRequest() const {
+    return body_type() == Currantfall::Peering::Wire::Body::QuotaRequest ? static_cast<const Currantfall::Peering::Wire::QuotaRequest *>(body()) : nullptr;
+  }
+  const Currantfall::Peering::Wire::QuotaGrant *body_as_QuotaGrant() const {
+    return body_type() == Currantfall::Peering::Wire::Body::QuotaGrant ? static_cast<const Currantfall::Peering::Wire::QuotaGrant *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -4530,6 +4953,14 @@
   return body_as_ReturnedZones();
 }
 
+template<> inline const Currantfall::Peering::Wire::QuotaRequest *Message::body_as<Currantfall::Peering::Wire::QuotaRequest>() const {
+  return body_as_QuotaRequest();
+}
+
+template<> inline const Currantfall::Peering::Wire::QuotaGrant *Message::body_as<Currantfall::Peering::Wire::QuotaGrant>() const {
+  return body_as_QuotaGrant();
+}
+
 struct MessageBuilder {
   typedef Message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5981,6 +6412,154 @@
       _zones);
 }
 
+inline PermitNeedT *PermitNeed::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<PermitNeedT>(new PermitNeedT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PermitNeed::UnPackTo(PermitNeedT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = tenant(); if (_e) _o->tenant = _e->str(); }
+  { auto _e = wanted(); _o->wanted = _e; }
+  { auto _e = waiting(); _o->waiting = _e; }
+}
+
+inline flatbuffers::Offset<PermitNeed> PermitNeed::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PermitNeedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePermitNeed(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PermitNeed> CreatePermitNeed(flatbuffers::FlatBufferBuilder &_fbb, const PermitNeedT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PermitNeedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _tenant = _o->tenant.empty() ? 0 : _fbb.CreateString(_o->tenant);
+  auto _wanted = _o->wanted;
+  auto _waiting = _o->waiting;
+  return Currantfall::Peering::Wire::CreatePermitNeed(
+      _fbb,
+      _tenant,
+      _wanted,
+      _waiting);
+}
+
+inline QuotaRequestT::QuotaRequestT(const QuotaRequestT &o)
+      : number(o.number),
+        for_zone(o.for_zone) {
+  needs.reserve(o.needs.size());
+  for (const auto &needs_ : o.needs) { needs.emplace_back((needs_) ? new Currantfall::Peering::Wire::PermitNeedT(*needs_) : nullptr); }
+}
+
+inline QuotaRequestT &QuotaRequestT::operator=(QuotaRequestT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(number, o.number);
+  std::swap(for_zone, o.for_zone);
+  std::swap(needs, o.needs);
+  return *this;
+}
+
+inline QuotaRequestT *QuotaRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<QuotaRequestT>(new QuotaRequestT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void QuotaRequest::UnPackTo(QuotaRequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = for_zone(); _o->for_zone = _e; }
+  { auto _e = needs(); if (_e) { _o->needs.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->needs[_i] = std::unique_ptr<Currantfall::Peering::Wire::PermitNeedT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<QuotaRequest> QuotaRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuotaRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQuotaRequest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<QuotaRequest> CreateQuotaRequest(flatbuffers::FlatBufferBuilder &_fbb, const QuotaRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QuotaRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _for_zone = _o->for_zone;
+  auto _needs = _o->needs.size() ? _fbb.CreateVector<flatbuffers::Offset<Currantfall::Peering::Wire::PermitNeed>> (_o->needs.size(), [](size_t i, _VectorArgs *__va) { return CreatePermitNeed(*__va->__fbb, __va->__o->needs[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return Currantfall::Peering::Wire::CreateQuotaRequest(
+      _fbb,
+      _number,
+      _for_zone,
+      _needs);
+}
+
+inline TenantGrantT *TenantGrant::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<TenantGrantT>(new TenantGrantT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void TenantGrant::UnPackTo(TenantGrantT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = tenant(); if (_e) _o->tenant = _e->str(); }
+  { auto _e = lots(); if (_e) { _o->lots.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->lots[_i] = *_e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<TenantGrant> TenantGrant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TenantGrantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTenantGrant(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<TenantGrant> CreateTenantGrant(flatbuffers::FlatBufferBuilder &_fbb, const TenantGrantT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TenantGrantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _tenant = _o->tenant.empty() ? 0 : _fbb.CreateString(_o->tenant);
+  auto _lots = _o->lots.size() ? _fbb.CreateVectorOfStructs(_o->lots) : 0;
+  return Currantfall::Peering::Wire::CreateTenantGrant(
+      _fbb,
+      _tenant,
+      _lots);
+}
+
+inline QuotaGrantT::QuotaGrantT(const QuotaGrantT &o)
+      : number(o.number) {
+  tenants.reserve(o.tenants.size());
+  for (const auto &tenants_ : o.tenants) { tenants.emplace_back((tenants_) ? new Currantfall::Peering::Wire::TenantGrantT(*tenants_) : nullptr); }
+}
+
+inline QuotaGrantT &QuotaGrantT::operator=(QuotaGrantT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(number, o.number);
+  std::swap(tenants, o.tenants);
+  return *this;
+}
+
+inline QuotaGrantT *QuotaGrant::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<QuotaGrantT>(new QuotaGrantT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void QuotaGrant::UnPackTo(QuotaGrantT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = tenants(); if (_e) { _o->tenants.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->tenants[_i] = std::unique_ptr<Currantfall::Peering::Wire::TenantGrantT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<QuotaGrant> QuotaGrant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuotaGrantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQuotaGrant(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<QuotaGrant> CreateQuotaGrant(flatbuffers::FlatBufferBuilder &_fbb, const QuotaGrantT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QuotaGrantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _tenants = _o->tenants.size() ? _fbb.CreateVector<flatbuffers::Offset<Currantfall::Peering::Wire::TenantGrant>> (_o->tenants.size(), [](size_t i, _VectorArgs *__va) { return CreateTenantGrant(*__va->__fbb, __va->__o->tenants[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return Currantfall::Peering::Wire::CreateQuotaGrant(
+      _fbb,
+      _number,
+      _tenants);
+}
+
 inline MessageT *Message::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<MessageT>(new MessageT());
   UnPackTo(_o.get(), _resolver);
@@ -6111,6 +6690,14 @@
       auto ptr = reinterpret_cast<const Currantfall::Peering::Wire::ReturnedZones *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::QuotaRequest: {
+      auto ptr = reinterpret_cast<const Currantfall::Peering::Wire::QuotaRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::QuotaGrant: {
+      auto ptr = reinterpret_cast<const Currantfall::Peering::Wire::QuotaGrant *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -6226,6 +6813,14 @@
       auto ptr = reinterpret_cast<const Currantfall::Peering::Wire::ReturnedZones *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::QuotaRequest: {
+      auto ptr = reinterpret_cast<const Currantfall::Peering::Wire::QuotaRequest *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::QuotaGrant: {
+      auto ptr = reinterpret_cast<const Currantfall::Peering::Wire::QuotaGrant *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -6329,6 +6924,14 @@
       auto ptr = reinterpret_cast<const Currantfall::Peering::Wire::ReturnedZonesT *>(value);
       return CreateReturnedZones(_fbb, ptr, _rehasher).Union();
     }
+    case Body::QuotaRequest: {
+      auto ptr = reinterpret_cast<const Currantfall::Peering::Wire::QuotaRequestT *>(value);
+      return CreateQuotaRequest(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::QuotaGrant: {
+      auto ptr = reinterpret_cast<const Currantfall::Peering::Wire::QuotaGrantT *>(value);
+      return CreateQuotaGrant(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -6431,6 +7034,14 @@
       value = new Currantfall::Peering::Wire::ReturnedZonesT(*reinterpret_cast<Currantfall::Peering::Wire::ReturnedZonesT *>(u.value));
       break;
     }
+    case Body::QuotaRequest: {
+      value = new Currantfall::Peering::Wire::QuotaRequestT(*reinterpret_cast<Currantfall::Peering::Wire::QuotaRequestT *>(u.value));
+      break;
+    }
+    case Body::QuotaGrant: {
+      value = new Currantfall::Peering::Wire::QuotaGrantT(*reinterpret_cast<Currantfall::Peering::Wire::QuotaGrantT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -6558,6 +7169,16 @@
       delete ptr;
       break;
     }
+    case Body::QuotaRequest: {
+      auto ptr = reinterpret_cast<Currantfall::Peering::Wire::QuotaRequestT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::QuotaGrant: {
+      auto ptr = reinterpret_cast<Currantfall::Peering::Wire::QuotaGrantT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
