--- a/Source/UnitTests/Entry/TenantSteeringTest.cpp
+++ b/Source/UnitTests/Entry/TenantSteeringTest.cpp
@@ -176,3 +176,53 @@
     CHECK(server.requests.size() == served);
     CHECK(fixture.run(requestWithKey("/read/1", "key-2"))->result_int() == 200);
 }
+
+// Guards against requests that use up a limit although they did not run.
+TEST_CASE("Requests that do not run leave the limit of their tenant to others")
+{
+    KeepingServer server;
+    SteeringFixture fixture;
+    Tenants::Tenant limited = tenant("a", { "key-1" });
+    limited.requestsPerSecond = 0.5;
+    limited.burst = 2.0;
+    fixture.configure(absl::Seconds(5), 3, {}, {}, { limited });
+    absl::SleepFor(absl::Seconds(3));
+    for (int number = 0; number < 10; ++number) {
+        const auto refused = fixture.run(requestWithKey("/read/1", "key-1"));
+        REQUIRE(refused);
+        CHECK(refused->result_int() == 503);
+    }
+    fixture.addServer("i-1", server.backend.port());
+    CHECK(fixture.run(requestWithKey("/read/1", "key-1"))->result_int() == 200);
+}
+
+// Guards against a request that waits for a permit until its caller has given up.
+TEST_CASE("A request over its limit is refused soon, and its caller may leave before")
+{
+    SteeringFixture fixture;
+    Tenants::Tenant limited = tenant("a", { "key-1" });
+    limited.requestsPerSecond = 0.01;
+    limited.burst = 1.0;
+    fixture.configure(absl::Seconds(5), 3, {}, {}, { limited });
+    CHECK(!fixture.run(requestWithKey("/read/1", "key-1"), absl::Milliseconds(20)));
+    const auto refused = fixture.run(requestWithKey("/read/1", "key-1"));
+    REQUIRE(refused);
+    CHECK(refused->result_int() == 429);
+}
+
+// Guards against requests that go on waiting for a limit that the operator has removed.
+TEST_CASE("A request that waits for its limit goes on when the limit is removed")
+{
+    KeepingServer server;
+    SteeringFixture fixture;
+    fixture.addServer("i-1", server.backend.port());
+    Tenants::Tenant limited = tenant("a", { "key-1" });
+    limited.requestsPerSecond = 0.01;
+    limited.burst = 1.0;
+    fixture.configure(absl::Seconds(5), 3, {}, {}, { limited });
+    const auto response = fixture.startRequest(requestWithKey("/read/1", "key-1"));
+    fixture.runFor(absl::Milliseconds(1));
+    fixture.configure(absl::Seconds(5), 3, {}, {}, { tenant("a", { "key-1" }) });
+    REQUIRE(fixture.runUntil([&] { return response->has_value(); }));
+    CHECK((*response)->result_int() == 200);
+}
