--- a/Source/Core/Quotas/QuotaKeeper.cpp
+++ b/Source/Core/Quotas/QuotaKeeper.cpp
@@ -240,15 +240,16 @@
     }
     // Other zones get what the whole zone can spare.
     std::erase_if(this->outsideNeeds, [now](const auto &need) { return need.second.until < now; });
-    for (const auto &[tenant, outside] : this->outsideNeeds) {
-        const auto own = std::find_if(parts.begin(), parts.end(), [&](const PermitNeed &part) {
-            return part.tenant == outside.need.tenant;
+    for (const auto &outside : this->outsideNeeds) {
+        const PermitNeed &need = outside.second.need;
+        const auto own = std::find_if(parts.begin(), parts.end(), [&need](const PermitNeed &part) {
+            return part.tenant == need.tenant;
         });
         if (own == parts.end()) {
-            parts.push_back(outside.need);
+            parts.push_back(need);
         } else {
-            own->wanted = std::max(own->wanted, outside.need.wanted);
-            own->waiting = std::max(own->waiting, outside.need.waiting);
+            own->wanted = std::max(own->wanted, need.wanted);
+            own->waiting = std::max(own->waiting, need.waiting);
         }
     }
     for (const Common::VmName &vm : ofZone) {
--- a/Source/UnitTests/Quotas/QuotaFleet.cpp
+++ b/Source/UnitTests/Quotas/QuotaFleet.cpp
@@ -132,11 +132,12 @@
         return;
     }
     TenantQuota *quota = receiver.keeper->find(Common::TenantName(tenant));
-    if (quota != nullptr) {
-        receiver.keeper->onRequest(*quota, this->time);
+    if (quota == nullptr) {
+        this->tryAdmit(vm, tenant);
+        return;
     }
-    const bool othersWait = quota != nullptr && quota->waiting > 0;
-    if (!othersWait && this->tryAdmit(vm, tenant)) {
+    receiver.keeper->onRequest(*quota, this->time);
+    if (quota->waiting == 0 && this->tryAdmit(vm, tenant)) {
         return;
     }
     if (quota->mayWait(maxWait, this->time)) {
