Keep VMs without tenants' limits from looking for VMs to ask

The list of VMs that can be asked for permits was made anew each second on all deployments; it is made only where tenants have limits.

--- a/Source/Entry/EntryDaemonPeers.cpp
+++ b/Source/Entry/EntryDaemonPeers.cpp
@@ -165,6 +165,11 @@
 
 void EntryDaemon::updateQuotaPeers()
 {
+    Quotas::QuotaKeeper &keeper = this->steering.quotas().keeper();
+    if (!keeper.hasLimits()) {
+        this->cluster->setExtraPeers({});
+        return;
+    }
     std::set<Common::VmName> reachable;
     for (const auto &member : this->cluster->members().members()) {
         // VMs of the own zone are linked; links to others are made when they are needed.
@@ -174,7 +179,6 @@
             reachable.insert(member->vm);
         }
     }
-    Quotas::QuotaKeeper &keeper = this->steering.quotas().keeper();
     keeper.setReachable(std::move(reachable));
     this->cluster->setExtraPeers(keeper.wantedLinks());
 }
