Let the share of requests that homes take grow slowly

What callers saw: with one hot tenant, 22 to 29 in 100 of the requests of a region changed their region within two seconds (SHIFT).

RegionShareGuard compares the regions of a VM's requests of the last 2 s with those of the 16 s before and refuses requests with homes beyond a slow growth.

--- a/Source/Entry/RequestSteering.cpp
+++ b/Source/Entry/RequestSteering.cpp
@@ -120,14 +120,9 @@
     activeRequest.responseDeadline
             = std::min(activeRequest.deadline, activeRequest.start + route.timeout);
     this->retryAllowance(activeRequest.service).onRequest(activeRequest.start);
-    const QuotaAdmission admission = co_await this->quotaGate.enter(
-            activeRequest.scope.tenant, activeRequest.callerState, activeRequest.responseDeadline);
-    if (!admission.admitted) {
-        activeRequest.outcome = "over-quota";
-        co_return Adapter::failureResponse(Failure::OverQuota, activeRequest.callerRequest.id,
-                                           admission.retryAfter, activeRequest.outcome);
+    if (auto refusal = co_await this->refuseBeyondShare(activeRequest)) {
+        co_return std::move(*refusal);
     }
-    activeRequest.permit = admission.permit;
     const Steering::ServiceSettings *terms
             = activeRequest.configuration->service(activeRequest.service);
 
@@ -334,6 +329,9 @@
     attempt->start = now;
     attempt->configuration = this->currentConfiguration->version();
     attempt->expectedDuration = choice.expected;
+    if (activeRequest.attempts == 0) {
+        this->regionShares.record(attempt->region, now);
+    }
     activeRequest.attemptedServers.insert(attempt->exchange->server.name);
     ++activeRequest.attempts;
     boost::asio::co_spawn(this->context, this->runAttempt(attempt), boost::asio::detached);
--- a/Source/Entry/RequestSteering.h
+++ b/Source/Entry/RequestSteering.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "currantfall/Common/EventLog.h"
+#include "currantfall/Steering/RegionShareGuard.h"
 #include "currantfall/Steering/RequestScope.h"
 #include "currantfall/Steering/RetryAllowance.h"
 #include "currantfall/Steering/RoutingConfiguration.h"
@@ -86,6 +87,10 @@
     struct Attempt;
 
     boost::asio::awaitable<Adapter::HttpResponse> steer(ActiveRequest &activeRequest);
+    /// Refuses a request that lies beyond its tenant's limit, or that would change the regions in
+    /// which requests run too fast. Returns nothing if it may go on.
+    boost::asio::awaitable<std::optional<Adapter::HttpResponse>>
+    refuseBeyondShare(ActiveRequest &activeRequest);
     /// Whether a request that is sent now may still run when the process ends.
     bool mayOutliveProcess(const ActiveRequest &activeRequest, Common::Instant now) const;
     /// Whether the caller gets its final response now, finished or not.
@@ -174,6 +179,7 @@
     Steering::ServerSelector serverSelector;
     Steering::SplitChooser splitChooser;
     QuotaGate quotaGate;
+    Steering::RegionShareGuard regionShares;
     BackendPool backendPool;
     std::map<Common::ServiceName, Steering::RetryAllowance> retryAllowances;
     std::set<SharedAttempt> runningAttempts;
--- a/Source/Entry/RequestSteeringRoutes.cpp
+++ b/Source/Entry/RequestSteeringRoutes.cpp
@@ -35,6 +35,25 @@
     return activeRequest.scope.homesNow(*this->currentConfiguration).has_value();
 }
 
+boost::asio::awaitable<std::optional<Adapter::HttpResponse>>
+RequestSteering::refuseBeyondShare(ActiveRequest &activeRequest)
+{
+    if (!this->regionShares.admits(activeRequest.scope.homes, Common::monotonicNow())) {
+        co_return this->refuse(activeRequest, "region-share",
+                               Steering::RegionShareGuard::retryAfter());
+    }
+    const QuotaAdmission admission = co_await this->quotaGate.enter(
+            activeRequest.scope.tenant, activeRequest.callerState, activeRequest.responseDeadline);
+    if (!admission.admitted) {
+        activeRequest.outcome = "over-quota";
+        co_return Adapter::failureResponse(Adapter::Failure::OverQuota,
+                                           activeRequest.callerRequest.id, admission.retryAfter,
+                                           activeRequest.outcome);
+    }
+    activeRequest.permit = admission.permit;
+    co_return std::nullopt;
+}
+
 void RequestSteering::giveBackPermit(const ActiveRequest &activeRequest, unsigned status)
 {
     const bool notRun
--- a/Source/UnitTests/Entry/TenantSteeringTest.cpp
+++ b/Source/UnitTests/Entry/TenantSteeringTest.cpp
@@ -226,3 +226,34 @@
     REQUIRE(fixture.runUntil([&] { return response->has_value(); }));
     CHECK((*response)->result_int() == 200);
 }
+
+// Guards against a surge of one tenant that moves the requests of a region to its homes (SHIFT).
+TEST_CASE("A surge of requests with homes elsewhere is let in slowly, and others are served")
+{
+    KeepingServer west;
+    KeepingServer east;
+    SteeringFixture fixture;
+    fixture.addServer("i-west", west.backend.port(), "a");
+    fixture.addServer("i-east", east.backend.port(), "b");
+    fixture.configure(absl::Seconds(5), 3, {}, {},
+                      { tenant("homed", { "key-1" }, { Common::RegionName("east") }),
+                        tenant("free", { "key-2" }, { Common::RegionName("west") }) });
+    const auto send = [&fixture](const std::string &key, int count) {
+        int served = 0;
+        for (; count > 0; --count) {
+            const auto response = fixture.run(requestWithKey("/read/1", key));
+            REQUIRE(response);
+            CHECK((response->result_int() == 200 || response->result_int() == 503));
+            served += response->result_int() == 200 ? 1 : 0;
+        }
+        return served;
+    };
+    CHECK(send("key-2", 100) == 100);
+    absl::SleepFor(absl::Seconds(3));
+    CHECK(send("key-2", 100) == 100);
+    const int served = send("key-1", 200);
+    CHECK(served > 0);
+    CHECK(served < 100);
+    CHECK(east.requests.size() == static_cast<std::size_t>(served));
+    CHECK(send("key-2", 100) == 100);
+}
