--- a/Source/UnitTests/Quotas/QuotaKeeperTest.cpp
+++ b/Source/UnitTests/Quotas/QuotaKeeperTest.cpp
@@ -97,9 +97,9 @@
             QuotaFleet fleet(zones, { terms }, usualTolerance(), 3);
             std::mt19937 random(4);
             fleet.advance(warmUp);
-            const std::size_t owed = sendRequests(
-                    fleet, terms, terms.requestsPerSecond / 1.6,
-                    absl::Seconds(2400.0 / terms.requestsPerSecond), crowd, random);
+            const std::size_t owed
+                    = sendRequests(fleet, terms, terms.requestsPerSecond / 1.6,
+                                   absl::Seconds(2400.0 / terms.requestsPerSecond), crowd, random);
             const std::size_t served = fleet.admitted("a");
             CHECK(static_cast<double>(served) >= static_cast<double>(owed) * 0.99);
         }
