--- a/Tests/Deployment/DeploymentFixture.cpp
+++ b/Tests/Deployment/DeploymentFixture.cpp
@@ -55,6 +55,7 @@
       document(this->directory + "/environment.yaml"), zones { "lm-a", "lm-b", "ok-a",
                                                                "ok-b", "is-a", "is-b" }
 {
+    this->vmArguments = options.vmArguments;
     std::filesystem::create_directories(this->directory);
     this->writeDocument(options);
     this->startPlatform(options.zoneLinks);
@@ -137,12 +138,14 @@
             = this->zoneLinks != nullptr
                       ? this->zoneLinks->platformOf(vm.zone)
                       : this->addressOf(0, 9, 9) + ":" + std::to_string(platformPort);
-    vm.process = std::make_unique<ProcessFixture>(
-            CURRANTFALLD_PATH,
-            std::vector<std::string> { "--vm", vm.name, "--zone", vm.zone, "--region", vm.region,
-                                       "--environment", "production", "--address", vm.address,
-                                       "--port-base", std::to_string(portBase), "--platform",
-                                       platform, "--log-level", "info" });
+    std::vector<std::string> arguments { "--vm",          vm.name,       "--zone",
+                                         vm.zone,         "--region",    vm.region,
+                                         "--environment", "production",  "--address",
+                                         vm.address,      "--port-base", std::to_string(portBase),
+                                         "--platform",    platform,      "--log-level",
+                                         "info" };
+    arguments.insert(arguments.end(), this->vmArguments.begin(), this->vmArguments.end());
+    vm.process = std::make_unique<ProcessFixture>(CURRANTFALLD_PATH, arguments);
 }
 
 void DeploymentFixture::waitReady(const EntryVm &vm) const
--- a/Tests/Deployment/DeploymentFixture.h
+++ b/Tests/Deployment/DeploymentFixture.h
@@ -37,6 +37,8 @@
     /// Changes the text of the document before it is promoted.
     std::function<std::string(std::string)> editDocument = {};
     std::vector<std::string> backendArguments = {};
+    /// Further arguments of all entry VMs.
+    std::vector<std::string> vmArguments = {};
 };
 
 /// Stand-ins, and ten entry VMs in six availability zones that serve Examples/bellringer.yaml, on
@@ -101,6 +103,7 @@
     std::string document;
     std::vector<std::string> zones;
     std::vector<EntryVm> vms;
+    std::vector<std::string> vmArguments;
     std::unique_ptr<ProcessFixture> platformProcess;
     std::map<std::string, std::string> backendAddresses; // By name.
     std::unique_ptr<ZoneLinks> zoneLinks;
