--- a/Source/UnitTests/Quotas/QuotaProperties.cpp
+++ b/Source/UnitTests/Quotas/QuotaProperties.cpp
@@ -192,6 +192,7 @@
         const double rate = *rc::gen::element(5.0, 40.0, 200.0);
         const QuotaTerms terms = limitOf("a", rate, rate * 2.0);
         RandomRun run(terms, rate, seed);
+        run.setSteadyDemand(rate);
         run.run(absl::Seconds(5), anyFaults());
         run.heal();
         run.run(absl::Seconds(4));
