Collect permits again from VMs whose callers have left

What callers saw: a tenant of 5 requests a second lost up to 6 of 45 inside its limit when its callers moved to other VMs each second. Cause: the agent of a zone collected permits only from VMs on which they accrue; those that small VMs had fetched before their callers left expired there. The agent now asks the VMs that it gave permits to in the last 5 s as well.

--- a/Source/Core/Quotas/QuotaKeeper.cpp
+++ b/Source/Core/Quotas/QuotaKeeper.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <iterator>
 #include <utility>
 
 namespace Currantfall::Quotas {
@@ -31,6 +30,8 @@
 constexpr double collectFactor = 2.0;
 // What other zones asked for is collected in the own zone for this time.
 constexpr absl::Duration outsideNeedTime = absl::Milliseconds(500);
+// Permits that a VM has got may be collected again for this time.
+constexpr absl::Duration receiverTime = absl::Seconds(5);
 constexpr double minNeed = 0.05;
 constexpr double minGrant = 0.01;
 // An agent with fewer permits keeps them together.
@@ -213,19 +214,30 @@
     }
 }
 
+std::vector<Common::VmName> QuotaKeeper::sourcesInZone(Common::Instant now)
+{
+    std::erase_if(this->receivers,
+                  [now](const auto &receiver) { return now - receiver.second > receiverTime; });
+    std::vector<Common::VmName> sources = this->plan.holders(this->zone);
+    for (const auto &[vm, since] : this->receivers) {
+        if (std::find(sources.begin(), sources.end(), vm) == sources.end()) {
+            sources.push_back(vm);
+        }
+    }
+    std::erase_if(sources, [this](const Common::VmName &vm) {
+        return vm == this->self || !this->reachable.contains(vm);
+    });
+    return sources;
+}
+
 void QuotaKeeper::collect(const std::vector<PermitNeed> &missing, Common::Instant now)
 {
-    std::vector<Common::VmName> ofZone;
+    const std::vector<Common::VmName> ofZone = this->sourcesInZone(now);
     std::vector<Common::VmName> agents;
     for (const Common::ZoneName &each : this->plan.zones()) {
-        if (each == this->zone) {
-            const auto &holders = this->plan.holders(each);
-            std::copy_if(holders.begin(), holders.end(), std::back_inserter(ofZone),
-                         [this](const Common::VmName &vm) {
-                             return vm != this->self && this->reachable.contains(vm);
-                         });
-        } else if (const auto other = this->plan.agent(each, this->reachable)) {
-            agents.push_back(*other);
+        const auto agent = this->plan.agent(each, this->reachable);
+        if (each != this->zone && agent) {
+            agents.push_back(*agent);
         }
     }
     std::vector<PermitNeed> parts = missing;
@@ -306,6 +318,7 @@
             tenant.lots.push_back({ lot.count, now - lot.accruedAt });
         }
         if (!request.forZone) {
+            this->receivers.insert_or_assign(to, now);
             // The requests of the zone need the permits of its agent.
             quota->recordDemand(count, now);
             this->active.insert(need.tenant);
--- a/include/currantfall/Quotas/QuotaKeeper.h
+++ b/include/currantfall/Quotas/QuotaKeeper.h
@@ -98,6 +98,9 @@
     void updateOverdraft();
     /// What this VM needs now. For an agent, this includes what its zone waits for.
     std::vector<PermitNeed> needs(Common::Instant now);
+    /// VMs of the zone that may have permits to spare: those on which permits accrue, and those
+    /// that have got some lately and may not need them any more.
+    std::vector<Common::VmName> sourcesInZone(Common::Instant now);
     /// As the agent of the zone, asks the other VMs of the zone and the agents of the other zones.
     void collect(const std::vector<PermitNeed> &missing, Common::Instant now);
     void ask(const Common::VmName &peer, bool forZone, const std::vector<PermitNeed> &needs,
@@ -123,6 +126,8 @@
     /// In the order of their arrival; one of each VM.
     std::vector<PendingRequest> pending;
     std::map<Common::TenantName, OutsideNeed> outsideNeeds;
+    /// VMs of the zone to which this VM gave permits, and when it last did.
+    std::map<Common::VmName, Common::Instant> receivers;
     std::vector<QuotaMessage> outbox;
 };
 
