--- a/Source/UnitTests/Quotas/QuotaKeeperTest.cpp
+++ b/Source/UnitTests/Quotas/QuotaKeeperTest.cpp
@@ -99,7 +99,7 @@
             fleet.advance(warmUp);
             const std::size_t owed
                     = sendRequests(fleet, terms, terms.requestsPerSecond / 1.6,
-                                   absl::Seconds(2400.0 / terms.requestsPerSecond), crowd, random);
+                                   absl::Seconds(1000.0 / terms.requestsPerSecond), crowd, random);
             const std::size_t served = fleet.admitted("a");
             CHECK(static_cast<double>(served) >= static_cast<double>(owed) * 0.99);
         }
