--- a/Source/UnitTests/Quotas/PermitExchangeTest.cpp
+++ b/Source/UnitTests/Quotas/PermitExchangeTest.cpp
@@ -88,6 +88,30 @@
     CHECK(late < fresh / 2.0);
 }
 
+// Guards against permits that expire on a VM whose callers have left, while others lack them.
+TEST_CASE("An agent asks the VMs to which it gave permits as well")
+{
+    const Common::VmName small("vm-3");
+    QuotaKeeper agent = keeperOf("vm-1");
+    agent.setPlan(QuotaPlan({ { Common::VmName("vm-1"), Common::ZoneName("z"), 1.0 },
+                              { Common::VmName("vm-2"), Common::ZoneName("z"), 1.0 },
+                              { small, Common::ZoneName("z"), 0.1 } }),
+                  true, at(0));
+    agent.setReachable({ Common::VmName("vm-1"), Common::VmName("vm-2"), small });
+    agent.onMessage(small, PermitRequest { 1, false, { { tenantName, 3.0, 3.0 } } }, at(2));
+    REQUIRE(agent.takeMessages().size() == 1);
+    TenantQuota *quota = agent.find(tenantName);
+    quota->release(fullStock, at(2));
+    quota->waiting = 2;
+    agent.onRequest(*quota, at(2));
+    agent.advance(at(2));
+    std::set<Common::VmName> asked;
+    for (const QuotaMessage &message : agent.takeMessages()) {
+        asked.insert(message.to);
+    }
+    CHECK(asked == std::set<Common::VmName> { Common::VmName("vm-2"), small });
+}
+
 TEST_CASE("A grant that nobody asked for is ignored")
 {
     QuotaKeeper keeper = keeperOf("vm-2");
